--- /dev/null
+++ b/eslint.config.mjs
@@ -0,0 +1,100 @@
+import { configs, plugins } from 'eslint-config-airbnb-extended';
+import prettier from 'eslint-config-prettier';
+
+/** Layers from the lowest up; each may import only from itself and the layers before it. */
+const layers = ['base', 'platform', 'standin', 'agent', 'entry', 'admin', 'bench', 'bin'];
+const programs = ['standin', 'agent', 'entry', 'admin'];
+
+const zones = [
+  ...layers.map((layer, index) => ({
+    target: `./src/${layer}`,
+    from: layers.slice(index + 1).map((upper) => `./src/${upper}`),
+  })),
+  ...programs.map((program) => ({
+    target: `./src/${program}`,
+    from: programs.filter((other) => other !== program).map((other) => `./src/${other}`),
+  })),
+  { target: './src/**/common/**/*', from: './src/**/node/**/*' },
+].filter((zone) => zone.from.length > 0);
+
+const inputOutputModules = ['fs', 'net', 'http', 'https', 'dgram', 'dns', 'timers', 'process'].map(
+  (name) => `node:${name}`,
+);
+
+export default [
+  { ignores: ['dist/**', 'build/**', 'node_modules/**', 'run/**'] },
+  plugins.stylistic,
+  plugins.importX,
+  plugins.node,
+  plugins.typescriptEslint,
+  ...configs.base.recommended,
+  ...configs.node.recommended,
+  ...configs.base.typescript,
+  prettier,
+  {
+    languageOptions: {
+      parserOptions: { projectService: { allowDefaultProject: ['scripts/*.mjs'] } },
+    },
+  },
+  {
+    rules: {
+      'import-x/no-restricted-paths': ['error', { zones }],
+      'import-x/prefer-default-export': 'off',
+      'import-x/extensions': 'off',
+      'import-x/no-rename-default': 'off',
+      'no-await-in-loop': 'off',
+      'no-continue': 'off',
+      'no-void': 'off',
+      'no-restricted-syntax': ['error', 'ForInStatement', 'LabeledStatement', 'WithStatement'],
+      'no-underscore-dangle': 'off',
+      'n/no-unsupported-features/node-builtins': 'off',
+      'class-methods-use-this': 'off',
+      'max-classes-per-file': 'off',
+      curly: ['error', 'all'],
+      // Function declarations are hoisted; helpers stand below what uses them.
+      '@typescript-eslint/no-use-before-define': ['error', { functions: false }],
+      // Mutable records belong to one class, whose methods pass them on.
+      'no-param-reassign': ['error', { props: false }],
+    },
+  },
+  {
+    files: ['src/platform/program/**', 'src/platform/settings/node/**', 'src/bin/**'],
+    rules: { 'n/no-process-exit': 'off', 'n/no-sync': 'off' },
+  },
+  {
+    files: ['src/standin/**', 'src/bench/**'],
+    rules: { 'n/no-process-exit': 'off', 'n/no-sync': 'off', 'no-bitwise': 'off' },
+  },
+  {
+    files: ['src/**/test/**', 'scripts/**'],
+    rules: {
+      'n/no-process-exit': 'off',
+      'n/no-sync': 'off',
+      'import-x/no-extraneous-dependencies': 'off',
+      '@typescript-eslint/no-unused-expressions': 'off',
+    },
+  },
+  {
+    files: ['src/**/common/**/*.ts'],
+    ignores: ['src/**/test/**'],
+    rules: {
+      'no-restricted-imports': ['error', { paths: inputOutputModules.map((name) => ({ name })) }],
+      'no-restricted-globals': [
+        'error',
+        ...['setTimeout', 'setInterval', 'setImmediate', 'fetch', 'process'].map((name) => ({
+          name,
+          message: 'common code takes timers and I/O through its constructor',
+        })),
+      ],
+      'no-restricted-properties': [
+        'error',
+        { object: 'Date', property: 'now', message: 'common code takes the time as an argument' },
+        {
+          object: 'Math',
+          property: 'random',
+          message: 'common code takes randomness as an argument',
+        },
+      ],
+    },
+  },
+];
--- /dev/null
+++ b/scripts/bundle.mjs
@@ -0,0 +1,20 @@
+import { build } from 'esbuild';
+
+const programs = ['entry', 'agent', 'admin', 'standin', 'bench'];
+
+await build({
+  entryPoints: programs.map((name) => `src/bin/ibisspar-${name}.ts`),
+  outdir: 'build',
+  outExtension: { '.js': '.mjs' },
+  bundle: true,
+  platform: 'node',
+  target: 'node20',
+  format: 'esm',
+  minifySyntax: true,
+  // Native add-ons are optional for these packages; each falls back to JavaScript.
+  external: ['msgpackr-extract', 'unix-dgram', 'bufferutil', 'utf-8-validate'],
+  banner: {
+    js: "import { createRequire as bundleCreateRequire } from 'node:module'; const require = bundleCreateRequire(import.meta.url);",
+  },
+  logLevel: 'warning',
+});
--- /dev/null
+++ b/src/agent/node/httpPlainService.ts
@@ -0,0 +1,73 @@
+import { Err, Ok, type Result } from 'ts-results-es';
+import { Agent, request } from 'undici';
+import { messageOf } from '../../base/common/errors.js';
+import type { CallMessage, Header, ServiceAnswer } from '../../platform/link/common/messages.js';
+import { RunState } from '../../platform/problem/common/problem.js';
+import { ServiceCallError, type IPlainService } from '../calls/common/callRunner.js';
+
+/** Headers that belong to one connection and are not passed on. */
+const hopHeaders = new Set(['connection', 'keep-alive', 'transfer-encoding', 'content-length']);
+
+/** Errors that prove that no byte of the request reached the service. */
+const notReachedCodes = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT']);
+
+/** Plain service reached over HTTP. */
+export class HttpPlainService implements IPlainService {
+  private readonly agent = new Agent({ connections: 64, connect: { timeout: 1_000 } });
+
+  /** @param baseUrl - For example `http://127.0.0.1:9000`. */
+  constructor(private readonly baseUrl: string) {}
+
+  async call(
+    message: CallMessage,
+    signal: AbortSignal,
+  ): Promise<Result<ServiceAnswer, ServiceCallError>> {
+    const limit = AbortSignal.timeout(Math.max(1, Math.ceil(message.remainingMs)));
+    try {
+      const res = await request(`${this.baseUrl}${message.path}`, {
+        method: message.method,
+        headers: Object.fromEntries(message.headers),
+        body: message.body.length > 0 ? message.body : undefined,
+        dispatcher: this.agent,
+        signal: AbortSignal.any([limit, signal]),
+      });
+      const body = new Uint8Array(await res.body.arrayBuffer());
+      return Ok({ status: res.statusCode, headers: passedOn(res.headers), body });
+    } catch (err) {
+      const code = (err as { code?: string }).code ?? '';
+      const run = notReachedCodes.has(code) ? RunState.NotRun : RunState.Unknown;
+      return Err(new ServiceCallError(messageOf(err), run));
+    }
+  }
+
+  /**
+   * Tells whether the service accepts connections.
+   *
+   * @param limitMs - Time limit, in milliseconds.
+   * @returns True if any answer came.
+   */
+  async alive(limitMs: number): Promise<boolean> {
+    try {
+      const signal = AbortSignal.timeout(limitMs);
+      const res = await request(this.baseUrl, { method: 'HEAD', dispatcher: this.agent, signal });
+      await res.body.dump();
+      return true;
+    } catch {
+      return false;
+    }
+  }
+
+  /** Closes the connections. */
+  async close(): Promise<void> {
+    await this.agent.destroy();
+  }
+}
+
+function passedOn(headers: Record<string, string | string[] | undefined>): readonly Header[] {
+  return Object.entries(headers).flatMap(([name, value]): Header[] => {
+    if (value === undefined || hopHeaders.has(name)) {
+      return [];
+    }
+    return [value].flat().map((single): Header => [name, single]);
+  });
+}
--- /dev/null
+++ b/src/agent/stage/common/stageContracts.ts
@@ -0,0 +1,48 @@
+import type { Result } from 'ts-results-es';
+import { IbissparError } from '../../../base/common/errors.js';
+import type { LinkMessage } from '../../../platform/link/common/messages.js';
+import type { StageSpec } from '../../../platform/model/common/model.js';
+
+/** The engine beside the agent failed or refused a step. */
+export class EngineError extends IbissparError {
+  readonly code = 'engine-failed';
+}
+
+/** Step for the engine. */
+export interface EngineStep {
+  readonly sequence: string;
+  readonly step: number;
+  /** Prompt; only on the first step at the first stage. */
+  readonly prompt?: string;
+  readonly data: readonly number[];
+  /** True if this engine holds the model's last layer. */
+  readonly last: boolean;
+  readonly priority: number;
+}
+
+/** What the engine made of a step. */
+export interface EngineOutput {
+  /** Input of the next stage; empty at the last stage. */
+  readonly data: readonly number[];
+  /** Generated token; only at the last stage. */
+  readonly token?: number;
+  readonly text?: string;
+  /** True if the model ended its answer with this token. */
+  readonly end?: boolean;
+}
+
+/** The engine beside an agent. */
+export interface IStageEngine {
+  /** Runs one step of a sequence over the loaded layers. */
+  run(step: EngineStep): Promise<Result<EngineOutput, EngineError>>;
+  /** Frees a sequence and cancels its queued steps. */
+  drop(sequence: string): void;
+}
+
+/** Links from an agent to other processes. */
+export interface IStageLinks {
+  /** Sends to the agent of another stage, opening a link if there is none. */
+  toStage(stage: StageSpec, message: LinkMessage): void;
+  /** Sends to an entry over the link that the entry opened; lost if there is none. */
+  toEntry(entry: string, message: LinkMessage): void;
+}
--- /dev/null
+++ b/src/agent/stage/common/stageRunner.ts
@@ -0,0 +1,410 @@
+import type { IClock } from '../../../base/common/clock.js';
+import { Emitter } from '../../../base/common/event.js';
+import {
+  FailureReason,
+  MessageKind,
+  type AttemptFailedMessage,
+  type AttemptSpec,
+  type ResumeMessage,
+  type StartMessage,
+  type StepMessage,
+  type TokenMessage,
+} from '../../../platform/link/common/messages.js';
+import type { AcceleratorKind } from '../../../platform/model/common/model.js';
+import { RunState } from '../../../platform/problem/common/problem.js';
+import { AdmitOutcome, type AttemptGate } from '../../gate/common/attemptGate.js';
+import type { EngineOutput, IStageEngine, IStageLinks } from './stageContracts.js';
+import { StepDecision, StepSequencer, type ArrivedStep } from './stepSequencer.js';
+
+interface StepInput {
+  readonly prompt?: string;
+  readonly data: readonly number[];
+}
+
+interface AttemptRecord {
+  spec: AttemptSpec;
+  /** Entry that receives the tokens; changes when a caller comes back through another entry. */
+  entry: string;
+  stage: number;
+  expiresMs: number;
+  readonly sequencer: StepSequencer<StepInput>;
+  /** Newest output for the next stage, kept in case it must be sent again. */
+  lastSent?: StepMessage;
+  /** Tokens of the current epoch; only at the last stage. */
+  tokens: TokenMessage[];
+  ended: boolean;
+}
+
+/** Work that the agent counted for the cost record. */
+export interface StageUsage {
+  readonly organisation: string;
+  readonly model: string;
+  readonly revision: number;
+  /** Layers times positions that ran. */
+  readonly layerTokens: number;
+  /** Price of the work, in micro-units. */
+  readonly micros: number;
+  /** Tokens generated; non-zero at the last stage only. */
+  readonly tokens: number;
+}
+
+/** Settings of a stage runner. */
+export interface StageRunnerOptions {
+  readonly endpoint: string;
+  readonly incarnation: string;
+  /** Returns the most attempts that may be active at once. */
+  readonly capacity: () => number;
+  /** Returns the kind of the engine's accelerator. */
+  readonly accelerator: () => AcceleratorKind;
+  /** Time for which a submission's tokens are kept after its end, in milliseconds. */
+  readonly keepMs: number;
+}
+
+/** Grace after an attempt's deadline before its record is dropped, in milliseconds. */
+const expiryGraceMs = 5_000;
+
+/**
+ * Runs this endpoint's stage of every attempt that comes through it.
+ *
+ * Input arrives as messages; output leaves through the links. The engine's answers are the only
+ * waits.
+ */
+export class StageRunner {
+  private readonly attempts = new Map<string, AttemptRecord>();
+
+  private readonly usages = new Emitter<StageUsage>();
+
+  private leaving = false;
+
+  /** Fires when the engine ran a step. */
+  readonly onDidUse = this.usages.event;
+
+  /**
+   * @param options - Identity and limits.
+   * @param engine - The engine beside the agent.
+   * @param links - Links to other agents and to entries.
+   * @param gate - Decides which submissions run.
+   * @param clock - Source of time.
+   */
+  constructor(
+    private readonly options: StageRunnerOptions,
+    private readonly engine: IStageEngine,
+    private readonly links: IStageLinks,
+    private readonly gate: AttemptGate,
+    private readonly clock: IClock,
+  ) {}
+
+  /** Number of attempts that are running through this stage. */
+  get active(): number {
+    let count = 0;
+    for (const record of this.attempts.values()) {
+      count += record.ended ? 0 : 1;
+    }
+    return count;
+  }
+
+  /** Refuses attempts that arrive from now on; those under way go on. */
+  leave(): void {
+    this.leaving = true;
+  }
+
+  /**
+   * Starts an attempt, or a new epoch of one, at the first stage.
+   *
+   * @param message - The start.
+   */
+  start(message: StartMessage): void {
+    const { spec } = message;
+    const refusal = this.refusalOf(spec);
+    if (refusal !== undefined) {
+      this.fail(spec, refusal, RunState.NotRun);
+      return;
+    }
+    if (spec.submission && !this.admitSubmission(spec)) {
+      return;
+    }
+    const record = this.recordOf(spec, 0);
+    const input = { prompt: message.prompt, data: message.delivered };
+    this.arrive(record, { epoch: spec.epoch, step: message.delivered.length, input }, true);
+  }
+
+  /**
+   * Takes a step from the stage before, or a token from the last stage.
+   *
+   * @param message - The step.
+   */
+  step(message: StepMessage): void {
+    const known = this.attempts.get(message.attempt);
+    const record = message.spec ? this.recordOf(message.spec, message.stage) : known;
+    if (record === undefined || record.ended) {
+      return;
+    }
+    const arrived = { epoch: message.epoch, step: message.step, input: { data: message.data } };
+    this.arrive(record, arrived, message.spec !== undefined);
+  }
+
+  /**
+   * Sends the tokens of an attempt again from a step on.
+   *
+   * @param message - From where, and to which entry.
+   */
+  resume(message: ResumeMessage): void {
+    const record = this.attempts.get(message.attempt);
+    if (record === undefined) {
+      this.links.toEntry(message.entry, this.failure(message, FailureReason.UnknownAttempt));
+      return;
+    }
+    record.entry = message.entry;
+    record.tokens
+      .filter((token) => token.step >= message.fromStep)
+      .forEach((token) => this.links.toEntry(record.entry, token));
+  }
+
+  /**
+   * Ends an attempt and frees its sequence.
+   *
+   * @param attempt - Identifier of the attempt.
+   */
+  cancel(attempt: string): void {
+    const record = this.attempts.get(attempt);
+    if (record === undefined) {
+      return;
+    }
+    this.engine.drop(sequenceOf(record.spec));
+    this.gate.finish(attempt, this.clock.monotonicMs());
+    const keepsAnswer = record.spec.submission && record.tokens.length > 0;
+    if (keepsAnswer) {
+      record.ended = true;
+      record.expiresMs = this.clock.monotonicMs() + this.options.keepMs;
+    } else {
+      this.attempts.delete(attempt);
+    }
+  }
+
+  /**
+   * Cancels the lookups of an entry that is gone; submissions run on so that their answers are kept.
+   *
+   * @param entry - Instance id of the entry.
+   */
+  entryLost(entry: string): void {
+    for (const [attempt, record] of [...this.attempts]) {
+      if (record.entry === entry && !record.spec.submission) {
+        this.cancel(attempt);
+      }
+    }
+  }
+
+  /**
+   * Tells the entries that the next stage of their attempts is gone.
+   *
+   * @param incarnation - Incarnation of the lost agent.
+   */
+  stageLost(incarnation: string): void {
+    for (const record of this.attempts.values()) {
+      if (!record.ended && nextStageOf(record).incarnation === incarnation) {
+        this.fail(record.spec, FailureReason.StageLost, RunState.Ran);
+      }
+    }
+  }
+
+  /**
+   * Sends the newest outputs again to an agent whose link was replaced.
+   *
+   * @param incarnation - Incarnation of the agent.
+   */
+  stageRestored(incarnation: string): void {
+    for (const record of this.attempts.values()) {
+      const next = nextStageOf(record);
+      if (!record.ended && record.lastSent && next.incarnation === incarnation) {
+        this.links.toStage(next, record.lastSent);
+      }
+    }
+  }
+
+  /** Drops the records of attempts that are past their deadline. */
+  expire(): void {
+    const nowMs = this.clock.monotonicMs();
+    for (const [attempt, record] of [...this.attempts]) {
+      if (record.expiresMs < nowMs) {
+        this.engine.drop(sequenceOf(record.spec));
+        this.attempts.delete(attempt);
+      }
+    }
+  }
+
+  private refusalOf(spec: AttemptSpec): FailureReason | undefined {
+    if (spec.chain[0]?.incarnation !== this.options.incarnation) {
+      return FailureReason.WrongIncarnation;
+    }
+    if (this.attempts.has(spec.attempt)) {
+      return undefined;
+    }
+    if (this.leaving) {
+      return FailureReason.Leaving;
+    }
+    return this.active >= this.options.capacity() ? FailureReason.Busy : undefined;
+  }
+
+  private admitSubmission(spec: AttemptSpec): boolean {
+    const outcome = this.gate.admit(spec.attempt, this.clock.monotonicMs());
+    if (outcome === AdmitOutcome.Sealed) {
+      this.fail(spec, FailureReason.Sealed, RunState.NotRun);
+    }
+    return outcome === AdmitOutcome.Admitted;
+  }
+
+  private recordOf(spec: AttemptSpec, stage: number): AttemptRecord {
+    const expiresMs = this.clock.monotonicMs() + spec.remainingMs + expiryGraceMs;
+    const known = this.attempts.get(spec.attempt);
+    if (known === undefined) {
+      const sequencer = new StepSequencer<StepInput>();
+      const record = {
+        spec,
+        stage,
+        entry: spec.entry,
+        expiresMs,
+        sequencer,
+        tokens: [],
+        ended: false,
+      };
+      this.attempts.set(spec.attempt, record);
+      return record;
+    }
+    if (spec.epoch > known.spec.epoch) {
+      this.engine.drop(sequenceOf(known.spec));
+      Object.assign(known, {
+        spec,
+        stage,
+        expiresMs,
+        lastSent: undefined,
+        tokens: [],
+        ended: false,
+      });
+    }
+    return known;
+  }
+
+  private arrive(record: AttemptRecord, arrived: ArrivedStep<StepInput>, first: boolean): void {
+    const decision = record.sequencer.accept(arrived, first);
+    if (decision === StepDecision.Run) {
+      void this.run(record, arrived, record.spec);
+    } else if (decision === StepDecision.Resend && record.lastSent) {
+      this.links.toStage(nextStageOf(record), record.lastSent);
+    }
+  }
+
+  private async run(
+    record: AttemptRecord,
+    arrived: ArrivedStep<StepInput>,
+    spec: AttemptSpec,
+  ): Promise<void> {
+    const result = await this.engine.run({
+      sequence: sequenceOf(spec),
+      step: arrived.step,
+      ...arrived.input,
+      last: record.stage === spec.chain.length - 1,
+      priority: spec.priority,
+    });
+    if (!record.sequencer.finish(arrived.epoch, arrived.step)) {
+      return;
+    }
+    if (result.isErr()) {
+      this.fail(spec, FailureReason.EngineFailed, RunState.Ran);
+      return;
+    }
+    this.countUsage(record, arrived, result.value);
+    this.forward(record, arrived.step, result.value);
+    const held = record.sequencer.takeHeld();
+    if (held) {
+      this.arrive(record, held, false);
+    }
+  }
+
+  private forward(record: AttemptRecord, step: number, output: EngineOutput): void {
+    const { spec, stage } = record;
+    const last = stage === spec.chain.length - 1;
+    if (last && this.deliver(record, step, output)) {
+      return;
+    }
+    const message: StepMessage = {
+      kind: MessageKind.Step,
+      attempt: spec.attempt,
+      epoch: spec.epoch,
+      stage: last ? 0 : stage + 1,
+      step: last ? step + 1 : step,
+      data: last ? [output.token ?? 0] : output.data,
+      spec: record.lastSent === undefined && !last ? spec : undefined,
+    };
+    record.lastSent = message;
+    this.links.toStage(nextStageOf(record), message);
+  }
+
+  /** Sends a token to the entry; returns true if it ended the answer. */
+  private deliver(record: AttemptRecord, step: number, output: EngineOutput): boolean {
+    const { spec } = record;
+    const end = output.end === true || step + 1 >= spec.maxTokens;
+    const token: TokenMessage = {
+      kind: MessageKind.Token,
+      attempt: spec.attempt,
+      epoch: spec.epoch,
+      step,
+      token: output.token ?? 0,
+      text: output.text ?? '',
+      end,
+    };
+    record.tokens.push(token);
+    this.links.toEntry(record.entry, token);
+    if (end) {
+      record.ended = true;
+      record.expiresMs = this.clock.monotonicMs() + this.options.keepMs;
+      this.engine.drop(sequenceOf(spec));
+    }
+    return end;
+  }
+
+  private countUsage(
+    record: AttemptRecord,
+    arrived: ArrivedStep<StepInput>,
+    output: EngineOutput,
+  ): void {
+    const { range } = record.spec.chain[record.stage];
+    const positions = arrived.input.data.length + (arrived.input.prompt?.length ?? 0);
+    const layerTokens = positions * (range.to - range.from);
+    this.usages.fire({
+      organisation: record.spec.organisation,
+      model: record.spec.model,
+      revision: record.spec.revision,
+      layerTokens,
+      micros: (layerTokens * record.spec.prices[this.options.accelerator()]) / 1_000,
+      tokens: output.token === undefined ? 0 : 1,
+    });
+  }
+
+  private fail(spec: AttemptSpec, reason: FailureReason, run: RunState): void {
+    const entry = this.attempts.get(spec.attempt)?.entry ?? spec.entry;
+    this.links.toEntry(entry, { ...this.failure(spec, reason), run });
+  }
+
+  private failure(
+    of: { readonly attempt: string; readonly epoch: number },
+    reason: FailureReason,
+  ): AttemptFailedMessage {
+    return {
+      kind: MessageKind.AttemptFailed,
+      attempt: of.attempt,
+      epoch: of.epoch,
+      reason,
+      run: RunState.Unknown,
+      endpoint: this.options.endpoint,
+    };
+  }
+}
+
+function sequenceOf(spec: AttemptSpec): string {
+  return `${spec.attempt}/${spec.epoch}`;
+}
+
+function nextStageOf(record: AttemptRecord) {
+  const { chain } = record.spec;
+  return chain[(record.stage + 1) % chain.length];
+}
--- /dev/null
+++ b/src/base/node/consolaLogger.ts
@@ -0,0 +1,40 @@
+import { createConsola, type ConsolaInstance } from 'consola/core';
+import { formatLine, LogLevel, type ILogger, type LogFields } from '../common/logger.js';
+
+const consolaLevels: Readonly<Record<LogLevel, number>> = {
+  [LogLevel.Error]: 0,
+  [LogLevel.Warn]: 1,
+  [LogLevel.Info]: 3,
+  [LogLevel.Debug]: 4,
+};
+
+/** Logger that writes key=value lines to standard output through consola. */
+export class ConsolaLogger implements ILogger {
+  private readonly consola: ConsolaInstance;
+
+  /**
+   * @param level - Least severe level that is written.
+   * @param common - Fields added to every line, such as the instance.
+   */
+  constructor(
+    level: LogLevel,
+    private readonly common: LogFields,
+  ) {
+    this.consola = createConsola({
+      level: consolaLevels[level],
+      throttle: 0,
+      reporters: [
+        {
+          log: (entry) => {
+            const line = `time=${entry.date.toISOString()} level=${entry.type} ${entry.args.join(' ')}`;
+            process.stdout.write(`${line}\n`);
+          },
+        },
+      ],
+    });
+  }
+
+  log(level: LogLevel, event: string, fields: LogFields = {}): void {
+    this.consola[level](formatLine(event, { ...this.common, ...fields }));
+  }
+}
--- /dev/null
+++ b/src/base/node/systemClock.ts
@@ -0,0 +1,40 @@
+import { performance } from 'node:perf_hooks';
+import type { CancelTimer, IClock, ITimers } from '../common/clock.js';
+
+/** Clock and timers of the operating system. */
+export class SystemClock implements IClock, ITimers {
+  monotonicMs(): number {
+    return performance.now();
+  }
+
+  wallMs(): number {
+    return Date.now();
+  }
+
+  after(delayMs: number, action: () => void): CancelTimer {
+    const timer = setTimeout(action, delayMs);
+    return () => clearTimeout(timer);
+  }
+}
+
+/**
+ * Waits for a time.
+ *
+ * @param delayMs - How long, in milliseconds.
+ * @param signal - Ends the wait early when aborted.
+ * @returns A promise that resolves after the delay or at the abort, whichever is first.
+ */
+export function sleep(delayMs: number, signal?: AbortSignal): Promise<void> {
+  if (signal?.aborted) {
+    return Promise.resolve();
+  }
+  return new Promise((resolve) => {
+    const timer = setTimeout(finish, delayMs);
+    function finish(): void {
+      clearTimeout(timer);
+      signal?.removeEventListener('abort', finish);
+      resolve();
+    }
+    signal?.addEventListener('abort', finish);
+  });
+}
--- /dev/null
+++ b/src/bench/node/caller.ts
@@ -0,0 +1,252 @@
+import { createHash } from 'node:crypto';
+import { performance } from 'node:perf_hooks';
+import { Agent, request } from 'undici';
+import { messageOf } from '../../base/common/errors.js';
+import { RunState, type Problem } from '../../platform/problem/common/problem.js';
+import { referenceAnswer } from '../../standin/common/fakeModel.js';
+import { keyOf } from './fleet.js';
+
+/** A chat call as a caller makes it. */
+export interface ChatCall {
+  readonly url: string;
+  readonly organisation: string;
+  readonly model: string;
+  readonly layers: number;
+  readonly content: string;
+  readonly maxTokens: number;
+  readonly idempotencyKey?: string;
+  readonly timeoutMs?: number;
+}
+
+/** How a call ended, as its caller saw it. */
+export enum CallEnd {
+  /** A whole answer that equals what a correct pipeline gives. */
+  Whole = 'whole',
+  /** An answer that claims to be whole and is not. */
+  Wrong = 'wrong',
+  /** A problem, before or instead of a whole answer. */
+  Problem = 'problem',
+  /** The connection broke without a word. */
+  Broken = 'broken',
+}
+
+/** Result of a call. */
+export interface CallResult {
+  readonly end: CallEnd;
+  readonly run: RunState | undefined;
+  readonly status: number;
+  readonly detail: string;
+  readonly startedMs: number;
+  readonly endedMs: number;
+  /** Time to the first token, in milliseconds; undefined if none came. */
+  readonly firstTokenMs: number | undefined;
+  /** Times between tokens, in milliseconds. */
+  readonly gapsMs: readonly number[];
+  readonly tokens: number;
+  readonly retryAfter: string | undefined;
+}
+
+const dispatcher = new Agent({ connections: 1_024, headersTimeout: 0, bodyTimeout: 0 });
+
+/** Time after which a caller gives up, in milliseconds. */
+const callerLimitMs = 90_000;
+
+interface Chunk {
+  readonly choices?: readonly { readonly delta: { readonly content?: string } }[];
+  readonly ibisspar?: { readonly tokens: number; readonly sha256: string };
+  readonly run?: RunState;
+  readonly detail?: string;
+}
+
+class StreamReader {
+  text = '';
+
+  tokens = 0;
+
+  check: Chunk['ibisspar'];
+
+  failure: Chunk | undefined;
+
+  done = false;
+
+  firstMs: number | undefined;
+
+  private lastMs = 0;
+
+  readonly gapsMs: number[] = [];
+
+  private rest = '';
+
+  push(data: string): void {
+    this.rest += data;
+    const parts = this.rest.split('\n\n');
+    this.rest = parts.pop() ?? '';
+    parts.forEach((part) => this.event(part));
+  }
+
+  private event(part: string): void {
+    const data = part.slice(part.indexOf('data: ') + 'data: '.length);
+    if (data === '[DONE]') {
+      this.done = true;
+      return;
+    }
+    const chunk = JSON.parse(data) as Chunk;
+    if (part.startsWith('event: error')) {
+      this.failure = chunk;
+      return;
+    }
+    this.check = chunk.ibisspar ?? this.check;
+    const content = chunk.choices?.[0]?.delta.content;
+    if (content !== undefined) {
+      this.token(content);
+    }
+  }
+
+  private token(content: string): void {
+    const nowMs = performance.now();
+    if (this.firstMs === undefined) {
+      this.firstMs = nowMs;
+    } else {
+      this.gapsMs.push(nowMs - this.lastMs);
+    }
+    this.lastMs = nowMs;
+    this.tokens += 1;
+    this.text += content;
+  }
+}
+
+function isWhole(call: ChatCall, reader: StreamReader): boolean {
+  const expected = referenceAnswer(call.layers, `user: ${call.content}`, call.maxTokens);
+  const sha256 = createHash('sha256').update(reader.text).digest('hex');
+  return (
+    reader.text === expected &&
+    reader.check?.sha256 === sha256 &&
+    reader.check.tokens === reader.tokens
+  );
+}
+
+/**
+ * Makes a streamed chat call and checks the answer against the reference model.
+ *
+ * @param call - The call.
+ * @returns How it ended.
+ */
+export async function chat(call: ChatCall): Promise<CallResult> {
+  const startedMs = performance.now();
+  const reader = new StreamReader();
+  const finish = (end: CallEnd, extra: Partial<CallResult> = {}): CallResult => ({
+    end,
+    run: undefined,
+    status: 0,
+    detail: '',
+    startedMs,
+    endedMs: performance.now(),
+    firstTokenMs: reader.firstMs === undefined ? undefined : reader.firstMs - startedMs,
+    gapsMs: reader.gapsMs,
+    tokens: reader.tokens,
+    retryAfter: undefined,
+    ...extra,
+  });
+  try {
+    const res = await request(`${call.url}/v1/chat/completions`, {
+      method: 'POST',
+      dispatcher,
+      signal: AbortSignal.timeout(callerLimitMs),
+      headers: headersOf(call.organisation, call.idempotencyKey, call.timeoutMs),
+      body: JSON.stringify({
+        model: call.model,
+        messages: [{ role: 'user', content: call.content }],
+        max_tokens: call.maxTokens,
+        stream: true,
+      }),
+    });
+    if (res.statusCode !== 200) {
+      const details = (await res.body.json()) as Problem;
+      const retryAfter = res.headers['retry-after'] as string | undefined;
+      const { run, detail } = details;
+      return finish(CallEnd.Problem, { run, detail, status: res.statusCode, retryAfter });
+    }
+    res.body.setEncoding('utf8');
+    for await (const data of res.body) {
+      reader.push(data as string);
+    }
+    const status = 200;
+    if (reader.failure) {
+      const { run, detail } = reader.failure;
+      return finish(CallEnd.Problem, { run, detail, status });
+    }
+    if (!reader.done) {
+      return finish(CallEnd.Broken, { status });
+    }
+    return finish(isWhole(call, reader) ? CallEnd.Whole : CallEnd.Wrong, { status });
+  } catch (err) {
+    return finish(CallEnd.Broken, { detail: messageOf(err) });
+  }
+}
+
+function headersOf(
+  organisation: string,
+  idempotencyKey: string | undefined,
+  timeoutMs: number | undefined,
+): Record<string, string> {
+  return {
+    authorization: `Bearer ${keyOf(organisation)}`,
+    'content-type': 'application/json',
+    ...(idempotencyKey === undefined ? {} : { 'idempotency-key': idempotencyKey }),
+    ...(timeoutMs === undefined ? {} : { 'x-request-timeout-ms': String(timeoutMs) }),
+  };
+}
+
+/** A plain-service call as a caller makes it. */
+export interface ServiceCallSpec {
+  readonly url: string;
+  readonly organisation: string;
+  readonly service: string;
+  readonly path: string;
+  /** Key of a submission; undefined for a lookup. */
+  readonly idempotencyKey?: string;
+  readonly body?: string;
+  readonly timeoutMs?: number;
+}
+
+/**
+ * Makes a plain-service call.
+ *
+ * @param call - The call.
+ * @returns How it ended; `Whole` if the service's own answer to this call came back.
+ */
+export async function callService(call: ServiceCallSpec): Promise<CallResult> {
+  const startedMs = performance.now();
+  const finish = (end: CallEnd, extra: Partial<CallResult> = {}): CallResult => ({
+    end,
+    run: undefined,
+    status: 0,
+    detail: '',
+    startedMs,
+    endedMs: performance.now(),
+    firstTokenMs: undefined,
+    gapsMs: [],
+    tokens: 0,
+    retryAfter: undefined,
+    ...extra,
+  });
+  try {
+    const res = await request(`${call.url}/services/${call.service}${call.path}`, {
+      method: call.idempotencyKey === undefined ? 'GET' : 'POST',
+      dispatcher,
+      signal: AbortSignal.timeout(callerLimitMs),
+      headers: headersOf(call.organisation, call.idempotencyKey, call.timeoutMs),
+      body: call.idempotencyKey === undefined ? undefined : (call.body ?? '{}'),
+    });
+    const body = (await res.body.json()) as Partial<Problem> & { path?: string; key?: string };
+    const status = res.statusCode;
+    const retryAfter = res.headers['retry-after'] as string | undefined;
+    if (status !== 200) {
+      return finish(CallEnd.Problem, { run: body.run, detail: body.detail, status, retryAfter });
+    }
+    const isOwn = body.path === call.path && body.key === (call.idempotencyKey ?? '');
+    return finish(isOwn ? CallEnd.Whole : CallEnd.Wrong, { status, run: RunState.Ran });
+  } catch (err) {
+    return finish(CallEnd.Broken, { detail: messageOf(err) });
+  }
+}
--- /dev/null
+++ b/src/bench/node/demo.ts
@@ -0,0 +1,198 @@
+import { performance } from 'node:perf_hooks';
+import { sleep } from '../../base/node/systemClock.js';
+import { AcceleratorKind } from '../../platform/model/common/model.js';
+import { checkLayers, ranTwice } from '../common/promises.js';
+import { callService, CallEnd, chat, type CallResult } from './caller.js';
+import { adminKey, Fleet, keyOf, type EngineSpec, type FleetSpec } from './fleet.js';
+
+const model = { name: 'casa-24', layers: 24, layerMiB: 512, replicas: 2 };
+
+const places = ['ragusa', 'siracusa', 'catania'];
+
+/** Rules of the demonstration's partners. */
+export const demoRules = [
+  'share organisation=coop weight=60 # asked by Cooperativa Iblei',
+  'share organisation=index weight=40 # asked by Qaumi Makan',
+  'price accelerator=large micros=900 # asked by Qaumi Makan',
+  'price accelerator=small micros=400 # asked by Cooperativa Iblei',
+].join('\n');
+
+function engine(index: number): EngineSpec {
+  const kinds = [AcceleratorKind.Large, AcceleratorKind.Medium, AcceleratorKind.Small];
+  const kind = index % kinds.length;
+  return {
+    name: `engine-${index + 1}`,
+    place: places[Math.floor(index / kinds.length) % places.length],
+    accelerator: kinds[kind],
+    memoryMiB: 6_400,
+    layerMicros: [300, 500, 900][kind],
+    capacity: 16,
+  };
+}
+
+/**
+ * Describes the demonstration's fleet: two entries, two chains of three stages and spare engines,
+ * one plain service.
+ *
+ * @param seed - Seed of the stand-ins.
+ * @returns The fleet.
+ */
+export function demoSpec(seed: number): FleetSpec {
+  return {
+    entries: 2,
+    engines: Array.from({ length: 7 }, (_unused, index) => engine(index)),
+    services: [
+      { name: 'booking-1', place: 'ragusa', service: 'booking', workMs: 20 },
+      { name: 'booking-2', place: 'catania', service: 'booking', workMs: 20 },
+    ],
+    models: [model],
+    organisations: ['coop', 'index'],
+    rules: demoRules,
+    seed,
+    linkDelayMs: 0,
+  };
+}
+
+const chats = 24;
+
+const bookings = 20;
+
+/** Time before the fault and the rule change, in milliseconds. */
+const warmUpMs = 400;
+
+/** Longest wait for a rule change to be in force, in milliseconds. */
+const inForceLimitMs = 15_000;
+
+async function timeToForce(fleet: Fleet, revision: number): Promise<number> {
+  const startedMs = performance.now();
+  while (performance.now() - startedMs < inForceLimitMs) {
+    const { lowestRevision } = await fleet.admin<{ lowestRevision?: number }>(0, 'status');
+    if ((lowestRevision ?? 0) >= revision) {
+      return Math.round(performance.now() - startedMs);
+    }
+    await sleep(10);
+  }
+  return -1;
+}
+
+function startChats(fleet: Fleet): Promise<readonly CallResult[]> {
+  return Promise.all(
+    Array.from({ length: chats }, (_unused, index) =>
+      chat({
+        url: fleet.url(index),
+        organisation: index % 2 === 0 ? 'coop' : 'index',
+        model: model.name,
+        layers: model.layers,
+        content: `note ${index}: the van to Modica is late, draft a reply to the family`,
+        maxTokens: 60,
+      }),
+    ),
+  );
+}
+
+function startBookings(fleet: Fleet): Promise<readonly CallResult[]> {
+  return Promise.all(
+    Array.from({ length: bookings }, (_unused, index) =>
+      callService({
+        url: fleet.url(index),
+        organisation: 'coop',
+        service: 'booking',
+        path: `/seats/${Math.floor(index / 2)}`,
+        idempotencyKey: `seat-${Math.floor(index / 2)}`, // each booking is sent to both entries
+      }),
+    ),
+  );
+}
+
+function printCurlLines(fleet: Fleet): void {
+  const chatBody = JSON.stringify({
+    model: model.name,
+    messages: [{ role: 'user', content: 'explain the attendance rules' }],
+    max_tokens: 20,
+    stream: true,
+  });
+  const auth = `-H 'authorization: Bearer ${keyOf('coop')}'`;
+  const lines = [
+    `curl -N ${fleet.url(0)}/v1/chat/completions ${auth} -H 'content-type: application/json' -d '${chatBody}'`,
+    `curl ${fleet.url(1)}/v1/models ${auth}`,
+    `curl ${fleet.url(1)}/services/booking/seats/7 ${auth}`,
+    `curl -X POST ${fleet.url(0)}/services/booking/seats/7 ${auth} -H 'idempotency-key: my-key' -d '{}'`,
+    `curl ${fleet.url(0)}/admin/v1/status -H 'authorization: Bearer ${adminKey}'`,
+  ];
+  process.stdout.write(`${lines.join('\n')}\n`);
+}
+
+/**
+ * Runs the demonstration: lookups and bookings while a stage is killed and a rule changes.
+ *
+ * @param serve - True to leave the fleet up until interrupted.
+ * @returns True if every claim of the summary held.
+ */
+export async function runDemo(serve: boolean): Promise<boolean> {
+  const fleet = new Fleet(demoSpec(1));
+  try {
+    await fleet.start();
+    const running = startChats(fleet);
+    const booked = startBookings(fleet);
+    await sleep(warmUpMs);
+    const used = fleet.history().find((event) => event.from === 0)?.endpoint ?? 'engine-1';
+    const victim = fleet.endpoint(used);
+    victim.agent.signal('SIGKILL');
+    victim.standin.signal('SIGKILL');
+    const changed = await fleet.applyRules(
+      1,
+      demoRules.replace('weight=60', 'weight=50'),
+      1,
+      'Cooperativa Iblei',
+    );
+    const inForceMs = await timeToForce(fleet, changed.body.revision ?? Infinity);
+    const results = await running;
+    const bookingResults = await booked;
+    const history = fleet.history();
+    const layers = checkLayers(history, model.layers);
+    const whole = results.filter((result) => result.end === CallEnd.Whole).length;
+    const summary = {
+      answered: results.filter((result) => result.status === 200).length,
+      whole,
+      bookings: bookingResults.filter((result) => result.end === CallEnd.Whole).length,
+      ranTwice: ranTwice(history).length,
+      cut: results.length - whole,
+      inForceMs,
+      stageKilled: used,
+      sequences: layers.checked,
+      layerFaults: layers.faults.length,
+    };
+    layers.faults
+      .slice(0, 3)
+      .forEach((fault) => process.stdout.write(`${JSON.stringify(fault)}\n`));
+    results
+      .filter((result) => result.end !== CallEnd.Whole)
+      .forEach((result) =>
+        process.stdout.write(`${result.end} ${result.status} ${result.detail}\n`),
+      );
+    bookingResults
+      .filter((result) => result.end !== CallEnd.Whole)
+      .forEach((result) =>
+        process.stdout.write(`${result.end} ${result.status} ${result.detail}\n`),
+      );
+    if (serve) {
+      printCurlLines(fleet);
+    }
+    process.stdout.write(`${JSON.stringify(summary)}\n`);
+    if (serve) {
+      await new Promise((resolve) => {
+        process.once('SIGINT', resolve);
+        process.once('SIGTERM', resolve);
+      });
+    }
+    return (
+      whole === chats &&
+      summary.bookings === bookings &&
+      summary.ranTwice === 0 &&
+      summary.layerFaults === 0 &&
+      inForceMs >= 0
+    );
+  } finally {
+    await fleet.close();
+  }
+}
--- /dev/null
+++ b/src/bench/node/fleet.ts
@@ -0,0 +1,381 @@
+import { readFileSync } from 'node:fs';
+import { join } from 'node:path';
+import { request } from 'undici';
+import { sleep } from '../../base/node/systemClock.js';
+import {
+  InstanceRole,
+  InstanceState,
+  type InstanceRecord,
+} from '../../platform/instances/common/instance.js';
+import type { AcceleratorKind } from '../../platform/model/common/model.js';
+import { absentVersion, ObjectKind } from '../../platform/objects/common/objects.js';
+import { HttpObjectStore } from '../../platform/objects/node/httpObjectStore.js';
+import type { HistoryEvent } from '../../standin/common/historyEvent.js';
+import { hashKey } from './keys.js';
+import { ProcessGroup, type RunningProcess } from './processes.js';
+import { Shaper } from './shaper.js';
+
+/** Engine and its agent in a fleet. */
+export interface EngineSpec {
+  readonly name: string;
+  readonly place: string;
+  readonly accelerator: AcceleratorKind;
+  readonly memoryMiB: number;
+  readonly layerMicros: number;
+  readonly capacity: number;
+  readonly ignoreTerm?: boolean;
+}
+
+/** Plain service replica and its agent in a fleet. */
+export interface ServiceSpec {
+  readonly name: string;
+  readonly place: string;
+  readonly service: string;
+  readonly workMs: number;
+}
+
+/** Model that a fleet serves. */
+export interface FleetModel {
+  readonly name: string;
+  readonly layers: number;
+  readonly layerMiB: number;
+  readonly replicas: number;
+}
+
+/** What a fleet consists of. */
+export interface FleetSpec {
+  readonly entries: number;
+  readonly engines: readonly EngineSpec[];
+  readonly services: readonly ServiceSpec[];
+  readonly models: readonly FleetModel[];
+  readonly organisations: readonly string[];
+  readonly rules: string;
+  readonly seed: number;
+  /** Put a shaper before every agent, with this delay in milliseconds; undefined for none. */
+  readonly linkDelayMs?: number;
+  readonly listLagMs?: number;
+  /** Additional settings of entries and agents. */
+  readonly entrySettings?: Record<string, unknown>;
+  readonly agentSettings?: Record<string, unknown>;
+}
+
+/** Key of the administration API in every fleet. */
+export const adminKey = 'fleet-administration-key';
+
+/**
+ * Returns the bearer key of an organisation.
+ *
+ * @param organisation - Its name.
+ * @returns The key.
+ */
+export function keyOf(organisation: string): string {
+  return `key-of-${organisation}`;
+}
+
+/** An endpoint: the stand-in and the agent beside it. */
+export interface FleetEndpoint {
+  readonly name: string;
+  readonly place: string;
+  readonly isService: boolean;
+  readonly shaper: Shaper | undefined;
+  standin: RunningProcess;
+  agent: RunningProcess;
+  agentPort: number;
+}
+
+/** An entry instance. */
+export interface FleetEntry {
+  readonly name: string;
+  readonly port: number;
+  process: RunningProcess;
+}
+
+const region = 'sicilia-est';
+
+/** Time for a whole fleet to become ready, in milliseconds. */
+const readyLimitMs = 30_000;
+
+const readyPollMs = 25;
+
+/** A whole system of separate processes on loopback. */
+export class Fleet {
+  readonly group = new ProcessGroup();
+
+  readonly endpoints = new Map<string, FleetEndpoint>();
+
+  readonly entries: FleetEntry[] = [];
+
+  private platformProcess: RunningProcess | undefined;
+
+  platformUrl = '';
+
+  private store = new HttpObjectStore('', 1);
+
+  /** @param spec - What to start. */
+  constructor(readonly spec: FleetSpec) {}
+
+  /** Starts everything and waits until all chains serve. */
+  async start(): Promise<void> {
+    await this.startPlatform();
+    await this.writeConfiguration();
+    const { engines, services } = this.spec;
+    await Promise.all([
+      ...engines.map((engine) => this.startEngineEndpoint(engine)),
+      ...services.map((service) => this.startServiceEndpoint(service)),
+    ]);
+    for (let index = 0; index < this.spec.entries; index += 1) {
+      this.entries.push(await this.startEntry(`entry-${index + 1}`, 0));
+    }
+    await this.untilReady();
+  }
+
+  /** Base URL of an entry; the index wraps around. */
+  url(index: number): string {
+    return `http://127.0.0.1:${this.entries[index % this.entries.length].port}`;
+  }
+
+  /** Calls the platform stand-in's control interface. */
+  async control(path: string, body: unknown): Promise<void> {
+    const res = await request(`${this.platformUrl}/control/${path}`, {
+      method: 'POST',
+      headers: { 'content-type': 'application/json' },
+      body: JSON.stringify(body),
+    });
+    await res.body.dump();
+  }
+
+  /** Calls of the platform so far. */
+  async platformCounts(): Promise<{ reads: number; writes: number; watches: number }> {
+    const res = await request(`${this.platformUrl}/control/counts`);
+    return (await res.body.json()) as { reads: number; writes: number; watches: number };
+  }
+
+  /** Reads a page of an entry's administration API. */
+  async admin<T>(entry: number, path: string): Promise<T> {
+    const res = await request(`${this.url(entry)}/admin/v1/${path}`, {
+      headers: { authorization: `Bearer ${adminKey}` },
+    });
+    return (await res.body.json()) as T;
+  }
+
+  /** Applies a rule file through an entry; returns the status and the answer. */
+  async applyRules(
+    entry: number,
+    text: string,
+    baseRevision: number,
+    by: string,
+  ): Promise<{ readonly status: number; readonly body: { revision?: number } }> {
+    const res = await request(`${this.url(entry)}/admin/v1/rules`, {
+      method: 'PUT',
+      headers: { authorization: `Bearer ${adminKey}`, 'content-type': 'application/json' },
+      body: JSON.stringify({ id: `${by}-${baseRevision}-${Date.now()}`, baseRevision, text, by }),
+    });
+    return { status: res.statusCode, body: (await res.body.json()) as { revision?: number } };
+  }
+
+  /** Events that the stand-ins recorded so far. */
+  history(): readonly HistoryEvent[] {
+    try {
+      const lines = readFileSync(this.historyPath, 'utf8').split('\n');
+      return lines.filter((line) => line !== '').map((line) => JSON.parse(line) as HistoryEvent);
+    } catch {
+      return [];
+    }
+  }
+
+  /** Starts an engine and its agent, and lists the instance. */
+  async startEngineEndpoint(spec: EngineSpec): Promise<FleetEndpoint> {
+    const standin = await this.startEngine(spec, 0);
+    return this.startAgent(spec.name, spec.place, standin, { engineUrl: standin.started });
+  }
+
+  /** Starts an engine process; port 0 takes any free one. */
+  startEngine(spec: EngineSpec, port: number): Promise<RunningProcess> {
+    const args = [
+      ...['engine', '--name', spec.name, '--port', String(port)],
+      ...['--platform-url', this.platformUrl, '--accelerator', spec.accelerator],
+      ...['--memory-mib', String(spec.memoryMiB), '--layer-micros', String(spec.layerMicros)],
+      ...['--capacity', String(spec.capacity), '--history', this.historyPath],
+      ...(spec.ignoreTerm ? ['--ignore-term'] : []),
+    ];
+    return this.group.start(spec.name, 'standin', args, /listening (\S+)/);
+  }
+
+  /** Starts a plain service and its agent, and lists the instance. */
+  async startServiceEndpoint(spec: ServiceSpec): Promise<FleetEndpoint> {
+    const args = ['service', '--name', spec.name, '--work-ms', String(spec.workMs)];
+    const withHistory = [...args, '--history', this.historyPath];
+    const standin = await this.group.start(spec.name, 'standin', withHistory, /listening (\S+)/);
+    const service = { name: spec.service, url: standin.started };
+    return this.startAgent(spec.name, spec.place, standin, { service });
+  }
+
+  /** Kills an agent and starts it again on the same port. */
+  async restartAgent(name: string): Promise<void> {
+    const endpoint = this.endpoint(name);
+    endpoint.agent.signal('SIGKILL');
+    await endpoint.agent.ended();
+    endpoint.agent = await this.spawnAgent(name, endpoint.agentPort);
+  }
+
+  /** Starts an entry; port 0 takes any free one. */
+  async startEntry(name: string, port: number): Promise<FleetEntry> {
+    const path = this.group.writeSettings(name, {
+      instance: name,
+      place: 'ragusa',
+      region,
+      linkPort: 0,
+      httpPort: port,
+      platformUrl: this.platformUrl,
+      adminKeyHashes: [hashKey(adminKey)],
+      ...this.spec.entrySettings,
+    });
+    const ready = /entry-started.*address=http:\/\/127\.0\.0\.1:(\d+)/;
+    const started = await this.group.start(name, 'entry', ['--settings', path], ready);
+    return { name, port: Number(started.started), process: started };
+  }
+
+  /** Waits until an entry says that it is ready. */
+  async untilEntryReady(entry: FleetEntry): Promise<void> {
+    await this.until(async () => {
+      const res = await request(`http://127.0.0.1:${entry.port}/healthz`);
+      await res.body.dump();
+      return res.statusCode === 200;
+    });
+  }
+
+  /** Writes a record of the instance list. */
+  async list(name: string, state: InstanceState): Promise<void> {
+    const endpoint = this.endpoint(name);
+    const record: InstanceRecord = {
+      id: name,
+      role: InstanceRole.Agent,
+      address: `127.0.0.1:${endpoint.shaper?.port ?? endpoint.agentPort}`,
+      place: endpoint.place,
+      region,
+      state,
+    };
+    await this.control('instances', record);
+  }
+
+  /** Returns an endpoint by name. */
+  endpoint(name: string): FleetEndpoint {
+    const found = this.endpoints.get(name);
+    if (found === undefined) {
+      throw new Error(`the fleet has no endpoint ${name}`);
+    }
+    return found;
+  }
+
+  /** Ends every process. */
+  async close(): Promise<void> {
+    this.endpoints.forEach((endpoint) => endpoint.shaper?.close());
+    await this.store.close();
+    await this.group.close();
+  }
+
+  /** Waits until every entry is ready and sees each model's chains. */
+  async untilReady(): Promise<void> {
+    for (const entry of this.entries) {
+      await this.untilEntryReady(entry);
+    }
+    const wanted = this.spec.engines.length;
+    const models = this.spec.models.length > 0;
+    for (let index = 0; index < this.entries.length; index += 1) {
+      await this.until(async () => {
+        const { endpoints } = await this.admin<{ endpoints: { report: EndpointState }[] }>(
+          index,
+          'endpoints',
+        );
+        const ready = endpoints.filter(({ report }) => report.ready);
+        const engines = ready.filter(({ report }) => !report.service);
+        const enough = !models || engines.length >= Math.min(wanted, this.stagesNeeded());
+        return enough && ready.length - engines.length >= this.spec.services.length;
+      });
+    }
+  }
+
+  private stagesNeeded(): number {
+    return this.spec.models.reduce((sum, model) => sum + model.replicas * 2, 0);
+  }
+
+  private async until(condition: () => Promise<boolean>): Promise<void> {
+    const limit = Date.now() + readyLimitMs;
+    while (Date.now() < limit) {
+      if (await condition().catch(() => false)) {
+        return;
+      }
+      await sleep(readyPollMs);
+    }
+    throw new Error('the fleet did not become ready in time');
+  }
+
+  private get historyPath(): string {
+    return join(this.group.directory, 'history.jsonl');
+  }
+
+  private async startPlatform(): Promise<void> {
+    const args = ['platform', '--seed', String(this.spec.seed)];
+    const lag = ['--list-lag-ms', String(this.spec.listLagMs ?? 300)];
+    const ready = /listening (\S+)/;
+    this.platformProcess = await this.group.start('platform', 'standin', [...args, ...lag], ready);
+    this.platformUrl = this.platformProcess.started;
+    this.store = new HttpObjectStore(this.platformUrl, 2_000);
+  }
+
+  private async writeConfiguration(): Promise<void> {
+    for (const model of this.spec.models) {
+      const record = { ...model, contextTokens: 100_000, version: '1' };
+      await this.store.put(ObjectKind.Models, model.name, record, absentVersion);
+    }
+    for (const name of new Set(this.spec.services.map((service) => service.service))) {
+      await this.store.put(ObjectKind.Services, name, { name }, absentVersion);
+    }
+    for (const name of this.spec.organisations) {
+      const record = { name, keyHashes: [hashKey(keyOf(name))] };
+      await this.store.put(ObjectKind.Organisations, name, record, absentVersion);
+    }
+    const chunk = hashKey(this.spec.rules);
+    await this.store.put(ObjectKind.RuleChunks, chunk, { text: this.spec.rules }, absentVersion);
+    const manifest = { revision: 1, chunks: [chunk], changes: [] };
+    await this.store.put(ObjectKind.RuleManifest, 'rules', manifest, absentVersion);
+  }
+
+  private async startAgent(
+    name: string,
+    place: string,
+    standin: RunningProcess,
+    extra: Record<string, unknown>,
+  ): Promise<FleetEndpoint> {
+    this.group.writeSettings(`agent-${name}`, {
+      instance: name,
+      place,
+      region,
+      linkPort: 0,
+      platformUrl: this.platformUrl,
+      ...extra,
+      ...this.spec.agentSettings,
+    });
+    const agent = await this.spawnAgent(name, undefined);
+    const agentPort = Number(agent.started);
+    const { linkDelayMs } = this.spec;
+    const shaper = linkDelayMs === undefined ? undefined : new Shaper(agentPort, linkDelayMs);
+    await shaper?.listen();
+    const isService = 'service' in extra;
+    const endpoint = { name, place, isService, shaper, standin, agent, agentPort };
+    this.endpoints.set(name, endpoint);
+    await this.list(name, InstanceState.Live);
+    return endpoint;
+  }
+
+  private spawnAgent(name: string, port: number | undefined): Promise<RunningProcess> {
+    const path = join(this.group.directory, `agent-${name}.yaml`);
+    const args = ['--settings', path, ...(port === undefined ? [] : ['--link-port', String(port)])];
+    return this.group.start(`agent-${name}`, 'agent', args, /agent-started.*port=(\d+)/);
+  }
+}
+
+interface EndpointState {
+  readonly ready: boolean;
+  readonly service: boolean;
+}
--- /dev/null
+++ b/src/bench/test/node/silentLink.test.ts
@@ -0,0 +1,53 @@
+import { expect } from 'chai';
+import { InstanceRole } from '../../../platform/instances/common/instance.js';
+import {
+  linkVersion,
+  MessageKind,
+  type HeartbeatMessage,
+  type HelloMessage,
+} from '../../../platform/link/common/messages.js';
+import { connect } from '../../../platform/link/node/connect.js';
+import { LinkEnd, type Link } from '../../../platform/link/node/link.js';
+import { LinkServer } from '../../../platform/link/node/linkServer.js';
+import { Shaper } from '../../node/shaper.js';
+
+const timing = { heartbeatMs: 20, deadlineMs: 120 };
+
+function hello(instance: string): HelloMessage {
+  return {
+    kind: MessageKind.Hello,
+    version: linkVersion,
+    instance,
+    incarnation: `${instance}-1`,
+    role: InstanceRole.Agent,
+    place: 'ragusa',
+    region: 'sicilia-est',
+    revision: 0,
+  };
+}
+
+const heartbeat = (): HeartbeatMessage => ({ kind: MessageKind.Heartbeat, revision: 7 });
+
+async function open(address: string): Promise<Link> {
+  const options = { address, timing, hello: hello('client'), heartbeat, limitMs: 5_000 };
+  return (await connect(options)).unwrap();
+}
+
+describe('a link whose connection goes silent', () => {
+  it('ends with the reason silent when the peer is no longer heard', async () => {
+    const server = new LinkServer(timing, () => hello('server'), heartbeat);
+    const shaper = new Shaper(await server.listen('127.0.0.1', 0), 0);
+    await shaper.listen();
+    const client = await open(`127.0.0.1:${shaper.port}`);
+    const ended = new Promise<LinkEnd>((resolve) => {
+      client.onDidEnd(resolve);
+    });
+    shaper.silence();
+    expect(await ended).to.equal(LinkEnd.Silent);
+    const replacement = await open(`127.0.0.1:${shaper.port}`);
+    expect(replacement.open).to.equal(true);
+    replacement.close();
+    shaper.close();
+    server.close();
+  });
+});
--- /dev/null
+++ b/src/bin/ibisspar-admin.ts
@@ -0,0 +1,1 @@
+process.stdout.write('');
--- /dev/null
+++ b/src/bin/ibisspar-bench.ts
@@ -0,0 +1,23 @@
+import { cac } from 'cac';
+import { messageOf } from '../base/common/errors.js';
+import { runDemo } from '../bench/node/demo.js';
+
+const cli = cac('ibisspar-bench');
+
+function report(run: Promise<boolean>): void {
+  run.then(
+    (held) => process.exit(held ? 0 : 1),
+    (err: unknown) => {
+      process.stderr.write(`${err instanceof Error ? err.stack : messageOf(err)}\n`);
+      process.exit(1);
+    },
+  );
+}
+
+cli
+  .command('demo', 'The whole path on stand-ins, with a killed stage and a rule change')
+  .option('--serve', 'Leave the system up and print curl lines')
+  .action((options: { serve?: boolean }) => report(runDemo(options.serve ?? false)));
+
+cli.help();
+cli.parse();
--- /dev/null
+++ b/src/entry/chat/common/chatRequest.ts
@@ -0,0 +1,35 @@
+import type { Prices } from '../../../platform/link/common/messages.js';
+import type { ModelSpec } from '../../../platform/model/common/model.js';
+import type { Problem } from '../../../platform/problem/common/problem.js';
+import type { AnswerSummary } from './answerAssembler.js';
+
+/** A chat request after its checks. */
+export interface ChatRequest {
+  readonly id: string;
+  readonly organisation: string;
+  readonly model: ModelSpec;
+  readonly prompt: string;
+  readonly maxTokens: number;
+  /** Priority at engines, from 0 (lowest) to 9. */
+  readonly priority: number;
+  /** Weight of the organisation under the rules that admitted the request. */
+  readonly weight: number;
+  /** Rule revision that admitted the request. */
+  readonly revision: number;
+  /** Price of 1,000 layer-tokens by accelerator under that revision, in micro-units. */
+  readonly prices: Prices;
+  /** Digest of model and prompt; equal for a request that is sent again. */
+  readonly fingerprint: string;
+  /** Monotonic time at which the caller gives up, in milliseconds. */
+  readonly deadlineMs: number;
+}
+
+/** Receives an answer; exactly one of `end` and `fail` is called, as the last call. */
+export interface IChatSink {
+  /** Called for each token's text, in order. */
+  token(text: string): void;
+  /** Called once the answer is whole. */
+  end(summary: AnswerSummary): void;
+  /** Called if the answer cannot be given, or not to its end. */
+  fail(problem: Problem): void;
+}
--- /dev/null
+++ b/src/entry/chat/common/chatRunner.ts
@@ -0,0 +1,476 @@
+import type { IClock } from '../../../base/common/clock.js';
+import { LogLevel, type ILogger } from '../../../base/common/logger.js';
+import { Emitter } from '../../../base/common/event.js';
+import { MultiMap } from '../../../base/common/multiMap.js';
+import {
+  FailureReason,
+  MessageKind,
+  type AttemptFailedMessage,
+  type AttemptSpec,
+  type LinkMessage,
+  type TokenMessage,
+} from '../../../platform/link/common/messages.js';
+import type { StageSpec } from '../../../platform/model/common/model.js';
+import {
+  problem,
+  ProblemKind,
+  RunState,
+  type Problem,
+} from '../../../platform/problem/common/problem.js';
+import type { FleetChange, IFleet } from '../../fleet/common/fleet.js';
+import type { Route } from '../../routing/common/chainRouter.js';
+import { AnswerAssembler } from './answerAssembler.js';
+import type { ChatAdmission, ChainWaiter } from './chatAdmission.js';
+import type { ChatRequest, IChatSink } from './chatRequest.js';
+
+/** Limits of chat sessions. */
+export interface ChatRunnerOptions {
+  /** Instance id of this entry. */
+  readonly entry: string;
+  /** Time without a token after which a chain is replaced, in milliseconds. */
+  readonly stallMs: number;
+  /** The same while one of the chain's engines does not answer its agent, in milliseconds. */
+  readonly notReadyStallMs: number;
+  /** Most epochs of one answer. */
+  readonly maxEpochs: number;
+  /** Most refusals by full or leaving endpoints before a request is given up. */
+  readonly maxRefusals: number;
+}
+
+/** Usage that the entry counted for a finished or broken answer. */
+export interface ChatUsage {
+  readonly organisation: string;
+  readonly model: string;
+  readonly revision: number;
+  readonly tokens: number;
+  /** Layers times positions, from the tokens received. */
+  readonly layerTokens: number;
+  /** Price of the work, in micro-units. */
+  readonly micros: number;
+}
+
+/** Ends a session at the caller's wish. */
+export interface ChatHandle {
+  cancel(): void;
+}
+
+interface Session extends ChainWaiter {
+  readonly attempt: string;
+  readonly sink: IChatSink;
+  readonly submission: boolean;
+  readonly assembler: AnswerAssembler;
+  readonly avoid: Set<string>;
+  epoch: number;
+  /** First step of the current epoch; its chain prefills everything before. */
+  firstStep: number;
+  refusals: number;
+  /** Work counted so far. */
+  layerTokens: number;
+  micros: number;
+  /** True once a chain may have run a part of the request. */
+  mayHaveRun: boolean;
+  route: Route | undefined;
+  /** Monotonic time of the last token or start, in milliseconds. */
+  progressMs: number;
+  done: boolean;
+}
+
+/** Outcome of a submission's attempt that is not an answer. */
+export type AttemptRefused = (run: RunState, reason: FailureReason) => void;
+
+/** Share of retries among requests that the budget allows. */
+const retryShare = 0.2;
+
+/** Retries that the budget allows at once after a quiet time. */
+const maxRetryTokens = 64;
+
+/** Runs chat answers over chains of endpoints and repairs chains that break. */
+export class ChatRunner {
+  /** Sessions by attempt; callers that share an idempotency key share an attempt. */
+  private readonly sessions = new MultiMap<string, Session>();
+
+  private readonly usages = new Emitter<ChatUsage>();
+
+  private retryTokens = maxRetryTokens;
+
+  /** Fires when an answer ended, whole or not. */
+  readonly onDidUse = this.usages.event;
+
+  /**
+   * @param options - Limits.
+   * @param fleet - The endpoints.
+   * @param admission - Gives chains.
+   * @param clock - Source of time.
+   * @param logger - Receives repairs.
+   */
+  constructor(
+    private readonly options: ChatRunnerOptions,
+    private readonly fleet: IFleet,
+    private readonly admission: ChatAdmission,
+    private readonly clock: IClock,
+    private readonly logger: ILogger,
+  ) {
+    fleet.onDidReceive(({ message }) => this.receive(message));
+    fleet.onDidLose((lost) => this.endpointLost(lost));
+    fleet.onDidRestore((restored) => this.endpointRestored(restored));
+    fleet.onDidChange(() => admission.pump());
+  }
+
+  /** Number of answers under way. */
+  get active(): number {
+    return this.sessions.size;
+  }
+
+  /**
+   * Answers a lookup; a broken chain is replaced and the answer goes on after its last token.
+   *
+   * @param request - The request.
+   * @param sink - Receives the answer.
+   * @returns A handle to cancel it.
+   */
+  open(request: ChatRequest, sink: IChatSink): ChatHandle {
+    const session = this.createSession(request, request.id, sink, false);
+    this.retryTokens = Math.min(maxRetryTokens, this.retryTokens + retryShare);
+    this.admission.enqueue(session);
+    return { cancel: () => this.cancel(session) };
+  }
+
+  /**
+   * Starts a submission's claimed attempt on a chain that was admitted for it; it is never repaired.
+   *
+   * @param request - The request.
+   * @param attempt - The claimed attempt.
+   * @param route - Its chain; released when the attempt ends.
+   * @param sink - Receives the answer.
+   * @param refused - Called instead of `sink.fail` if the attempt did not run.
+   */
+  startClaimed(
+    request: ChatRequest,
+    attempt: string,
+    route: Route,
+    sink: IChatSink,
+    refused: AttemptRefused,
+  ): void {
+    const session = this.createSession(request, attempt, sink, true);
+    this.refusals.set(attempt, refused);
+    this.begin(session, route);
+  }
+
+  /**
+   * Receives the tokens of an attempt that another entry, or an earlier call, started.
+   *
+   * @param request - The request.
+   * @param attempt - The attempt.
+   * @param keeper - Last stage of its chain.
+   * @param sink - Receives the answer from its first token on.
+   */
+  collect(
+    request: ChatRequest,
+    attempt: string,
+    keeper: Pick<StageSpec, 'endpoint' | 'incarnation'>,
+    sink: IChatSink,
+  ): void {
+    const session = this.createSession(request, attempt, sink, true);
+    session.epoch = 1;
+    session.progressMs = this.clock.monotonicMs();
+    session.route = {
+      chain: [{ ...keeper, address: '', range: { from: 0, to: 0 } }],
+      expectedMs: 0,
+      prefixHits: 0,
+      considered: 1,
+    };
+    this.fleet.addActive(keeper.endpoint, 1);
+    this.sendResume(session, keeper.incarnation);
+  }
+
+  /** Replaces stalled chains and ends requests past their deadline; call this often. */
+  sweep(): void {
+    const nowMs = this.clock.monotonicMs();
+    for (const [, session] of this.sessions.entries()) {
+      if (session.request.deadlineMs <= nowMs) {
+        this.expire(session);
+      } else if (session.route && this.isStalled(session, session.route, nowMs)) {
+        this.logger.log(LogLevel.Warn, 'stall', {
+          request: session.request.id,
+          epoch: session.epoch,
+        });
+        this.repair(session, undefined);
+      }
+    }
+    this.admission.sweep();
+  }
+
+  private readonly refusals = new Map<string, AttemptRefused>();
+
+  private createSession(
+    request: ChatRequest,
+    attempt: string,
+    sink: IChatSink,
+    submission: boolean,
+  ): Session {
+    const session: Session = {
+      request,
+      attempt,
+      sink,
+      submission,
+      assembler: new AnswerAssembler(),
+      avoid: new Set(),
+      epoch: 0,
+      firstStep: 0,
+      refusals: 0,
+      layerTokens: 0,
+      micros: 0,
+      mayHaveRun: false,
+      route: undefined,
+      progressMs: 0,
+      done: false,
+      admitted: (route) => this.begin(session, route),
+      refused: (refusal) =>
+        this.fail(session, session.mayHaveRun ? { ...refusal, run: RunState.Ran } : refusal),
+    };
+    this.sessions.add(attempt, session);
+    return session;
+  }
+
+  private begin(session: Session, route: Route): void {
+    if (session.done) {
+      this.admission.release(route);
+      return;
+    }
+    session.epoch += 1;
+    session.route = route;
+    session.progressMs = this.clock.monotonicMs();
+    session.firstStep = session.assembler.tokens.length;
+    session.assembler.beginEpoch();
+    const sent = this.fleet.send(route.chain[0].incarnation, {
+      kind: MessageKind.Start,
+      spec: this.specOf(session, route),
+      prompt: session.request.prompt,
+      delivered: session.assembler.tokens,
+    });
+    if (!sent) {
+      this.refusedBy(session, route.chain[0].endpoint, FailureReason.StageLost);
+    }
+  }
+
+  private specOf(session: Session, route: Route): AttemptSpec {
+    const { request } = session;
+    return {
+      attempt: session.attempt,
+      epoch: session.epoch,
+      chain: route.chain,
+      model: request.model.name,
+      organisation: request.organisation,
+      revision: request.revision,
+      prices: request.prices,
+      entry: this.options.entry,
+      maxTokens: request.maxTokens,
+      priority: request.priority,
+      submission: session.submission,
+      suspect: false,
+      remainingMs: Math.max(1, request.deadlineMs - this.clock.monotonicMs()),
+    };
+  }
+
+  private receive(message: LinkMessage): void {
+    if (message.kind === MessageKind.Token) {
+      this.receiveToken(message);
+    } else if (message.kind === MessageKind.AttemptFailed) {
+      this.receiveFailure(message);
+    }
+  }
+
+  private receiveToken(message: TokenMessage): void {
+    this.sessions
+      .get(message.attempt)
+      .filter((session) => session.epoch === message.epoch)
+      .forEach((session) => this.deliver(session, message));
+  }
+
+  private deliver(session: Session, message: TokenMessage): void {
+    Object.assign(session, { progressMs: this.clock.monotonicMs() });
+    for (const token of session.assembler.accept(message)) {
+      this.countToken(session, token);
+      session.sink.token(token.text);
+    }
+    if (session.assembler.whole) {
+      this.finish(session);
+      session.sink.end(session.assembler.summary());
+    }
+  }
+
+  /** Counts the work of one token: its own position, and on a chain's first token the prefill. */
+  private countToken(session: Session, token: TokenMessage): void {
+    const { request, route } = session;
+    const positions = token.step === session.firstStep ? request.prompt.length + token.step : 1;
+    for (const stage of route?.chain ?? []) {
+      const view = this.fleet.endpoints().find((one) => one.incarnation === stage.incarnation);
+      const price = view === undefined ? 0 : request.prices[view.report.accelerator];
+      const layerTokens = (stage.range.to - stage.range.from) * positions;
+      Object.assign(session, {
+        layerTokens: session.layerTokens + layerTokens,
+        micros: session.micros + (layerTokens * price) / 1_000,
+      });
+    }
+  }
+
+  private receiveFailure(message: AttemptFailedMessage): void {
+    const concerned = this.sessions
+      .get(message.attempt)
+      .filter((session) => session.epoch === message.epoch && session.route !== undefined);
+    for (const session of concerned) {
+      if (message.run === RunState.NotRun) {
+        this.refusedBy(session, message.endpoint, message.reason);
+      } else {
+        this.repair(session, message.endpoint);
+      }
+    }
+  }
+
+  /** Handles an endpoint that did not start the current epoch. */
+  private refusedBy(session: Session, endpoint: string, reason: FailureReason): void {
+    const { request } = session;
+    this.logger.log(LogLevel.Info, 'refused', { request: request.id, endpoint, reason });
+    const refused = this.refusals.get(session.attempt);
+    if (session.submission && refused) {
+      this.finish(session);
+      refused(RunState.NotRun, reason);
+      return;
+    }
+    this.leaveChain(session);
+    session.refusals += 1;
+    this.fleet.markFull(endpoint);
+    if (session.refusals > this.options.maxRefusals) {
+      const detail = `${session.refusals} endpoints refused the request, the last with ${reason}`;
+      const run = session.mayHaveRun ? RunState.Ran : RunState.NotRun;
+      this.fail(session, problem(ProblemKind.Overloaded, run, detail, { retryAfterSeconds: 1 }));
+      return;
+    }
+    this.admission.enqueue(session, true);
+  }
+
+  /** Replaces the chain of a lookup; a submission ends with an unknown outcome. */
+  private repair(session: Session, failed: string | undefined): void {
+    const { request } = session;
+    const tokens = session.assembler.tokens.length;
+    session.mayHaveRun = true;
+    this.leaveChain(session);
+    if (session.submission) {
+      const detail = 'an endpoint failed while the request ran; it will not be run again';
+      this.fail(session, problem(ProblemKind.OutcomeUnknown, RunState.Unknown, detail));
+      return;
+    }
+    const { epoch } = session;
+    if (epoch >= this.options.maxEpochs || this.retryTokens < 1) {
+      const detail =
+        epoch >= this.options.maxEpochs ? `${epoch} chains failed` : 'too many retries';
+      this.fail(
+        session,
+        problem(ProblemKind.EndpointFailed, RunState.Ran, detail, { retryAfterSeconds: 1 }),
+      );
+      return;
+    }
+    this.retryTokens -= 1;
+    if (failed !== undefined) {
+      session.avoid.add(failed);
+    }
+    this.logger.log(LogLevel.Warn, 'repair', { request: request.id, epoch, failed, tokens });
+    this.admission.enqueue(session, true);
+  }
+
+  private endpointLost(lost: FleetChange): void {
+    for (const [, session] of this.sessions.entries()) {
+      if (session.route?.chain.some((stage) => stage.incarnation === lost.incarnation)) {
+        this.repair(session, lost.endpoint);
+      }
+    }
+  }
+
+  private endpointRestored(restored: FleetChange): void {
+    for (const [, session] of this.sessions.entries()) {
+      const chain = session.route?.chain ?? [];
+      if (chain[chain.length - 1]?.incarnation === restored.incarnation) {
+        this.sendResume(session, restored.incarnation);
+      }
+    }
+  }
+
+  private sendResume(session: Session, incarnation: string): void {
+    this.fleet.send(incarnation, {
+      kind: MessageKind.Resume,
+      attempt: session.attempt,
+      epoch: session.epoch,
+      fromStep: session.assembler.tokens.length,
+      entry: this.options.entry,
+    });
+  }
+
+  private isStalled(session: Session, route: Route, nowMs: number): boolean {
+    const silentMs = nowMs - session.progressMs;
+    const first = session.assembler.tokens.length === 0 ? route.expectedMs : 0;
+    if (silentMs > this.options.stallMs + first) {
+      return true;
+    }
+    if (silentMs <= this.options.notReadyStallMs) {
+      return false;
+    }
+    const used = new Set(route.chain.map((stage) => stage.incarnation));
+    return this.fleet.endpoints().some((view) => used.has(view.incarnation) && !view.report.ready);
+  }
+
+  private expire(session: Session): void {
+    const started = session.mayHaveRun || session.route !== undefined;
+    const run = started ? RunState.Unknown : RunState.NotRun;
+    const detail = started
+      ? 'the deadline passed during the answer'
+      : 'the deadline passed in the queue';
+    this.fail(
+      session,
+      problem(ProblemKind.DeadlineExceeded, run, detail, { retryAfterSeconds: 1 }),
+    );
+  }
+
+  private cancel(session: Session): void {
+    if (!session.done) {
+      this.finish(session);
+    }
+  }
+
+  private fail(session: Session, reason: Problem): void {
+    if (!session.done) {
+      this.finish(session);
+      session.sink.fail(reason);
+    }
+  }
+
+  private finish(session: Session): void {
+    session.done = true;
+    this.sessions.delete(session.attempt, session);
+    this.refusals.delete(session.attempt);
+    this.admission.withdraw(session);
+    this.leaveChain(session);
+    const { organisation, model, revision } = session.request;
+    const tokens = session.assembler.tokens.length;
+    const { layerTokens, micros } = session;
+    this.usages.fire({ organisation, model: model.name, revision, tokens, layerTokens, micros });
+  }
+
+  /** Frees the current chain; a submission keeps running there until its end. */
+  private leaveChain(session: Session): void {
+    const { route } = session;
+    if (route === undefined) {
+      return;
+    }
+    session.route = undefined;
+    if (!session.submission || session.assembler.whole) {
+      for (const stage of route.chain) {
+        this.fleet.send(stage.incarnation, {
+          kind: MessageKind.Cancel,
+          attempt: session.attempt,
+          submission: session.submission,
+        });
+      }
+    }
+    this.admission.release(route);
+  }
+}
--- /dev/null
+++ b/src/entry/fleet/common/endpointView.ts
@@ -0,0 +1,70 @@
+import type { EndpointReport } from '../../../platform/link/common/messages.js';
+import type { LayerRange } from '../../../platform/model/common/model.js';
+
+/** What an entry knows of an endpoint; may be out of date at any time. */
+export interface EndpointView {
+  readonly id: string;
+  readonly incarnation: string;
+  /** `host:port` of the agent. */
+  readonly address: string;
+  readonly place: string;
+  readonly region: string;
+  readonly report: EndpointReport;
+  /** True while a link to the agent is open. */
+  readonly connected: boolean;
+  /** True if the agent or the instance list says that the endpoint is leaving. */
+  readonly leaving: boolean;
+  /** True while the endpoint is ejected for its failures. */
+  readonly ejected: boolean;
+  /** Attempts of this entry that run there. */
+  readonly ownActive: number;
+}
+
+/**
+ * Estimates how many attempts run at an endpoint.
+ *
+ * @param view - The endpoint.
+ * @returns The larger of the agent's last count and this entry's own.
+ */
+export function loadOf(view: EndpointView): number {
+  return Math.max(view.report.active, view.ownActive);
+}
+
+/**
+ * Tells whether an endpoint may get new work.
+ *
+ * @param view - The endpoint.
+ * @returns True if it is linked, ready, staying and has room.
+ */
+export function isUsable(view: EndpointView): boolean {
+  return (
+    view.connected &&
+    !view.leaving &&
+    !view.ejected &&
+    view.report.ready &&
+    loadOf(view) < view.report.capacity
+  );
+}
+
+/**
+ * Tells whether an endpoint holds a range of a model.
+ *
+ * @param view - The endpoint.
+ * @param model - Name of the model.
+ * @returns True if it serves any of the model's layers.
+ */
+export function servesModel(view: EndpointView, model: string): boolean {
+  const { report } = view;
+  return !report.service && report.model === model && report.range.to > report.range.from;
+}
+
+/**
+ * Compares two ranges.
+ *
+ * @param a - One range.
+ * @param b - Another range.
+ * @returns True if both hold the same layers.
+ */
+export function sameRange(a: LayerRange, b: LayerRange): boolean {
+  return a.from === b.from && a.to === b.to;
+}
--- /dev/null
+++ b/src/entry/fleet/node/agentPool.ts
@@ -0,0 +1,335 @@
+import { Emitter } from '../../../base/common/event.js';
+import { LogLevel, type ILogger } from '../../../base/common/logger.js';
+import {
+  InstanceRole,
+  InstanceState,
+  type IInstanceList,
+  type InstanceRecord,
+} from '../../../platform/instances/common/instance.js';
+import {
+  MessageKind,
+  type EndpointReport,
+  type HeartbeatMessage,
+  type HelloMessage,
+  type LinkMessage,
+} from '../../../platform/link/common/messages.js';
+import { connect } from '../../../platform/link/node/connect.js';
+import type { Link, LinkTiming } from '../../../platform/link/node/link.js';
+import type { EndpointView } from '../common/endpointView.js';
+import type { FleetChange, FleetMessage, IFleet } from '../common/fleet.js';
+
+interface Member {
+  readonly record: InstanceRecord;
+  /** Undefined until the first hello. */
+  incarnation: string | undefined;
+  report: EndpointReport | undefined;
+  link: Link | undefined;
+  connecting: boolean;
+  leavingNoticed: boolean;
+  listedLeaving: boolean;
+  ejected: boolean;
+  ownActive: number;
+  revision: number;
+  lowestRevision: number;
+}
+
+/** What the pool needs to open links. */
+export interface AgentPoolOptions {
+  readonly timing: LinkTiming;
+  readonly pollMs: number;
+  readonly hello: () => HelloMessage;
+  readonly heartbeat: () => HeartbeatMessage;
+}
+
+/** Time to open a link to an agent, in milliseconds. */
+const connectLimitMs = 500;
+
+/** Links from an entry to the agents that the instance list names. */
+export class AgentPool implements IFleet {
+  private readonly members = new Map<string, Member>();
+
+  private readonly byIncarnation = new Map<string, Member>();
+
+  private readonly messages = new Emitter<FleetMessage>();
+
+  private readonly lost = new Emitter<FleetChange>();
+
+  private readonly restored = new Emitter<FleetChange>();
+
+  private readonly changes = new Emitter<void>();
+
+  private timer: NodeJS.Timeout | undefined;
+
+  private polling = false;
+
+  private polled = false;
+
+  readonly onDidReceive = this.messages.event;
+
+  readonly onDidLose = this.lost.event;
+
+  readonly onDidRestore = this.restored.event;
+
+  readonly onDidChange = this.changes.event;
+
+  /**
+   * @param options - Timing and what this entry says of itself.
+   * @param list - The platform's instance list.
+   * @param logger - Receives joins and losses.
+   */
+  constructor(
+    private readonly options: AgentPoolOptions,
+    private readonly list: IInstanceList,
+    private readonly logger: ILogger,
+  ) {}
+
+  /** True once the instance list was read and every listed agent was tried. */
+  get settled(): boolean {
+    return this.polled && [...this.members.values()].every((member) => !member.connecting);
+  }
+
+  /** Highest rule revision that any agent has heard of. */
+  get highestRevision(): number {
+    return Math.max(0, ...[...this.members.values()].map((member) => member.revision));
+  }
+
+  /** Lowest revision that an entry has in force, as the agents hear it; undefined if unknown. */
+  get lowestEntryRevision(): number | undefined {
+    const known = [...this.members.values()].filter((member) => member.link !== undefined);
+    return known.length === 0
+      ? undefined
+      : Math.min(...known.map((member) => member.lowestRevision));
+  }
+
+  /** Starts to follow the instance list. */
+  start(): void {
+    this.timer = setInterval(() => void this.poll(), this.options.pollMs);
+    void this.poll();
+  }
+
+  /** Closes all links. */
+  close(): void {
+    clearInterval(this.timer);
+    this.timer = undefined;
+    this.changes.close();
+    this.lost.close();
+    this.restored.close();
+    this.members.forEach((member) => member.link?.close());
+  }
+
+  endpoints(): readonly EndpointView[] {
+    return [...this.byIncarnation.values()].flatMap((member): EndpointView[] => {
+      const { record, report, incarnation } = member;
+      if (report === undefined || incarnation === undefined) {
+        return [];
+      }
+      return [
+        {
+          id: record.id,
+          incarnation,
+          address: record.address,
+          place: record.place,
+          region: record.region,
+          report,
+          connected: member.link !== undefined,
+          leaving: member.leavingNoticed || member.listedLeaving || report.leaving,
+          ejected: member.ejected,
+          ownActive: member.ownActive,
+        },
+      ];
+    });
+  }
+
+  send(incarnation: string, message: LinkMessage): boolean {
+    const link = this.byIncarnation.get(incarnation)?.link;
+    link?.send(message);
+    return link !== undefined;
+  }
+
+  addActive(endpoint: string, change: 1 | -1): void {
+    const member = this.members.get(endpoint);
+    if (member) {
+      member.ownActive = Math.max(0, member.ownActive + change);
+    }
+  }
+
+  markFull(endpoint: string): void {
+    const member = this.members.get(endpoint);
+    if (member?.report) {
+      member.report = { ...member.report, active: member.report.capacity };
+    }
+  }
+
+  /**
+   * Marks an endpoint as ejected or not.
+   *
+   * @param endpoint - Its id.
+   * @param ejected - Whether it shall get no new work.
+   */
+  setEjected(endpoint: string, ejected: boolean): void {
+    const member = this.members.get(endpoint);
+    if (member) {
+      member.ejected = ejected;
+      this.changes.fire();
+    }
+  }
+
+  private async poll(): Promise<void> {
+    if (this.polling) {
+      return;
+    }
+    this.polling = true;
+    const records = await this.list.read();
+    this.polling = false;
+    if (records !== undefined && this.timer !== undefined) {
+      this.update(records.filter((record) => record.role === InstanceRole.Agent));
+      this.polled = true;
+    }
+  }
+
+  private update(records: readonly InstanceRecord[]): void {
+    const listed = new Set(records.map((record) => record.id));
+    for (const record of records) {
+      const member = this.memberOf(record);
+      member.listedLeaving = record.state === InstanceState.Leaving;
+      if (member.link === undefined && !member.connecting) {
+        void this.open(member);
+      }
+    }
+    for (const [id, member] of this.members) {
+      if (!listed.has(id) && member.link === undefined && !member.connecting) {
+        this.forget(id, member);
+      }
+    }
+  }
+
+  private memberOf(record: InstanceRecord): Member {
+    const known = this.members.get(record.id);
+    if (known && known.record.address === record.address) {
+      return known;
+    }
+    if (known) {
+      known.link?.close();
+      this.forget(record.id, known);
+    }
+    const member: Member = {
+      record,
+      incarnation: undefined,
+      report: undefined,
+      link: undefined,
+      connecting: false,
+      leavingNoticed: false,
+      listedLeaving: false,
+      ejected: false,
+      ownActive: 0,
+      revision: 0,
+      lowestRevision: 0,
+    };
+    this.members.set(record.id, member);
+    return member;
+  }
+
+  private forget(id: string, member: Member): void {
+    this.loseIncarnation(member);
+    if (this.members.get(id) === member) {
+      this.members.delete(id);
+    }
+    this.changes.fire();
+  }
+
+  private loseIncarnation(member: Member): void {
+    const { incarnation } = member;
+    if (incarnation !== undefined) {
+      this.byIncarnation.delete(incarnation);
+      Object.assign(member, { incarnation: undefined, report: undefined });
+      this.logger.log(LogLevel.Warn, 'endpoint-lost', { endpoint: member.record.id, incarnation });
+      this.lost.fire({ endpoint: member.record.id, incarnation });
+    }
+  }
+
+  private async open(member: Member): Promise<void> {
+    Object.assign(member, { connecting: true });
+    const result = await connect({
+      address: member.record.address,
+      timing: this.options.timing,
+      hello: this.options.hello(),
+      heartbeat: this.options.heartbeat,
+      limitMs: connectLimitMs,
+    });
+    Object.assign(member, { connecting: false });
+    if (result.isErr() || this.timer === undefined) {
+      this.loseIncarnation(member);
+      if (result.isOk()) {
+        result.value.close();
+      }
+      return;
+    }
+    this.adopt(member, result.value);
+  }
+
+  private adopt(member: Member, link: Link): void {
+    const { peer } = link;
+    const endpoint = member.record.id;
+    if (peer === undefined || peer.instance !== endpoint) {
+      this.logger.log(LogLevel.Error, 'endpoint-mismatch', { endpoint, peer: peer?.instance });
+      link.close();
+      return;
+    }
+    const { incarnation } = peer;
+    const isRestored = member.incarnation === incarnation;
+    if (!isRestored) {
+      this.loseIncarnation(member);
+      Object.assign(member, { leavingNoticed: false, ownActive: 0, incarnation });
+      this.logger.log(LogLevel.Info, 'endpoint-joined', { endpoint, incarnation });
+    }
+    Object.assign(member, { link, report: peer.report });
+    this.byIncarnation.set(incarnation, member);
+    link.onDidReceive((message) => this.receive(member, incarnation, message));
+    link.onDidEnd((reason) => {
+      Object.assign(member, { link: undefined });
+      this.logger.log(LogLevel.Warn, 'link-ended', { endpoint, reason });
+      this.changes.fire();
+      if (this.timer !== undefined && !member.connecting) {
+        void this.open(member);
+      }
+    });
+    if (isRestored) {
+      this.restored.fire({ endpoint, incarnation });
+    }
+    this.changes.fire();
+  }
+
+  private receive(member: Member, incarnation: string, message: LinkMessage): void {
+    switch (message.kind) {
+      case MessageKind.Heartbeat:
+        this.hear(member, message);
+        break;
+      case MessageKind.Leaving:
+        Object.assign(member, { leavingNoticed: true });
+        this.logger.log(LogLevel.Info, 'endpoint-leaving', { endpoint: member.record.id });
+        this.changes.fire();
+        break;
+      default:
+        this.messages.fire({ endpoint: member.record.id, incarnation, message });
+    }
+  }
+
+  private hear(member: Member, heartbeat: HeartbeatMessage): void {
+    const before = member.report;
+    Object.assign(member, {
+      report: heartbeat.report ?? before,
+      revision: Math.max(member.revision, heartbeat.revision),
+      lowestRevision: heartbeat.lowestRevision ?? 0,
+    });
+    const after = member.report;
+    const changed =
+      before?.ready !== after?.ready ||
+      before?.model !== after?.model ||
+      before?.range.from !== after?.range.from ||
+      before?.range.to !== after?.range.to ||
+      (after !== undefined && after.active < (before?.active ?? 0));
+    if (changed) {
+      this.changes.fire();
+    }
+  }
+}
--- /dev/null
+++ b/src/entry/http/node/chatRoutes.ts
@@ -0,0 +1,239 @@
+import { createHash, randomUUID } from 'node:crypto';
+import type { FastifyInstance, FastifyReply, FastifyRequest } from 'fastify';
+import {
+  problem,
+  ProblemKind,
+  RunState,
+  type Problem,
+} from '../../../platform/problem/common/problem.js';
+import type { AnswerSummary } from '../../chat/common/answerAssembler.js';
+import type { ChatRequest } from '../../chat/common/chatRequest.js';
+import type { ChatRunner } from '../../chat/common/chatRunner.js';
+import type { ModelRecord } from '../../placement/node/placer.js';
+import type { ChatSubmissionStarter, RequestGuard } from './entryContext.js';
+import { sendProblem } from './problemReply.js';
+
+interface ChatBody {
+  readonly model: string;
+  readonly messages: readonly { readonly role: string; readonly content: string }[];
+  readonly stream?: boolean;
+  readonly max_tokens?: number;
+}
+
+const chatSchema = {
+  type: 'object',
+  required: ['model', 'messages'],
+  properties: {
+    model: { type: 'string', minLength: 1, maxLength: 128 },
+    messages: {
+      type: 'array',
+      minItems: 1,
+      maxItems: 1_000,
+      items: {
+        type: 'object',
+        required: ['role', 'content'],
+        properties: {
+          role: { type: 'string', enum: ['system', 'user', 'assistant'] },
+          content: { type: 'string', minLength: 1 },
+        },
+      },
+    },
+    stream: { type: 'boolean' },
+    max_tokens: { type: 'integer', minimum: 1 },
+  },
+};
+
+const defaultMaxTokens = 256;
+
+/** Most bytes that may wait for a slow caller before its answer is given up. */
+const maxCallerBacklog = 4 * 1_048_576;
+
+/** What the chat routes need. */
+export interface ChatRouteParts {
+  readonly guard: RequestGuard;
+  readonly runner: ChatRunner;
+  readonly model: (name: string) => ModelRecord | undefined;
+  readonly models: () => readonly ModelRecord[];
+  readonly startSubmission: ChatSubmissionStarter;
+}
+
+function promptOf(body: ChatBody): string {
+  return body.messages.map((message) => `${message.role}: ${message.content}`).join('\n');
+}
+
+function digest(text: string): string {
+  return createHash('sha256').update(text).digest('hex');
+}
+
+/** Writes an answer to its caller, streamed or whole. */
+class AnswerWriter {
+  private text = '';
+
+  private started = false;
+
+  constructor(
+    private readonly reply: FastifyReply,
+    private readonly request: ChatRequest,
+    private readonly stream: boolean,
+    private readonly onSlowCaller: () => void,
+  ) {}
+
+  token(text: string): void {
+    if (!this.stream) {
+      this.text += text;
+      return;
+    }
+    this.startStream();
+    this.event(this.chunk({ content: text }, null));
+    if (this.reply.raw.writableLength > maxCallerBacklog) {
+      this.reply.raw.destroy();
+      this.onSlowCaller();
+    }
+  }
+
+  end(summary: AnswerSummary): void {
+    const usage = { completion_tokens: summary.tokens };
+    const check = { tokens: summary.tokens, sha256: summary.digest };
+    if (this.stream) {
+      this.startStream();
+      this.event({ ...this.chunk({}, 'stop'), usage, ibisspar: check });
+      this.reply.raw.end('data: [DONE]\n\n');
+      return;
+    }
+    void this.reply.send({
+      id: this.request.id,
+      object: 'chat.completion',
+      model: this.request.model.name,
+      choices: [
+        { index: 0, message: { role: 'assistant', content: this.text }, finish_reason: 'stop' },
+      ],
+      usage,
+      ibisspar: check,
+    });
+  }
+
+  fail(details: Problem): void {
+    if (!this.started) {
+      sendProblem(this.reply, details);
+      return;
+    }
+    this.reply.raw.end(`event: error\ndata: ${JSON.stringify(details)}\n\n`);
+  }
+
+  private startStream(): void {
+    if (this.started) {
+      return;
+    }
+    this.started = true;
+    this.reply.hijack();
+    this.reply.raw.writeHead(200, {
+      'content-type': 'text/event-stream',
+      'cache-control': 'no-store',
+      'x-request-id': this.request.id,
+    });
+  }
+
+  private chunk(delta: { readonly content?: string }, finish: string | null) {
+    return {
+      id: this.request.id,
+      object: 'chat.completion.chunk',
+      model: this.request.model.name,
+      choices: [{ index: 0, delta, finish_reason: finish }],
+    };
+  }
+
+  private event(data: unknown): void {
+    this.reply.raw.write(`data: ${JSON.stringify(data)}\n\n`);
+  }
+}
+
+/**
+ * Adds the chat routes.
+ *
+ * @param app - The HTTP server.
+ * @param parts - What the routes need.
+ */
+export function addChatRoutes(app: FastifyInstance, parts: ChatRouteParts): void {
+  app.get('/v1/models', (req, reply) => {
+    const admitted = parts.guard.admit(req);
+    if (admitted.isErr()) {
+      return sendProblem(reply, admitted.error);
+    }
+    const data = parts.models().map((model) => ({ id: model.name, object: 'model' }));
+    return reply.send({ object: 'list', data });
+  });
+  app.post<{ Body: ChatBody }>(
+    '/v1/chat/completions',
+    { schema: { body: chatSchema } },
+    (req, reply) => answer(parts, req, reply),
+  );
+}
+
+function answer(
+  parts: ChatRouteParts,
+  req: FastifyRequest<{ Body: ChatBody }>,
+  reply: FastifyReply,
+): void {
+  const admitted = parts.guard.admit(req);
+  if (admitted.isErr()) {
+    sendProblem(reply, admitted.error);
+    return;
+  }
+  const model = parts.model(req.body.model);
+  if (model === undefined) {
+    const detail = `model ${req.body.model} does not exist`;
+    const errors = [{ field: 'model', reason: detail }];
+    sendProblem(reply, problem(ProblemKind.NotFound, RunState.NotRun, detail, { errors }));
+    return;
+  }
+  const prompt = promptOf(req.body);
+  const maxTokens = req.body.max_tokens ?? defaultMaxTokens;
+  if (prompt.length + maxTokens > model.contextTokens) {
+    const detail = `prompt and max_tokens exceed the context of ${model.contextTokens} tokens`;
+    const errors = [{ field: 'max_tokens', reason: detail }];
+    sendProblem(reply, problem(ProblemKind.InvalidRequest, RunState.NotRun, detail, { errors }));
+    return;
+  }
+  const { organisation, terms, revision, prices, deadlineMs, idempotencyKey } = admitted.value;
+  const request: ChatRequest = {
+    id: randomUUID(),
+    organisation,
+    model,
+    prompt,
+    maxTokens,
+    priority: terms(model.name).priority,
+    weight: terms(model.name).weight,
+    revision,
+    prices,
+    fingerprint: digest(`${model.name}\n${prompt}`),
+    deadlineMs,
+  };
+  reply.header('x-request-id', request.id);
+  start(parts, request, reply, req.body, idempotencyKey);
+}
+
+function start(
+  parts: ChatRouteParts,
+  request: ChatRequest,
+  reply: FastifyReply,
+  body: ChatBody,
+  idempotencyKey: string | undefined,
+): void {
+  let cancel: () => void = () => undefined;
+  const writer = new AnswerWriter(reply, request, body.stream ?? false, () => cancel());
+  if (idempotencyKey !== undefined) {
+    const asked = digest(`${request.model.name}\n${request.maxTokens}\n${request.prompt}`);
+    const onToken = (text: string) => writer.token(text);
+    void parts.startSubmission(request, idempotencyKey, asked, onToken).then((result) => {
+      if (result.isOk()) {
+        writer.end(result.value);
+      } else {
+        writer.fail(result.error);
+      }
+    });
+    return;
+  }
+  const handle = parts.runner.open(request, writer);
+  cancel = () => handle.cancel();
+  reply.raw.on('close', cancel);
+}
--- /dev/null
+++ b/src/entry/http/node/serviceRoutes.ts
@@ -0,0 +1,116 @@
+import { createHash, randomUUID } from 'node:crypto';
+import type { FastifyInstance, FastifyReply, FastifyRequest } from 'fastify';
+import type { Result } from 'ts-results-es';
+import type { Header, ServiceAnswer } from '../../../platform/link/common/messages.js';
+import {
+  problem,
+  ProblemKind,
+  RunState,
+  type Problem,
+} from '../../../platform/problem/common/problem.js';
+import type { ServiceCaller, ServiceRequest } from '../../services/common/serviceCaller.js';
+import type { RequestGuard } from './entryContext.js';
+import { sendProblem } from './problemReply.js';
+
+/** Runs a plain-service submission at most once. */
+export type ServiceSubmissionStarter = (
+  request: ServiceRequest,
+  idempotencyKey: string,
+  asked: string,
+) => Promise<Result<ServiceAnswer, Problem>>;
+
+/** What the service routes need. */
+export interface ServiceRouteParts {
+  readonly guard: RequestGuard;
+  readonly caller: ServiceCaller;
+  readonly hasService: (name: string) => boolean;
+  readonly startSubmission: ServiceSubmissionStarter;
+}
+
+/** Methods that may be repeated. */
+const lookupMethods = new Set(['GET', 'HEAD', 'OPTIONS']);
+
+/** Request headers that are passed on to services. */
+const passedHeaders = ['content-type', 'accept', 'accept-language', 'idempotency-key'];
+
+function headersOf(req: FastifyRequest, organisation: string): readonly Header[] {
+  const passed = passedHeaders.flatMap((name): Header[] => {
+    const value = req.headers[name];
+    return typeof value === 'string' ? [[name, value]] : [];
+  });
+  return [...passed, ['x-organisation', organisation]];
+}
+
+function askedDigest(request: ServiceRequest): string {
+  const hash = createHash('sha256');
+  return hash.update(`${request.method} ${request.path}\n`).update(request.body).digest('hex');
+}
+
+/**
+ * Adds the routes of plain services.
+ *
+ * @param app - The HTTP server.
+ * @param parts - What the routes need.
+ */
+export function addServiceRoutes(app: FastifyInstance, parts: ServiceRouteParts): void {
+  void app.register((scope, _options, done) => {
+    scope.removeAllContentTypeParsers();
+    scope.addContentTypeParser('*', { parseAs: 'buffer' }, (_req, body, parsed) => {
+      parsed(null, body);
+    });
+    scope.all<{ Params: { name: string; '*': string } }>('/services/:name/*', (req, reply) =>
+      serve(parts, req, reply),
+    );
+    done();
+  });
+}
+
+async function serve(
+  parts: ServiceRouteParts,
+  req: FastifyRequest<{ Params: { name: string; '*': string } }>,
+  reply: FastifyReply,
+): Promise<FastifyReply> {
+  const admitted = parts.guard.admit(req);
+  if (admitted.isErr()) {
+    return sendProblem(reply, admitted.error);
+  }
+  const service = req.params.name;
+  if (!parts.hasService(service)) {
+    const detail = `service ${service} does not exist`;
+    return sendProblem(reply, problem(ProblemKind.NotFound, RunState.NotRun, detail));
+  }
+  const { organisation, revision, deadlineMs, idempotencyKey } = admitted.value;
+  const request: ServiceRequest = {
+    id: randomUUID(),
+    organisation,
+    service,
+    revision,
+    method: req.method,
+    path: req.url.slice(`/services/${service}`.length),
+    headers: headersOf(req, organisation),
+    body: Buffer.isBuffer(req.body) ? req.body : new Uint8Array(),
+    deadlineMs,
+  };
+  reply.header('x-request-id', request.id);
+  if (lookupMethods.has(req.method)) {
+    return send(reply, await parts.caller.lookup(request));
+  }
+  if (idempotencyKey === undefined) {
+    const detail = `${req.method} calls need an Idempotency-Key header`;
+    const errors = [{ field: 'idempotency-key', reason: detail }];
+    return sendProblem(
+      reply,
+      problem(ProblemKind.KeyRequired, RunState.NotRun, detail, { errors }),
+    );
+  }
+  return send(reply, await parts.startSubmission(request, idempotencyKey, askedDigest(request)));
+}
+
+function send(reply: FastifyReply, result: Result<ServiceAnswer, Problem>): FastifyReply {
+  if (result.isErr()) {
+    return sendProblem(reply, result.error);
+  }
+  const { status, headers, body } = result.value;
+  headers.forEach(([name, value]) => reply.header(name, value));
+  return reply.code(status).send(Buffer.from(body));
+}
--- /dev/null
+++ b/src/entry/node/entryProgram.ts
@@ -0,0 +1,413 @@
+import { createHash, randomUUID } from 'node:crypto';
+import Fastify, { type FastifyInstance } from 'fastify';
+import { LogLevel, type ILogger } from '../../base/common/logger.js';
+import { SeededRandom } from '../../base/common/random.js';
+import type { IMetrics } from '../../base/node/metrics.js';
+import { sleep, type SystemClock } from '../../base/node/systemClock.js';
+import { ClaimLedger } from '../../platform/claims/common/claimLedger.js';
+import { InstanceRole } from '../../platform/instances/common/instance.js';
+import { PlatformInstanceList } from '../../platform/instances/node/platformInstanceList.js';
+import { LeaseCandidate } from '../../platform/lease/common/lease.js';
+import {
+  linkVersion,
+  MessageKind,
+  type HeartbeatMessage,
+  type HelloMessage,
+} from '../../platform/link/common/messages.js';
+import { ObjectKind } from '../../platform/objects/common/objects.js';
+import type { HttpObjectStore } from '../../platform/objects/node/httpObjectStore.js';
+import { ObjectCache } from '../../platform/objects/node/objectCache.js';
+import { RuleStore } from '../../platform/rules/common/ruleStore.js';
+import type { EntrySettings } from '../../platform/settings/common/settings.js';
+import { UsageCounters, UsageSide, type UsageRecord } from '../../platform/usage/common/usage.js';
+import { UsageWriter } from '../../platform/usage/node/usageWriter.js';
+import { ChatAdmission } from '../chat/common/chatAdmission.js';
+import { ChatRunner } from '../chat/common/chatRunner.js';
+import { costReport } from '../costs/common/costReport.js';
+import { AgentPool } from '../fleet/node/agentPool.js';
+import { CallerDirectory, type OrganisationRecord } from '../http/common/callerDirectory.js';
+import { DecisionLog } from '../http/common/decisionLog.js';
+import { addAdminRoutes, type EntryStatus } from '../http/node/adminRoutes.js';
+import { addChatRoutes } from '../http/node/chatRoutes.js';
+import { RequestGuard, type ChatSubmissionStarter } from '../http/node/entryContext.js';
+import { handleError } from '../http/node/problemReply.js';
+import { addServiceRoutes, type ServiceSubmissionStarter } from '../http/node/serviceRoutes.js';
+import { Placer, type ModelRecord } from '../placement/node/placer.js';
+import { FastestChainRouter } from '../routing/common/chainRouter.js';
+import { placeLatency } from '../routing/common/placeLatency.js';
+import { PrefixDirectory } from '../routing/common/prefixDirectory.js';
+import { RuleFeed } from '../rules/node/ruleFeed.js';
+import { ServiceCaller } from '../services/common/serviceCaller.js';
+import { ChatSubmission } from '../submission/common/chatSubmission.js';
+import { ServiceSubmission } from '../submission/common/serviceSubmission.js';
+import {
+  SubmissionFlow,
+  type ISubmissionRunner,
+  type PreparedRun,
+  type SubmissionIdentity,
+} from '../submission/common/submissionFlow.js';
+
+/** Service object of the platform. */
+interface ServiceRecord {
+  readonly name: string;
+}
+
+/** What an entry is made of; created by the program's main. */
+export interface EntryParts {
+  readonly settings: EntrySettings;
+  readonly clock: SystemClock;
+  readonly logger: ILogger;
+  readonly metrics: IMetrics;
+  readonly store: HttpObjectStore;
+}
+
+/** Interval of the search for stalls and passed deadlines, in milliseconds. */
+const sweepIntervalMs = 100;
+
+/** Interval of placement steps, in milliseconds. */
+const placeIntervalMs = 500;
+
+/** Interval at which a drain checks whether the work is finished, in milliseconds. */
+const drainPollMs = 20;
+
+/** Time that the balancer is given to notice a drain, in milliseconds. */
+const balancerGraceMs = 250;
+
+/** Most epochs of one answer. */
+const maxEpochs = 6;
+
+/** Most refusals by full or leaving endpoints before a request is given up. */
+const maxRefusals = 16;
+
+/** Stall limit while an engine of the chain does not answer its agent, in milliseconds. */
+const notReadyStallMs = 500;
+
+/** Time that a request waits for a model that no chain serves, in milliseconds. */
+const patienceMs = 5_000;
+
+/** Most claims in a shard's head object; keeps it near 100 KB. */
+const maxInlineClaims = 256;
+
+/** Time after which a claim is given up, in milliseconds. */
+const claimLimitMs = 3_000;
+
+function digest(text: string): string {
+  return createHash('sha256').update(text).digest('hex');
+}
+
+/** The process that callers and operators talk to. */
+export class EntryProgram {
+  private readonly incarnation = randomUUID();
+
+  private readonly logger: DecisionLog;
+
+  private readonly app: FastifyInstance;
+
+  private readonly pool: AgentPool;
+
+  private readonly rules: RuleFeed;
+
+  private readonly ruleStore: RuleStore;
+
+  private readonly models: ObjectCache<ModelRecord>;
+
+  private readonly services: ObjectCache<ServiceRecord>;
+
+  private readonly organisations: ObjectCache<OrganisationRecord>;
+
+  private readonly callers = new CallerDirectory();
+
+  private readonly prefixes = new PrefixDirectory();
+
+  private readonly admission: ChatAdmission;
+
+  private readonly runner: ChatRunner;
+
+  private readonly caller: ServiceCaller;
+
+  private readonly ledger: ClaimLedger;
+
+  private readonly lease: LeaseCandidate;
+
+  private readonly placer: Placer;
+
+  private readonly usage = new UsageCounters();
+
+  private readonly usageWriter: UsageWriter;
+
+  private readonly intervals: NodeJS.Timeout[] = [];
+
+  private activeSubmissions = 0;
+
+  private draining = false;
+
+  /** @param parts - Settings and shared services; owned by the caller. */
+  constructor(private readonly parts: EntryParts) {
+    const { settings, clock, store } = parts;
+    this.logger = new DecisionLog(parts.logger);
+    const random = new SeededRandom(Number.parseInt(digest(this.incarnation).slice(0, 8), 16));
+    this.pool = this.createPool();
+    this.ruleStore = new RuleStore(store, digest);
+    const known = () => this.pool.highestRevision;
+    this.rules = new RuleFeed(this.ruleStore, store, known, this.logger);
+    this.models = new ObjectCache(store, ObjectKind.Models);
+    this.services = new ObjectCache(store, ObjectKind.Services);
+    this.organisations = new ObjectCache(store, ObjectKind.Organisations);
+    this.organisations.onDidChange(() => this.callers.update(this.organisations.values()));
+    this.admission = new ChatAdmission(
+      { place: settings.place, queueLimit: settings.queueLimit, patienceMs },
+      this.pool,
+      new FastestChainRouter(placeLatency(settings.latencies), random),
+      this.prefixes,
+      clock,
+      this.logger,
+    );
+    const { instance, stallMs } = settings;
+    this.runner = new ChatRunner(
+      { entry: instance, stallMs, notReadyStallMs, maxEpochs, maxRefusals },
+      this.pool,
+      this.admission,
+      clock,
+      this.logger,
+    );
+    this.caller = new ServiceCaller(this.pool, clock, clock, random, this.logger);
+    this.ledger = new ClaimLedger(
+      {
+        shards: settings.claimShards,
+        maxInline: maxInlineClaims,
+        retentionMs: settings.claimRetentionMs,
+        limitMs: claimLimitMs,
+      },
+      store,
+      clock,
+    );
+    this.lease = this.createLease();
+    this.placer = this.createPlacer();
+    const owner = { side: UsageSide.Entry, instance, incarnation: this.incarnation };
+    this.usageWriter = new UsageWriter(owner, this.usage, store, settings.usageFlushMs);
+    this.countUsage();
+    this.app = this.createApp();
+  }
+
+  /** Starts to serve; resolves once HTTP requests are accepted. */
+  async start(): Promise<void> {
+    const { settings, clock } = this.parts;
+    this.pool.start();
+    this.rules.start();
+    this.models.start();
+    this.services.start();
+    this.organisations.start();
+    this.every(sweepIntervalMs, () => this.runner.sweep());
+    this.every(placeIntervalMs, () => this.placer.step(clock.monotonicMs()));
+    const address = await this.app.listen({ host: settings.host, port: settings.httpPort });
+    this.logger.log(LogLevel.Info, 'entry-started', { address, incarnation: this.incarnation });
+  }
+
+  /** Takes no new requests, finishes those under way, within the drain time. */
+  async drain(): Promise<void> {
+    const { settings, clock } = this.parts;
+    this.draining = true;
+    this.logger.log(LogLevel.Info, 'drain-started', { active: this.active });
+    await sleep(balancerGraceMs);
+    const limitMs = clock.monotonicMs() + settings.drainMs;
+    while (this.active > 0 && clock.monotonicMs() < limitMs) {
+      await sleep(drainPollMs);
+    }
+    this.logger.log(LogLevel.Info, 'drain-ended', { active: this.active });
+  }
+
+  /** Closes servers, links and timers, after a last write of the usage. */
+  async close(): Promise<void> {
+    this.intervals.forEach((interval) => clearInterval(interval));
+    await this.app.close();
+    await this.usageWriter.close();
+    await this.lease.release();
+    this.rules.close();
+    this.models.close();
+    this.services.close();
+    this.organisations.close();
+    this.pool.close();
+  }
+
+  private get active(): number {
+    return this.runner.active + this.caller.active + this.activeSubmissions;
+  }
+
+  private get ready(): boolean {
+    return (
+      this.rules.ready &&
+      this.models.ready &&
+      this.services.ready &&
+      this.organisations.ready &&
+      this.pool.settled
+    );
+  }
+
+  private createPool(): AgentPool {
+    const { settings, store } = this.parts;
+    const options = {
+      timing: { heartbeatMs: settings.heartbeatMs, deadlineMs: settings.heartbeatDeadlineMs },
+      pollMs: settings.instancePollMs,
+      hello: () => this.hello(),
+      heartbeat: () => this.heartbeat(),
+    };
+    return new AgentPool(options, new PlatformInstanceList(store), this.logger);
+  }
+
+  private createLease(): LeaseCandidate {
+    const { settings, store, clock } = this.parts;
+    const name = `placement-${settings.region}`;
+    const options = { name, candidate: this.incarnation, durationMs: settings.leaseMs };
+    return new LeaseCandidate(options, store, clock);
+  }
+
+  private createPlacer(): Placer {
+    const { settings, store } = this.parts;
+    const models = () => this.models.values();
+    return new Placer(settings.region, this.lease, store, this.pool, models, this.logger);
+  }
+
+  private hello(): HelloMessage {
+    const { instance, place, region } = this.parts.settings;
+    return {
+      kind: MessageKind.Hello,
+      version: linkVersion,
+      instance,
+      incarnation: this.incarnation,
+      role: InstanceRole.Entry,
+      place,
+      region,
+      revision: this.rules.current.revision,
+    };
+  }
+
+  private heartbeat(): HeartbeatMessage {
+    return { kind: MessageKind.Heartbeat, revision: this.rules.current.revision };
+  }
+
+  private countUsage(): void {
+    this.runner.onDidUse(({ organisation, model, revision, tokens, layerTokens, micros }) => {
+      const amounts = { requests: 1, tokens, layerTokens, micros };
+      this.usage.add({ organisation, subject: model, revision }, amounts);
+    });
+  }
+
+  private createApp(): FastifyInstance {
+    const { settings, clock, store } = this.parts;
+    const app = Fastify({
+      bodyLimit: settings.bodyBytes,
+      requestTimeout: settings.requestMs,
+      forceCloseConnections: 'idle',
+      ajv: { customOptions: { allErrors: true, coerceTypes: false } },
+    });
+    app.setErrorHandler(handleError);
+    app.get('/healthz', (_req, reply) => {
+      const healthy = this.ready && !this.draining;
+      return reply.code(healthy ? 200 : 503).send({ ready: this.ready, draining: this.draining });
+    });
+    const guard = new RequestGuard({
+      callers: this.callers,
+      rules: () => this.rules.current,
+      ready: () => this.ready,
+      draining: () => this.draining,
+      place: settings.place,
+      requestMs: settings.requestMs,
+      clock,
+    });
+    addChatRoutes(app, {
+      guard,
+      runner: this.runner,
+      model: (name) => this.models.get(name),
+      models: () => this.models.values(),
+      startSubmission: this.startChatSubmission,
+    });
+    addServiceRoutes(app, {
+      guard,
+      caller: this.caller,
+      hasService: (name) => this.services.get(name) !== undefined,
+      startSubmission: this.startServiceSubmission,
+    });
+    addAdminRoutes(app, {
+      keyHashes: new Set(settings.adminKeyHashes),
+      status: () => this.status(),
+      endpoints: () => this.pool.endpoints(),
+      rules: () => this.rules.current,
+      ruleStore: this.ruleStore,
+      refreshRules: () => this.rules.refresh(),
+      decisions: this.logger,
+      place: settings.place,
+      costs: async (fromMs, toMs) => {
+        const list = await store.list<UsageRecord>(ObjectKind.Usage);
+        const records = list.isOk() ? list.value.map((object) => object.value) : [];
+        return { complete: list.isOk(), lines: costReport(records, fromMs, toMs) };
+      },
+    });
+    return app;
+  }
+
+  private readonly startChatSubmission: ChatSubmissionStarter = (request, key, asked, onToken) => {
+    const run = new ChatSubmission(request, onToken, this.admission, this.runner, this.caller);
+    const identity = {
+      key: digest(`${request.organisation}\n${key}`).slice(0, 32),
+      request: asked,
+      id: request.id,
+    };
+    return this.tracked(this.flow(identity, run).run());
+  };
+
+  private readonly startServiceSubmission: ServiceSubmissionStarter = async (
+    request,
+    key,
+    asked,
+  ) => {
+    const run = new ServiceSubmission(request, this.caller);
+    const identity = {
+      key: digest(`${request.organisation}\n${request.service}\n${key}`).slice(0, 32),
+      request: asked,
+      id: request.id,
+    };
+    const startedMs = this.parts.clock.monotonicMs();
+    const result = await this.tracked(this.flow(identity, run).run());
+    const { organisation, service: subject, revision } = request;
+    const callMs = this.parts.clock.monotonicMs() - startedMs;
+    this.usage.add({ organisation, subject, revision }, { requests: 1, callMs });
+    return result;
+  };
+
+  private flow<R, P extends PreparedRun>(
+    identity: SubmissionIdentity,
+    runner: ISubmissionRunner<R, P>,
+  ): SubmissionFlow<R, P> {
+    const { clock } = this.parts;
+    return new SubmissionFlow(identity, this.ledger, runner, randomUUID, clock, clock, this.logger);
+  }
+
+  private async tracked<T>(work: Promise<T>): Promise<T> {
+    this.activeSubmissions += 1;
+    try {
+      return await work;
+    } finally {
+      this.activeSubmissions -= 1;
+    }
+  }
+
+  private status(): EntryStatus {
+    const { instance, place } = this.parts.settings;
+    return {
+      instance,
+      place,
+      draining: this.draining,
+      ready: this.ready,
+      revision: this.rules.current.revision,
+      lowestRevision: this.pool.lowestEntryRevision,
+      activeChats: this.runner.active,
+      activeCalls: this.caller.active,
+      waiting: this.admission.waiting,
+      leaseTerm: this.lease.term(),
+    };
+  }
+
+  private every(intervalMs: number, action: () => Promise<void> | void): void {
+    this.intervals.push(setInterval(() => void action(), intervalMs));
+  }
+}
--- /dev/null
+++ b/src/entry/placement/common/layerPlanner.ts
@@ -0,0 +1,249 @@
+import type { LayerRange, ModelSpec } from '../../../platform/model/common/model.js';
+
+/** Endpoint that can hold layers. */
+export interface PlacementCandidate {
+  readonly id: string;
+  readonly place: string;
+  readonly memoryMiB: number;
+  /** Time that one layer takes for one token, in microseconds. */
+  readonly layerMicros: number;
+}
+
+/** Part of a planned chain. */
+export interface PlannedStage {
+  readonly endpoint: string;
+  readonly range: LayerRange;
+}
+
+/** Stages that cover a model once, in order. */
+export type PlannedChain = readonly PlannedStage[];
+
+/** Share of an accelerator's memory for layers; the rest holds key-value cache. */
+const layerMemoryShare = 0.8;
+
+/** Most stages of a chain; each further stage adds a hop to every token. */
+const maxStages = 16;
+
+/**
+ * Returns the most layers of a model that an endpoint can hold.
+ *
+ * @param candidate - The endpoint.
+ * @param model - The model.
+ * @returns A whole number of layers.
+ */
+export function layerCapacity(candidate: PlacementCandidate, model: ModelSpec): number {
+  const layers = Math.floor((candidate.memoryMiB * layerMemoryShare) / model.layerMiB);
+  return Math.min(layers, model.layers);
+}
+
+function layersWithin(
+  candidate: PlacementCandidate,
+  model: ModelSpec,
+  limitMicros: number,
+): number {
+  const fast = Math.floor(limitMicros / candidate.layerMicros);
+  return Math.min(layerCapacity(candidate, model), fast);
+}
+
+/** Finds the least time of the slowest stage with which the endpoints cover the model. */
+function leastSlowest(
+  members: readonly PlacementCandidate[],
+  model: ModelSpec,
+): number | undefined {
+  const times = members
+    .flatMap((member) =>
+      Array.from(
+        { length: layerCapacity(member, model) },
+        (_unused, index) => (index + 1) * member.layerMicros,
+      ),
+    )
+    .sort((a, b) => a - b);
+  const covers = (limit: number) =>
+    members.reduce((sum, member) => sum + layersWithin(member, model, limit), 0) >= model.layers;
+  let low = 0;
+  let high = times.length;
+  while (low < high) {
+    const middle = Math.floor((low + high) / 2);
+    if (covers(times[middle])) {
+      high = middle;
+    } else {
+      low = middle + 1;
+    }
+  }
+  return times[low];
+}
+
+/**
+ * Splits a model's layers over endpoints so that the slowest stage is as fast as memory allows.
+ *
+ * @param members - Endpoints, in the order in which they shall run.
+ * @param model - The model.
+ * @returns The chain without members that get no layer; undefined if memory does not suffice.
+ */
+export function splitLayers(
+  members: readonly PlacementCandidate[],
+  model: ModelSpec,
+): PlannedChain | undefined {
+  const limit = leastSlowest(members, model);
+  if (limit === undefined) {
+    return undefined;
+  }
+  const stages: PlannedStage[] = [];
+  let next = 0;
+  for (const member of members) {
+    const count = Math.min(layersWithin(member, model, limit), model.layers - next);
+    if (count > 0) {
+      stages.push({ endpoint: member.id, range: { from: next, to: next + count } });
+      next += count;
+    }
+  }
+  return next === model.layers ? stages : undefined;
+}
+
+/** Takes the endpoints with the most memory until they hold the model. */
+function gather(
+  free: readonly PlacementCandidate[],
+  model: ModelSpec,
+): readonly PlacementCandidate[] | undefined {
+  const sorted = [...free].sort(
+    (a, b) => layerCapacity(b, model) - layerCapacity(a, model) || a.id.localeCompare(b.id),
+  );
+  const chosen: PlacementCandidate[] = [];
+  let layers = 0;
+  for (const candidate of sorted) {
+    if (layers >= model.layers || chosen.length >= maxStages) {
+      break;
+    }
+    chosen.push(candidate);
+    layers += layerCapacity(candidate, model);
+  }
+  return layers >= model.layers ? chosen : undefined;
+}
+
+/** Puts endpoints of one place next to each other. */
+function byPlace(members: readonly PlacementCandidate[]): readonly PlacementCandidate[] {
+  return [...members].sort((a, b) => a.place.localeCompare(b.place) || a.id.localeCompare(b.id));
+}
+
+/**
+ * Forms one chain from free endpoints, within one place if possible.
+ *
+ * @param free - Endpoints without layers.
+ * @param model - The model.
+ * @returns A chain, or undefined if the free endpoints cannot hold the model.
+ */
+export function formChain(
+  free: readonly PlacementCandidate[],
+  model: ModelSpec,
+): PlannedChain | undefined {
+  const places = [...new Set(free.map((candidate) => candidate.place))].sort();
+  const pools = [...places.map((place) => free.filter((one) => one.place === place)), free];
+  for (const pool of pools) {
+    const members = gather(pool, model);
+    const chain = members && splitLayers(byPlace(members), model);
+    if (chain) {
+      return chain;
+    }
+  }
+  return undefined;
+}
+
+/** A model and how many chains of it are wanted. */
+export interface PlacementDemand {
+  readonly model: ModelSpec;
+  readonly replicas: number;
+}
+
+/** Chains by model name. */
+export type Placement = ReadonlyMap<string, readonly PlannedChain[]>;
+
+/** Replaces the lost stages of a chain by free endpoints; undefined if that is not possible. */
+function mendChain(
+  chain: PlannedChain,
+  model: ModelSpec,
+  live: ReadonlySet<string>,
+  free: Map<string, PlacementCandidate>,
+): PlannedChain | undefined {
+  const taken = new Map<string, PlacementCandidate>();
+  const mended: PlannedStage[] = [];
+  for (const stage of chain) {
+    const needed = stage.range.to - stage.range.from;
+    const spare = [...free.values()]
+      .filter((candidate) => !taken.has(candidate.id) && layerCapacity(candidate, model) >= needed)
+      .sort((a, b) => a.layerMicros - b.layerMicros)[0];
+    if (live.has(stage.endpoint)) {
+      mended.push(stage);
+    } else if (spare) {
+      taken.set(spare.id, spare);
+      mended.push({ endpoint: spare.id, range: stage.range });
+    } else {
+      return undefined;
+    }
+  }
+  taken.forEach((_candidate, id) => free.delete(id));
+  return mended;
+}
+
+/**
+ * Plans which endpoint holds which layers.
+ *
+ * Chains that stand are kept; a chain that lost a stage gets a spare endpoint for it, or is given
+ * up so that its endpoints serve elsewhere; free endpoints form new chains for the models that
+ * miss the largest part of their replicas.
+ *
+ * @param demands - Models and wanted numbers of chains.
+ * @param candidates - Endpoints that can hold layers now.
+ * @param current - The placement so far.
+ * @returns The new placement.
+ */
+export function planPlacement(
+  demands: readonly PlacementDemand[],
+  candidates: readonly PlacementCandidate[],
+  current: Placement,
+): Placement {
+  const live = new Set(candidates.map((candidate) => candidate.id));
+  const free = new Map(candidates.map((candidate) => [candidate.id, candidate]));
+  const kept = new Map<string, PlannedChain[]>(demands.map(({ model }) => [model.name, []]));
+  const broken: { readonly model: ModelSpec; readonly chain: PlannedChain }[] = [];
+  for (const { model, replicas } of demands) {
+    for (const chain of (current.get(model.name) ?? []).slice(0, replicas)) {
+      if (chain.every((stage) => live.has(stage.endpoint))) {
+        kept.get(model.name)?.push(chain);
+        chain.forEach((stage) => free.delete(stage.endpoint));
+      } else {
+        broken.push({ model, chain });
+      }
+    }
+  }
+  for (const { model, chain } of broken) {
+    const survivors = new Set(chain.map((stage) => stage.endpoint));
+    const spares = new Map([...free].filter(([id]) => !survivors.has(id)));
+    const mended = mendChain(chain, model, live, spares);
+    if (mended) {
+      kept.get(model.name)?.push(mended);
+      mended.forEach((stage) => free.delete(stage.endpoint));
+    }
+  }
+  addChains(demands, kept, free);
+  return kept;
+}
+
+function addChains(
+  demands: readonly PlacementDemand[],
+  kept: Map<string, PlannedChain[]>,
+  free: Map<string, PlacementCandidate>,
+): void {
+  const open = new Set(demands);
+  while (open.size > 0) {
+    const filled = ({ model, replicas }: PlacementDemand) =>
+      (kept.get(model.name)?.length ?? 0) / replicas;
+    const [next] = [...open].sort((a, b) => filled(a) - filled(b));
+    const chain = filled(next) < 1 ? formChain([...free.values()], next.model) : undefined;
+    if (chain) {
+      kept.get(next.model.name)?.push(chain);
+      chain.forEach((stage) => free.delete(stage.endpoint));
+    } else {
+      open.delete(next);
+    }
+  }
+}
--- /dev/null
+++ b/src/entry/placement/node/placer.ts
@@ -0,0 +1,193 @@
+import { LogLevel, type ILogger } from '../../../base/common/logger.js';
+import type { LeaseCandidate } from '../../../platform/lease/common/lease.js';
+import { MessageKind } from '../../../platform/link/common/messages.js';
+import { formatRange, type ModelSpec } from '../../../platform/model/common/model.js';
+import {
+  absentVersion,
+  ObjectKind,
+  type IObjectStore,
+  type StoredObject,
+} from '../../../platform/objects/common/objects.js';
+import { sameRange, type EndpointView } from '../../fleet/common/endpointView.js';
+import type { IFleet } from '../../fleet/common/fleet.js';
+import {
+  planPlacement,
+  type Placement,
+  type PlacementDemand,
+  type PlannedChain,
+  type PlannedStage,
+} from '../common/layerPlanner.js';
+
+/** Placement of one model in one region, as stored in the platform. */
+export interface PlacementRecord {
+  readonly model: string;
+  /** Lease term under which it was written. */
+  readonly term: number;
+  readonly chains: readonly PlannedChain[];
+}
+
+/** Model object: the model and how many chains of it are wanted. */
+export interface ModelRecord extends ModelSpec {
+  readonly replicas: number;
+}
+
+/** Time for which a lost endpoint keeps its place in a chain, in milliseconds. */
+const lossGraceMs = 2_000;
+
+/** Places layers on the endpoints of a region while this entry holds the region's lease. */
+export class Placer {
+  private lastTerm: number | undefined;
+
+  private records = new Map<string, StoredObject<PlacementRecord>>();
+
+  private readonly seenMs = new Map<string, number>();
+
+  private stepping = false;
+
+  /**
+   * @param region - Region to place.
+   * @param lease - Lease of the region.
+   * @param store - The platform's objects.
+   * @param fleet - The endpoints.
+   * @param models - Returns the models.
+   * @param logger - Receives the decisions.
+   */
+  constructor(
+    private readonly region: string,
+    private readonly lease: LeaseCandidate,
+    private readonly store: IObjectStore,
+    private readonly fleet: IFleet,
+    private readonly models: () => readonly ModelRecord[],
+    private readonly logger: ILogger,
+  ) {}
+
+  /**
+   * Renews the lease and, while it is held, brings endpoints to the planned placement.
+   *
+   * @param nowMs - Monotonic time.
+   */
+  async step(nowMs: number): Promise<void> {
+    if (this.stepping) {
+      return;
+    }
+    this.stepping = true;
+    try {
+      await this.lease.step();
+      const term = this.lease.term();
+      if (term !== undefined && (await this.prepareTerm(term))) {
+        await this.place(term, nowMs);
+      }
+    } finally {
+      this.stepping = false;
+    }
+  }
+
+  /** Reads the placements of earlier holders at the start of a term. */
+  private async prepareTerm(term: number): Promise<boolean> {
+    if (this.lastTerm === term) {
+      return true;
+    }
+    const list = await this.store.list<PlacementRecord>(ObjectKind.Placements);
+    if (list.isErr()) {
+      return false;
+    }
+    this.records = new Map(list.value.map((object) => [object.name, object]));
+    this.lastTerm = term;
+    this.logger.log(LogLevel.Info, 'lease-held', { region: this.region, term });
+    return true;
+  }
+
+  private async place(term: number, nowMs: number): Promise<void> {
+    const views = this.candidates(nowMs);
+    const demands: PlacementDemand[] = this.models().map((model) => ({
+      model,
+      replicas: model.replicas,
+    }));
+    const current: Placement = new Map(
+      demands.map(({ model }) => [
+        model.name,
+        this.records.get(this.nameOf(model.name))?.value.chains ?? [],
+      ]),
+    );
+    const planned = planPlacement(demands, views.map(toCandidate), current);
+    for (const { model } of demands) {
+      const chains = planned.get(model.name) ?? [];
+      if (await this.save(model.name, chains, term)) {
+        chains.flat().forEach((stage) => this.order(stage, model, term, views));
+      }
+    }
+  }
+
+  /** Endpoints that can hold layers; those lost a moment ago still count. */
+  private candidates(nowMs: number): readonly EndpointView[] {
+    const views = this.fleet
+      .endpoints()
+      .filter((view) => !view.report.service && view.region === this.region && !view.leaving);
+    views
+      .filter((view) => view.connected && view.report.answering && view.report.memoryMiB > 0)
+      .forEach((view) => this.seenMs.set(view.id, nowMs));
+    return views.filter((view) => nowMs - (this.seenMs.get(view.id) ?? -Infinity) < lossGraceMs);
+  }
+
+  private async save(
+    model: string,
+    chains: readonly PlannedChain[],
+    term: number,
+  ): Promise<boolean> {
+    const name = this.nameOf(model);
+    const known = this.records.get(name);
+    if (JSON.stringify(known?.value.chains ?? []) === JSON.stringify(chains)) {
+      return true;
+    }
+    const value: PlacementRecord = { model, term, chains };
+    const version = known?.version ?? absentVersion;
+    const put = await this.store.put(ObjectKind.Placements, name, value, version);
+    if (put.isErr()) {
+      this.lastTerm = undefined; // reads the placements again before the next step
+      return false;
+    }
+    const kind = ObjectKind.Placements;
+    this.records.set(name, { kind, name, version: put.value, value });
+    this.logger.log(LogLevel.Info, 'placement', {
+      model,
+      term,
+      chains: chains.map(formatChain).join(' '),
+    });
+    return true;
+  }
+
+  private order(
+    stage: PlannedStage,
+    model: ModelSpec,
+    term: number,
+    views: readonly EndpointView[],
+  ): void {
+    const view = views.find((candidate) => candidate.id === stage.endpoint);
+    const { report } = view ?? {};
+    const holds = report?.model === model.name && sameRange(report.range, stage.range);
+    if (view && !(holds && report.term === term)) {
+      const { name, version } = model;
+      const { range } = stage;
+      this.fleet.send(view.incarnation, {
+        kind: MessageKind.Order,
+        term,
+        model: name,
+        version,
+        range,
+      });
+    }
+  }
+
+  private nameOf(model: string): string {
+    return `${model}.${this.region}`;
+  }
+}
+
+function toCandidate(view: EndpointView) {
+  const { memoryMiB, layerMicros } = view.report;
+  return { id: view.id, place: view.place, memoryMiB, layerMicros };
+}
+
+function formatChain(chain: PlannedChain): string {
+  return chain.map((stage) => `${stage.endpoint}:${formatRange(stage.range)}`).join(',');
+}
--- /dev/null
+++ b/src/entry/routing/common/baselineRouters.ts
@@ -0,0 +1,57 @@
+import type { IRandom } from '../../../base/common/random.js';
+import type { ChainSpec } from '../../../platform/model/common/model.js';
+import { isUsable, servesModel, type EndpointView } from '../../fleet/common/endpointView.js';
+import type { IChainRouter, Route, RouteRequest } from './chainRouter.js';
+
+/** Picks one of the endpoints that can follow a boundary. */
+type Pick = (options: readonly EndpointView[]) => EndpointView;
+
+/** Builds a chain stage by stage; undefined if it gets stuck. */
+function walk(
+  request: RouteRequest,
+  endpoints: readonly EndpointView[],
+  pick: Pick,
+): Route | undefined {
+  const usable = endpoints.filter(
+    (view) =>
+      servesModel(view, request.model.name) && isUsable(view) && !request.avoid.has(view.id),
+  );
+  const chain: ChainSpec[number][] = [];
+  let boundary = 0;
+  while (boundary < request.model.layers) {
+    const at = boundary;
+    const options = usable.filter((view) => view.report.range.from === at);
+    if (options.length === 0) {
+      return undefined;
+    }
+    const view = pick(options);
+    const { id, incarnation, address, report } = view;
+    chain.push({ endpoint: id, incarnation, address, range: report.range });
+    boundary = report.range.to;
+  }
+  return { chain, expectedMs: 0, prefixHits: 0, considered: usable.length };
+}
+
+/** Baseline: a random endpoint for each stage. */
+export class RandomRouter implements IChainRouter {
+  /** @param random - Source of the choices. */
+  constructor(private readonly random: IRandom) {}
+
+  route(request: RouteRequest, endpoints: readonly EndpointView[]): Route | undefined {
+    return walk(
+      request,
+      endpoints,
+      (options) => options[this.random.integer(0, options.length - 1)],
+    );
+  }
+}
+
+/** Baseline: each stage's endpoints in turn. */
+export class RoundRobinRouter implements IChainRouter {
+  private turn = 0;
+
+  route(request: RouteRequest, endpoints: readonly EndpointView[]): Route | undefined {
+    this.turn += 1;
+    return walk(request, endpoints, (options) => options[this.turn % options.length]);
+  }
+}
--- /dev/null
+++ b/src/entry/routing/common/chainRouter.ts
@@ -0,0 +1,209 @@
+import type { IRandom } from '../../../base/common/random.js';
+import {
+  coversOnce,
+  type ChainSpec,
+  type ModelSpec,
+} from '../../../platform/model/common/model.js';
+import {
+  isUsable,
+  loadOf,
+  servesModel,
+  type EndpointView,
+} from '../../fleet/common/endpointView.js';
+
+/** One-way latency between two places, in milliseconds. */
+export type PlaceLatency = (from: string, to: string) => number;
+
+/** What the router needs to know of a request. */
+export interface RouteRequest {
+  readonly model: ModelSpec;
+  /** Place of the entry that serves the caller. */
+  readonly place: string;
+  readonly promptLength: number;
+  readonly maxTokens: number;
+  /** Endpoints that must not be used. */
+  readonly avoid: ReadonlySet<string>;
+  /** Tells whether an endpoint probably holds the prompt's prefix in its cache. */
+  readonly holdsPrefix: (endpoint: string) => boolean;
+}
+
+/** A chosen chain and why it was chosen. */
+export interface Route {
+  readonly chain: ChainSpec;
+  /** Expected time of the whole answer, in milliseconds. */
+  readonly expectedMs: number;
+  /** Stages that probably hold the prompt's prefix. */
+  readonly prefixHits: number;
+  /** Endpoints that were compared. */
+  readonly considered: number;
+}
+
+/** A way to choose chains. */
+export interface IChainRouter {
+  /**
+   * Chooses a chain that covers every layer once.
+   *
+   * @param request - The request.
+   * @param endpoints - All known endpoints.
+   * @returns The route, or undefined if no usable chain exists.
+   */
+  route(request: RouteRequest, endpoints: readonly EndpointView[]): Route | undefined;
+}
+
+/** Share of a token's time that each further attempt at a stage adds. */
+const loadShare = 0.15;
+
+/** Time of a prefilled position relative to a generated token. */
+const prefillShare = 0.05;
+
+/** Most endpoints with the same layers that one decision compares. */
+const maxCandidates = 8;
+
+/** Tokens that an answer is expected to have at most, for comparing chains. */
+const expectedTokens = 64;
+
+interface PartialChain {
+  readonly view: EndpointView;
+  readonly costMs: number;
+  readonly previous: PartialChain | undefined;
+}
+
+function rangeKey(view: EndpointView): string {
+  return `${view.report.range.from}-${view.report.range.to}`;
+}
+
+/** Groups endpoints that hold the same layers. */
+function groupByRange(views: readonly EndpointView[]): ReadonlyMap<string, EndpointView[]> {
+  const groups = new Map<string, EndpointView[]>();
+  for (const view of views) {
+    const group = groups.get(rangeKey(view));
+    if (group) {
+      group.push(view);
+    } else {
+      groups.set(rangeKey(view), [view]);
+    }
+  }
+  return groups;
+}
+
+function toChain(end: PartialChain): ChainSpec {
+  const stages: PartialChain[] = [];
+  for (let at: PartialChain | undefined = end; at !== undefined; at = at.previous) {
+    stages.unshift(at);
+  }
+  return stages.map(({ view }) => ({
+    endpoint: view.id,
+    incarnation: view.incarnation,
+    address: view.address,
+    range: view.report.range,
+  }));
+}
+
+/**
+ * Chooses the chain with the least expected time among sampled candidates.
+ *
+ * Endpoints that hold the same layers are interchangeable, so a chain may cross the chains that
+ * placement formed. Candidates are sampled anew for each request, which keeps entries with the
+ * same view from choosing the same endpoint.
+ */
+export class FastestChainRouter implements IChainRouter {
+  /**
+   * @param latency - Latency between places.
+   * @param random - Source of the samples.
+   */
+  constructor(
+    private readonly latency: PlaceLatency,
+    private readonly random: IRandom,
+  ) {}
+
+  route(request: RouteRequest, endpoints: readonly EndpointView[]): Route | undefined {
+    const usable = endpoints.filter(
+      (view) =>
+        servesModel(view, request.model.name) && isUsable(view) && !request.avoid.has(view.id),
+    );
+    const candidates = [...groupByRange(usable).values()]
+      .flatMap((group) => this.sample(group, request))
+      .sort((a, b) => a.report.range.from - b.report.range.from);
+    const best = this.search(request, candidates);
+    if (best === undefined) {
+      return undefined;
+    }
+    const chain = toChain(best);
+    if (!coversOnce(chain, request.model.layers)) {
+      return undefined;
+    }
+    const prefixHits = chain.filter((stage) => request.holdsPrefix(stage.endpoint)).length;
+    return { chain, expectedMs: best.costMs, prefixHits, considered: candidates.length };
+  }
+
+  /** Keeps endpoints that hold the prefix, and fills up with a random sample of the others. */
+  private sample(group: readonly EndpointView[], request: RouteRequest): readonly EndpointView[] {
+    if (group.length <= maxCandidates) {
+      return group;
+    }
+    const chosen = new Set<EndpointView>();
+    for (const view of group) {
+      if (chosen.size < maxCandidates / 2 && request.holdsPrefix(view.id)) {
+        chosen.add(view);
+      }
+    }
+    while (chosen.size < maxCandidates) {
+      chosen.add(group[this.random.integer(0, group.length - 1)]);
+    }
+    return [...chosen];
+  }
+
+  private search(
+    request: RouteRequest,
+    candidates: readonly EndpointView[],
+  ): PartialChain | undefined {
+    const ending = new Map<number, PartialChain[]>();
+    let best: PartialChain | undefined;
+    for (const view of candidates) {
+      const partial = this.extend(request, view, ending);
+      if (partial === undefined) {
+        continue;
+      }
+      const { to } = view.report.range;
+      ending.set(to, [...(ending.get(to) ?? []), partial]);
+      if (to === request.model.layers && (best === undefined || partial.costMs < best.costMs)) {
+        best = partial;
+      }
+    }
+    return best;
+  }
+
+  private extend(
+    request: RouteRequest,
+    view: EndpointView,
+    ending: ReadonlyMap<number, readonly PartialChain[]>,
+  ): PartialChain | undefined {
+    const stageMs = this.stageCostMs(request, view);
+    if (view.report.range.from === 0) {
+      const costMs = stageMs + this.hopsMs(request, request.place, view.place);
+      return { view, costMs, previous: undefined };
+    }
+    let best: PartialChain | undefined;
+    for (const previous of ending.get(view.report.range.from) ?? []) {
+      const hopMs = this.hopsMs(request, previous.view.place, view.place);
+      const costMs = previous.costMs + hopMs + stageMs;
+      if (best === undefined || costMs < best.costMs) {
+        best = { view, costMs, previous };
+      }
+    }
+    return best;
+  }
+
+  /** Latency of one hop for every token of the answer. */
+  private hopsMs(request: RouteRequest, from: string, to: string): number {
+    return this.latency(from, to) * Math.min(request.maxTokens, expectedTokens);
+  }
+
+  private stageCostMs(request: RouteRequest, view: EndpointView): number {
+    const { report } = view;
+    const layers = report.range.to - report.range.from;
+    const tokenMs = ((layers * report.layerMicros) / 1_000) * (1 + loadOf(view) * loadShare);
+    const prefill = request.holdsPrefix(view.id) ? 0 : request.promptLength * prefillShare;
+    return tokenMs * (Math.min(request.maxTokens, expectedTokens) + prefill);
+  }
+}
--- /dev/null
+++ b/src/entry/services/common/serviceCaller.ts
@@ -0,0 +1,368 @@
+import { Err, Ok, type Result } from 'ts-results-es';
+import type { IClock, ITimers } from '../../../base/common/clock.js';
+import { MultiMap } from '../../../base/common/multiMap.js';
+import type { IRandom } from '../../../base/common/random.js';
+import { LogLevel, type ILogger } from '../../../base/common/logger.js';
+import type { ClaimTarget } from '../../../platform/claims/common/claim.js';
+import {
+  FailureReason,
+  MessageKind,
+  SealOutcome,
+  type CallMessage,
+  type CallResultMessage,
+  type Header,
+  type LinkMessage,
+  type ServiceAnswer,
+} from '../../../platform/link/common/messages.js';
+import {
+  problem,
+  ProblemKind,
+  RunState,
+  type Problem,
+} from '../../../platform/problem/common/problem.js';
+import { isUsable, loadOf, type EndpointView } from '../../fleet/common/endpointView.js';
+import type { FleetChange, IFleet } from '../../fleet/common/fleet.js';
+import { RunOutcomeKind, type RunOutcome } from '../../submission/common/submissionFlow.js';
+
+/** A call of a plain service after its checks. */
+export interface ServiceRequest {
+  readonly id: string;
+  readonly organisation: string;
+  readonly service: string;
+  readonly revision: number;
+  readonly method: string;
+  /** Path and query, as sent to the service. */
+  readonly path: string;
+  readonly headers: readonly Header[];
+  readonly body: Uint8Array;
+  /** Monotonic time at which the caller gives up, in milliseconds. */
+  readonly deadlineMs: number;
+}
+
+interface PendingCall {
+  readonly target: ClaimTarget;
+  readonly submission: boolean;
+  readonly resolve: (outcome: RunOutcome<ServiceAnswer>) => void;
+}
+
+interface PendingSeal {
+  readonly target: ClaimTarget;
+  readonly resolve: (outcome: SealOutcome | undefined) => void;
+}
+
+/** Most endpoints that one lookup tries. */
+const maxLookupTries = 4;
+
+/** Time for the answer to a seal, in milliseconds; longer than the detection of a dead link. */
+const sealLimitMs = 4_000;
+
+const unresolved = { kind: RunOutcomeKind.Unresolved } as const;
+
+/** Calls plain services through the agents beside them. */
+export class ServiceCaller {
+  private readonly calls = new MultiMap<string, PendingCall>();
+
+  private readonly seals = new MultiMap<string, PendingSeal>();
+
+  /**
+   * @param fleet - The endpoints.
+   * @param timers - For deadlines.
+   * @param clock - Source of time.
+   * @param random - For choosing between endpoints.
+   * @param logger - Receives the decisions.
+   */
+  constructor(
+    private readonly fleet: IFleet,
+    private readonly timers: ITimers,
+    private readonly clock: IClock,
+    private readonly random: IRandom,
+    private readonly logger: ILogger,
+  ) {
+    fleet.onDidReceive(({ message }) => this.receive(message));
+    fleet.onDidLose((lost) => this.endpointLost(lost));
+    fleet.onDidRestore((restored) => this.endpointRestored(restored));
+  }
+
+  /** Number of calls under way. */
+  get active(): number {
+    return this.calls.size;
+  }
+
+  /**
+   * Chooses the less loaded of two random endpoints.
+   *
+   * @param request - The request.
+   * @param avoid - Endpoints that must not be used.
+   * @returns The endpoint, or undefined if none is usable.
+   */
+  choose(request: ServiceRequest, avoid: ReadonlySet<string>): EndpointView | undefined {
+    const usable = this.fleet
+      .endpoints()
+      .filter((view) => view.report.service && view.report.model === request.service)
+      .filter((view) => isUsable(view) && !avoid.has(view.id));
+    if (usable.length === 0) {
+      return undefined;
+    }
+    const a = usable[this.random.integer(0, usable.length - 1)];
+    const b = usable[this.random.integer(0, usable.length - 1)];
+    const chosen = loadOf(a) <= loadOf(b) ? a : b;
+    this.logger.log(LogLevel.Info, 'route', {
+      request: request.id,
+      organisation: request.organisation,
+      service: request.service,
+      endpoint: chosen.id,
+      load: loadOf(chosen),
+      considered: usable.length,
+      revision: request.revision,
+    });
+    return chosen;
+  }
+
+  /**
+   * Makes a call that may be repeated, trying other endpoints if one fails.
+   *
+   * @param request - The request.
+   * @returns The answer, or a problem.
+   */
+  async lookup(request: ServiceRequest): Promise<Result<ServiceAnswer, Problem>> {
+    const avoid = new Set<string>();
+    for (let tries = 1; tries <= maxLookupTries; tries += 1) {
+      const view = this.choose(request, avoid);
+      if (view === undefined) {
+        return Err(this.noEndpoint(request, tries === 1 ? RunState.NotRun : RunState.Unknown));
+      }
+      const outcome = await this.dispatch(request, `${request.id}.${tries}`, view, false);
+      if (outcome.kind === RunOutcomeKind.Answered) {
+        return Ok(outcome.value);
+      }
+      if (this.clock.monotonicMs() >= request.deadlineMs) {
+        const detail = 'the deadline passed during the call';
+        return Err(problem(ProblemKind.DeadlineExceeded, RunState.Unknown, detail));
+      }
+      avoid.add(view.id);
+    }
+    return Err(
+      problem(ProblemKind.EndpointFailed, RunState.Unknown, `${maxLookupTries} endpoints failed`),
+    );
+  }
+
+  /**
+   * Sends a call to an endpoint, once.
+   *
+   * @param request - The request.
+   * @param attempt - Identifier of the attempt.
+   * @param view - The endpoint.
+   * @param submission - True if the call must not be repeated.
+   * @returns What became of it.
+   */
+  async dispatch(
+    request: ServiceRequest,
+    attempt: string,
+    view: EndpointView,
+    submission: boolean,
+  ): Promise<RunOutcome<ServiceAnswer>> {
+    const target = { endpoint: view.id, incarnation: view.incarnation };
+    const outcome = this.expect(attempt, target, submission, request.deadlineMs);
+    const sent = this.fleet.send(
+      view.incarnation,
+      this.messageOf(request, attempt, view, submission),
+    );
+    if (!sent) {
+      this.settle(attempt, unresolved); // clears the timer
+      return { kind: RunOutcomeKind.Refused, reason: FailureReason.StageLost };
+    }
+    this.fleet.addActive(view.id, 1);
+    const result = await outcome;
+    this.fleet.addActive(view.id, -1);
+    if (result.kind === RunOutcomeKind.Refused) {
+      this.fleet.markFull(view.id);
+    }
+    return result;
+  }
+
+  /**
+   * Waits for the answer of an attempt whose seal found it admitted.
+   *
+   * @param attempt - Identifier of the attempt.
+   * @param target - Its endpoint.
+   * @param deadlineMs - Monotonic time at which to give up.
+   * @returns The answer or a failure.
+   */
+  async collect(
+    attempt: string,
+    target: ClaimTarget,
+    deadlineMs: number,
+  ): Promise<RunOutcome<ServiceAnswer>> {
+    const outcome = this.expect(attempt, target, true, deadlineMs);
+    this.sendSeal(attempt, target); // the kept answer follows the outcome of a seal
+    return outcome;
+  }
+
+  /**
+   * Asks the gate of an endpoint to seal an attempt.
+   *
+   * @param attempt - Identifier of the attempt.
+   * @param target - Its endpoint.
+   * @returns The outcome; undefined if the endpoint is not linked or does not answer.
+   */
+  seal(attempt: string, target: ClaimTarget): Promise<SealOutcome | undefined> {
+    return new Promise((resolve) => {
+      const cancel = this.timers.after(sealLimitMs, () => this.settleSeal(attempt, undefined));
+      this.seals.add(attempt, {
+        target,
+        resolve: (outcome) => {
+          cancel();
+          resolve(outcome);
+        },
+      });
+      if (!this.sendSeal(attempt, target) && !this.isKnown(target)) {
+        this.settleSeal(attempt, undefined);
+      }
+    });
+  }
+
+  /**
+   * Builds the problem for a service that no endpoint serves now.
+   *
+   * @param request - The request.
+   * @param run - Whether it ran.
+   * @returns The problem.
+   */
+  noEndpoint(request: ServiceRequest, run: RunState): Problem {
+    const detail = `no endpoint of service ${request.service} takes work now`;
+    return problem(ProblemKind.NoEndpoint, run, detail, { retryAfterSeconds: 1 });
+  }
+
+  private messageOf(
+    request: ServiceRequest,
+    attempt: string,
+    view: EndpointView,
+    submission: boolean,
+  ): CallMessage {
+    const { service, organisation, revision, method, path, headers, body } = request;
+    return {
+      kind: MessageKind.Call,
+      attempt,
+      incarnation: view.incarnation,
+      service,
+      organisation,
+      revision,
+      method,
+      path,
+      headers,
+      body,
+      submission,
+      remainingMs: Math.max(1, request.deadlineMs - this.clock.monotonicMs()),
+    };
+  }
+
+  private expect(
+    attempt: string,
+    target: ClaimTarget,
+    submission: boolean,
+    deadlineMs: number,
+  ): Promise<RunOutcome<ServiceAnswer>> {
+    return new Promise((resolve) => {
+      const limitMs = Math.max(1, deadlineMs - this.clock.monotonicMs());
+      const cancel = this.timers.after(limitMs, () => this.expire(attempt));
+      this.calls.add(attempt, {
+        target,
+        submission,
+        resolve: (outcome) => {
+          cancel();
+          resolve(outcome);
+        },
+      });
+    });
+  }
+
+  private expire(attempt: string): void {
+    for (const { submission, target } of this.calls.get(attempt)) {
+      this.fleet.send(target.incarnation, { kind: MessageKind.Cancel, attempt, submission });
+    }
+    const detail = 'the deadline passed during the call';
+    this.settle(attempt, {
+      kind: RunOutcomeKind.Failed,
+      problem: problem(ProblemKind.DeadlineExceeded, RunState.Unknown, detail),
+    });
+  }
+
+  private receive(message: LinkMessage): void {
+    if (message.kind === MessageKind.CallResult) {
+      this.settle(message.attempt, outcomeOf(message));
+    } else if (message.kind === MessageKind.SealResult) {
+      this.settleSeal(message.attempt, message.outcome);
+      this.resolveRestored(message.attempt, message.outcome);
+    }
+  }
+
+  /** Ends a call whose message never arrived: the seal after a reconnect found no trace of it. */
+  private resolveRestored(attempt: string, outcome: SealOutcome): void {
+    if (outcome === SealOutcome.Sealed) {
+      this.settle(attempt, { kind: RunOutcomeKind.Refused, reason: FailureReason.Sealed });
+    } else if (outcome === SealOutcome.RanForgotten || outcome === SealOutcome.IncarnationGone) {
+      this.settle(attempt, unresolved);
+    }
+  }
+
+  private settle(attempt: string, outcome: RunOutcome<ServiceAnswer>): void {
+    this.calls.take(attempt).forEach((pending) => pending.resolve(outcome));
+  }
+
+  private settleSeal(attempt: string, outcome: SealOutcome | undefined): void {
+    this.seals.take(attempt).forEach((pending) => pending.resolve(outcome));
+  }
+
+  private endpointLost(lost: FleetChange): void {
+    for (const [attempt, { target }] of this.calls.entries()) {
+      if (target.incarnation === lost.incarnation) {
+        this.settle(attempt, unresolved);
+      }
+    }
+    for (const [attempt, { target }] of this.seals.entries()) {
+      if (target.incarnation === lost.incarnation) {
+        this.settleSeal(attempt, undefined);
+      }
+    }
+  }
+
+  private endpointRestored(restored: FleetChange): void {
+    for (const [attempt, { target, submission }] of this.calls.entries()) {
+      if (target.incarnation === restored.incarnation) {
+        if (submission) {
+          this.sendSeal(attempt, target);
+        } else {
+          this.settle(attempt, unresolved);
+        }
+      }
+    }
+    for (const [attempt, { target }] of this.seals.entries()) {
+      if (target.incarnation === restored.incarnation) {
+        this.sendSeal(attempt, target);
+      }
+    }
+  }
+
+  private sendSeal(attempt: string, target: ClaimTarget): boolean {
+    const { incarnation } = target;
+    return this.fleet.send(incarnation, { kind: MessageKind.Seal, attempt, incarnation });
+  }
+
+  private isKnown(target: ClaimTarget): boolean {
+    return this.fleet.endpoints().some((view) => view.incarnation === target.incarnation);
+  }
+}
+
+function outcomeOf(message: CallResultMessage): RunOutcome<ServiceAnswer> {
+  if (message.answer) {
+    return { kind: RunOutcomeKind.Answered, value: message.answer };
+  }
+  if (message.run === RunState.NotRun) {
+    return { kind: RunOutcomeKind.Refused, reason: message.reason ?? FailureReason.Busy };
+  }
+  const detail = 'the service failed before it gave a whole answer';
+  return {
+    kind: RunOutcomeKind.Failed,
+    problem: problem(ProblemKind.OutcomeUnknown, message.run, detail),
+  };
+}
--- /dev/null
+++ b/src/entry/shares/common/fairQueue.ts
@@ -0,0 +1,146 @@
+/** Item of a fair queue. */
+export interface QueuedItem<T> {
+  readonly flow: string;
+  readonly value: T;
+  /** Expected cost, in any unit that all flows share. */
+  readonly cost: number;
+  readonly weight: number;
+  /** Items of a flow with a higher priority leave first. */
+  readonly priority: number;
+}
+
+interface Tagged<T> extends QueuedItem<T> {
+  readonly sequence: number;
+}
+
+/** Number of remembered finish times above which outdated ones are dropped. */
+const maxFinishTimes = 4_096;
+
+/**
+ * Weighted fair queue: over time, flows that have items waiting are served in proportion to their
+ * weights, whatever the number of their items.
+ */
+export class FairQueue<T> {
+  private readonly waiting = new Map<string, Tagged<T>[]>();
+
+  /** Virtual time at which a flow has used up what it was given. */
+  private readonly finishTimes = new Map<string, number>();
+
+  private virtualTime = 0;
+
+  private sequence = 0;
+
+  private count = 0;
+
+  /** Number of waiting items. */
+  get size(): number {
+    return this.count;
+  }
+
+  /**
+   * Returns the number of a flow's waiting items.
+   *
+   * @param flow - Name of the flow.
+   * @returns The number.
+   */
+  sizeOf(flow: string): number {
+    return this.waiting.get(flow)?.length ?? 0;
+  }
+
+  /**
+   * Adds an item.
+   *
+   * @param item - The item.
+   * @param first - True to put it before all items of its flow.
+   */
+  push(item: QueuedItem<T>, first = false): void {
+    const items = this.waiting.get(item.flow) ?? [];
+    this.waiting.set(item.flow, items);
+    this.sequence += 1;
+    const tagged = { ...item, sequence: first ? -this.sequence : this.sequence };
+    const after = items.findIndex((other) => precedes(tagged, other));
+    items.splice(after < 0 ? items.length : after, 0, tagged);
+    this.count += 1;
+  }
+
+  /**
+   * Takes the next item in fair order.
+   *
+   * @param accept - Tells whether an item can leave now; a flow whose first item cannot is passed
+   * over.
+   * @returns The item, or undefined if none can leave.
+   */
+  pop(accept: (value: T, flow: string) => boolean): T | undefined {
+    const order = [...this.waiting.entries()]
+      .map(([flow, items]) => ({ flow, item: items[0], start: this.startTimeOf(flow) }))
+      .sort((a, b) => a.start - b.start || a.item.sequence - b.item.sequence);
+    for (const { flow, item, start } of order) {
+      if (accept(item.value, flow)) {
+        this.virtualTime = Math.max(this.virtualTime, start);
+        this.finishTimes.set(flow, start + item.cost / item.weight);
+        this.removeAt(flow, 0);
+        this.prune();
+        return item.value;
+      }
+    }
+    return undefined;
+  }
+
+  /**
+   * Removes an item that shall no longer be served.
+   *
+   * @param value - The item's value.
+   * @returns True if it was waiting.
+   */
+  remove(value: T): boolean {
+    for (const [flow, items] of this.waiting) {
+      const index = items.findIndex((item) => item.value === value);
+      if (index >= 0) {
+        this.removeAt(flow, index);
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /**
+   * Removes the items that match.
+   *
+   * @param matches - Tells whether an item shall go.
+   * @returns The values of the removed items.
+   */
+  removeWhere(matches: (value: T) => boolean): readonly T[] {
+    const values = [...this.waiting.values()].flatMap((items) => items.map((item) => item.value));
+    const removed = values.filter(matches);
+    removed.forEach((value) => this.remove(value));
+    return removed;
+  }
+
+  private startTimeOf(flow: string): number {
+    return Math.max(this.virtualTime, this.finishTimes.get(flow) ?? 0);
+  }
+
+  private removeAt(flow: string, index: number): void {
+    const items = this.waiting.get(flow) ?? [];
+    items.splice(index, 1);
+    this.count -= 1;
+    if (items.length === 0) {
+      this.waiting.delete(flow);
+    }
+  }
+
+  private prune(): void {
+    if (this.finishTimes.size <= maxFinishTimes) {
+      return;
+    }
+    for (const [flow, finishTime] of this.finishTimes) {
+      if (finishTime <= this.virtualTime) {
+        this.finishTimes.delete(flow);
+      }
+    }
+  }
+}
+
+function precedes(a: Tagged<unknown>, b: Tagged<unknown>): boolean {
+  return a.priority > b.priority || (a.priority === b.priority && a.sequence < b.sequence);
+}
--- /dev/null
+++ b/src/entry/submission/common/chatSubmission.ts
@@ -0,0 +1,95 @@
+import { Err, Ok, type Result } from 'ts-results-es';
+import type { Claim, ClaimTarget } from '../../../platform/claims/common/claim.js';
+import type { SealOutcome } from '../../../platform/link/common/messages.js';
+import type { Problem } from '../../../platform/problem/common/problem.js';
+import type { AnswerSummary } from '../../chat/common/answerAssembler.js';
+import type { ChainWaiter, ChatAdmission } from '../../chat/common/chatAdmission.js';
+import type { ChatRequest, IChatSink } from '../../chat/common/chatRequest.js';
+import type { ChatRunner } from '../../chat/common/chatRunner.js';
+import type { Route } from '../../routing/common/chainRouter.js';
+import type { ServiceCaller } from '../../services/common/serviceCaller.js';
+import {
+  RunOutcomeKind,
+  type ISubmissionRunner,
+  type PreparedRun,
+  type RunOutcome,
+} from './submissionFlow.js';
+
+/** Chain chosen for a chat submission. */
+export interface PreparedChain extends PreparedRun {
+  readonly route: Route;
+}
+
+/** Runs the attempts of a chat submission; its tokens go to the sink as they come. */
+export class ChatSubmission implements ISubmissionRunner<AnswerSummary, PreparedChain> {
+  /**
+   * @param request - The request.
+   * @param onToken - Receives each token's text.
+   * @param admission - Gives chains.
+   * @param runner - Runs attempts.
+   * @param seals - Asks gates.
+   */
+  constructor(
+    private readonly request: ChatRequest,
+    private readonly onToken: (text: string) => void,
+    private readonly admission: ChatAdmission,
+    private readonly runner: ChatRunner,
+    private readonly seals: ServiceCaller,
+  ) {}
+
+  prepare(): Promise<Result<PreparedChain, Problem>> {
+    return new Promise((resolve) => {
+      const waiter: ChainWaiter = {
+        request: this.request,
+        avoid: new Set(),
+        admitted: (route) => resolve(Ok(prepared(route))),
+        refused: (refusal) => resolve(Err(refusal)),
+      };
+      this.admission.enqueue(waiter);
+    });
+  }
+
+  abandon(chain: PreparedChain): void {
+    this.admission.release(chain.route);
+  }
+
+  run(attempt: string, chain: PreparedChain): Promise<RunOutcome<AnswerSummary>> {
+    return new Promise((resolve) => {
+      this.runner.startClaimed(
+        this.request,
+        attempt,
+        chain.route,
+        this.sinkOf(resolve),
+        (_run, reason) => resolve({ kind: RunOutcomeKind.Refused, reason }),
+      );
+    });
+  }
+
+  collect(attempt: string, claim: Claim): Promise<RunOutcome<AnswerSummary>> {
+    return new Promise((resolve) => {
+      this.runner.collect(this.request, attempt, claim.keeper, this.sinkOf(resolve));
+    });
+  }
+
+  seal(attempt: string, target: ClaimTarget): Promise<SealOutcome | undefined> {
+    return this.seals.seal(attempt, target);
+  }
+
+  private sinkOf(resolve: (outcome: RunOutcome<AnswerSummary>) => void): IChatSink {
+    return {
+      token: this.onToken,
+      end: (value) => resolve({ kind: RunOutcomeKind.Answered, value }),
+      fail: (failure) => resolve({ kind: RunOutcomeKind.Failed, problem: failure }),
+    };
+  }
+}
+
+function prepared(route: Route): PreparedChain {
+  const [first] = route.chain;
+  const last = route.chain[route.chain.length - 1];
+  return {
+    route,
+    target: { endpoint: first.endpoint, incarnation: first.incarnation },
+    keeper: { endpoint: last.endpoint, incarnation: last.incarnation },
+  };
+}
--- /dev/null
+++ b/src/platform/link/test/node/link.test.ts
@@ -0,0 +1,104 @@
+import { expect } from 'chai';
+import { InstanceRole } from '../../../instances/common/instance.js';
+import { RunState } from '../../../problem/common/problem.js';
+import {
+  FailureReason,
+  linkVersion,
+  MessageKind,
+  type HeartbeatMessage,
+  type HelloMessage,
+  type LinkMessage,
+} from '../../common/messages.js';
+import { connect } from '../../node/connect.js';
+import type { Link } from '../../node/link.js';
+import { LinkServer } from '../../node/linkServer.js';
+
+const timing = { heartbeatMs: 20, deadlineMs: 120 };
+
+function hello(instance: string): HelloMessage {
+  return {
+    kind: MessageKind.Hello,
+    version: linkVersion,
+    instance,
+    incarnation: `${instance}-1`,
+    role: InstanceRole.Agent,
+    place: 'ragusa',
+    region: 'sicilia-est',
+    revision: 0,
+  };
+}
+
+const heartbeat = (): HeartbeatMessage => ({ kind: MessageKind.Heartbeat, revision: 7 });
+
+function next(link: Link, kind: MessageKind): Promise<LinkMessage> {
+  return new Promise((resolve) => {
+    const subscription = link.onDidReceive((message) => {
+      if (message.kind === kind) {
+        subscription.close();
+        resolve(message);
+      }
+    });
+  });
+}
+
+describe('Link', () => {
+  let server: LinkServer;
+  let port: number;
+
+  beforeEach(async () => {
+    server = new LinkServer(timing, () => hello('server'), heartbeat);
+    port = await server.listen('127.0.0.1', 0);
+  });
+
+  afterEach(() => server.close());
+
+  async function open(address: string): Promise<Link> {
+    const options = { address, timing, hello: hello('client'), heartbeat, limitMs: 5_000 };
+    return (await connect(options)).unwrap();
+  }
+
+  it('carries messages of any shape in order, with hellos first', async () => {
+    const accepted = new Promise<Link>((resolve) => {
+      server.onDidAccept(resolve);
+    });
+    const client = await open(`127.0.0.1:${port}`);
+    const peer = await accepted;
+    expect(client.peer?.instance).to.equal('server');
+    expect(peer.peer?.instance).to.equal('client');
+    const received: LinkMessage[] = [];
+    const done = next(peer, MessageKind.Leaving);
+    peer.onDidReceive((message) => received.push(message));
+    const sent: LinkMessage[] = Array.from({ length: 50 }, (_unused, index) =>
+      index % 2 === 0
+        ? {
+            kind: MessageKind.Step,
+            attempt: `a${index}`,
+            epoch: 1,
+            stage: 0,
+            step: index,
+            data: [index],
+          }
+        : {
+            kind: MessageKind.AttemptFailed,
+            attempt: `a${index}`,
+            epoch: 1,
+            reason: FailureReason.Busy,
+            run: RunState.NotRun,
+            endpoint: 'e',
+          },
+    );
+    sent.forEach((message) => client.send(message));
+    client.send({ kind: MessageKind.Leaving });
+    await done;
+    const kinds = new Set([MessageKind.Step, MessageKind.AttemptFailed]);
+    expect(received.filter((message) => kinds.has(message.kind))).to.deep.equal(sent);
+    client.close();
+  });
+
+  it('reports a peer that does not accept connections', async () => {
+    server.close();
+    const options = { address: `127.0.0.1:${port}`, timing, hello: hello('client'), heartbeat };
+    const result = await connect({ ...options, limitMs: 5_000 });
+    expect(result.isErr()).to.equal(true);
+  });
+});
--- /dev/null
+++ b/src/platform/objects/node/httpObjectStore.ts
@@ -0,0 +1,164 @@
+import { Err, Ok, type Result } from 'ts-results-es';
+import { Agent, request } from 'undici';
+import { messageOf } from '../../../base/common/errors.js';
+import {
+  absentVersion,
+  PlatformRefusedError,
+  PlatformUnavailableError,
+  VersionConflictError,
+  type IObjectStore,
+  type ObjectKind,
+  type ReadError,
+  type StoredObject,
+  type WatchBatch,
+  type WriteError,
+} from '../common/objects.js';
+
+interface Reply {
+  readonly status: number;
+  readonly body: unknown;
+}
+
+interface Call {
+  readonly method: 'GET' | 'PUT';
+  readonly path: string;
+  readonly headers?: Record<string, string>;
+  readonly body?: string;
+  readonly limitMs: number;
+  readonly signal?: AbortSignal;
+}
+
+/** Extra time that a watch's answer may take beyond the wait it asked for, in milliseconds. */
+const watchGraceMs = 1_000;
+
+function pathOf(kind: string, name: string): string {
+  return `/objects/${encodeURIComponent(kind)}/${encodeURIComponent(name)}`;
+}
+
+function refused(reply: Reply): PlatformRefusedError {
+  return new PlatformRefusedError(`platform answered status ${reply.status}`);
+}
+
+/** Object API client over HTTP; every call has a deadline. */
+export class HttpObjectStore implements IObjectStore {
+  private readonly agent = new Agent({ connections: 8, connect: { timeout: 1_000 } });
+
+  /**
+   * @param baseUrl - For example `http://127.0.0.1:8000`.
+   * @param callLimitMs - Time after which a call counts as failed, in milliseconds.
+   */
+  constructor(
+    private readonly baseUrl: string,
+    private readonly callLimitMs: number,
+  ) {}
+
+  async get<T>(
+    kind: ObjectKind,
+    name: string,
+  ): Promise<Result<StoredObject<T> | undefined, ReadError>> {
+    const reply = await this.call({
+      method: 'GET',
+      path: pathOf(kind, name),
+      limitMs: this.callLimitMs,
+    });
+    return reply.andThen((answer) => {
+      if (answer.status === 404) {
+        return Ok(undefined);
+      }
+      return answer.status === 200 ? Ok(answer.body as StoredObject<T>) : Err(refused(answer));
+    });
+  }
+
+  async list<T>(kind: ObjectKind): Promise<Result<readonly StoredObject<T>[], ReadError>> {
+    const reply = await this.call({
+      method: 'GET',
+      path: `/objects/${kind}`,
+      limitMs: this.callLimitMs,
+    });
+    return reply.andThen((answer) =>
+      answer.status === 200
+        ? Ok((answer.body as { items: StoredObject<T>[] }).items)
+        : Err(refused(answer)),
+    );
+  }
+
+  async put<T>(
+    kind: ObjectKind,
+    name: string,
+    value: T,
+    version: number,
+  ): Promise<Result<number, WriteError>> {
+    const condition: Record<string, string> =
+      version === absentVersion ? { 'if-none-match': '*' } : { 'if-match': String(version) };
+    const reply = await this.call({
+      method: 'PUT',
+      path: pathOf(kind, name),
+      headers: { 'content-type': 'application/json', ...condition },
+      body: JSON.stringify(value),
+      limitMs: this.callLimitMs,
+    });
+    return reply.andThen((answer): Result<number, WriteError> => {
+      if (answer.status === 412) {
+        return Err(new VersionConflictError(`${kind}/${name} is no longer at version ${version}`));
+      }
+      return answer.status === 200
+        ? Ok((answer.body as { version: number }).version)
+        : Err(refused(answer));
+    });
+  }
+
+  async watch(
+    kind: ObjectKind,
+    sequence: number,
+    waitMs: number,
+    signal: AbortSignal,
+  ): Promise<Result<WatchBatch, ReadError>> {
+    const reply = await this.call({
+      method: 'GET',
+      path: `/watch/${kind}?after=${sequence}&waitMs=${waitMs}`,
+      limitMs: waitMs + watchGraceMs,
+      signal,
+    });
+    return reply.andThen((answer) =>
+      answer.status === 200 ? Ok(answer.body as WatchBatch) : Err(refused(answer)),
+    );
+  }
+
+  /**
+   * Reads a page of the platform that is not an object.
+   *
+   * @param path - Path below the base URL.
+   * @returns The decoded JSON body.
+   */
+  async read<T>(path: string): Promise<Result<T, ReadError>> {
+    const reply = await this.call({ method: 'GET', path, limitMs: this.callLimitMs });
+    return reply.andThen((answer) =>
+      answer.status === 200 ? Ok(answer.body as T) : Err(refused(answer)),
+    );
+  }
+
+  /** Closes the connections. */
+  async close(): Promise<void> {
+    await this.agent.destroy();
+  }
+
+  private async call(call: Call): Promise<Result<Reply, PlatformUnavailableError>> {
+    const limit = AbortSignal.timeout(call.limitMs);
+    try {
+      const res = await request(`${this.baseUrl}${call.path}`, {
+        method: call.method,
+        headers: call.headers,
+        body: call.body,
+        dispatcher: this.agent,
+        signal: call.signal ? AbortSignal.any([limit, call.signal]) : limit,
+      });
+      const body: unknown = await res.body.json();
+      if (res.statusCode >= 500 || res.statusCode === 429) {
+        return Err(new PlatformUnavailableError(`platform answered status ${res.statusCode}`));
+      }
+      return Ok({ status: res.statusCode, body });
+    } catch (err) {
+      return Err(new PlatformUnavailableError(messageOf(err), { cause: err }));
+    }
+  }
+}
--- /dev/null
+++ b/src/platform/rules/common/ruleStore.ts
@@ -0,0 +1,237 @@
+import { Err, Ok, type Result } from 'ts-results-es';
+import { IbissparError } from '../../../base/common/errors.js';
+import {
+  absentVersion,
+  ObjectKind,
+  VersionConflictError,
+  type IObjectStore,
+  type StoredObject,
+} from '../../objects/common/objects.js';
+import { Agreement } from './agreement.js';
+import { parseRules } from './parseRules.js';
+import type { RuleFault } from './rule.js';
+
+/** An accepted change of the rules. */
+export interface RuleChange {
+  /** Chosen by the operator's client; the same id is applied once. */
+  readonly id: string;
+  readonly revision: number;
+  readonly by: string;
+  /** Wall-clock time, in milliseconds since 1970. */
+  readonly atMs: number;
+}
+
+/** Manifest object of the rule file. */
+export interface RuleManifest {
+  /** Grows by one with each accepted change. */
+  readonly revision: number;
+  /** Names of the chunk objects, in file order. */
+  readonly chunks: readonly string[];
+  /** Newest changes, the latest last. */
+  readonly changes: readonly RuleChange[];
+}
+
+/** The rules cannot be read or written now. */
+export class RulesUnavailableError extends IbissparError {
+  readonly code = 'rules-unavailable';
+}
+
+/** Rule lines are faulty; the current rules stay in force. */
+export class RulesInvalidError extends IbissparError {
+  readonly code = 'rules-invalid';
+
+  /** @param faults - Every faulty line. */
+  constructor(readonly faults: readonly RuleFault[]) {
+    super(faults.map((fault) => `line ${fault.line}: ${fault.reason}`).join('\n'));
+  }
+}
+
+/** Somebody else changed the rules since the revision that the change was based on. */
+export class RulesConflictError extends IbissparError {
+  readonly code = 'rules-conflict';
+
+  /**
+   * @param revision - Revision that is current.
+   * @param text - Rule file of that revision.
+   * @param by - Who made that revision.
+   */
+  constructor(
+    readonly revision: number,
+    readonly text: string,
+    readonly by: string,
+  ) {
+    super(`the rules are at revision ${revision}, changed by ${by}`);
+  }
+}
+
+/** Rule file at a revision. */
+export interface RuleFile {
+  readonly revision: number;
+  readonly text: string;
+  readonly agreement: Agreement;
+  readonly changes: readonly RuleChange[];
+}
+
+/** Change that an operator asks for. */
+export interface RuleEdit {
+  readonly id: string;
+  readonly text: string;
+  readonly baseRevision: number;
+  readonly by: string;
+  readonly atMs: number;
+}
+
+/** Digest of a text, as hexadecimal digits. */
+export type Digest = (text: string) => string;
+
+const manifestName = 'rules';
+
+/** Largest chunk, in characters; the platform holds values up to a megabyte. */
+const maxChunkCharacters = 200_000;
+
+/** Most changes that the manifest lists. */
+const maxChanges = 1_000;
+
+/** Tries of a write whose confirmation was lost. */
+const maxTries = 5;
+
+const emptyManifest: RuleManifest = { revision: 0, chunks: [], changes: [] };
+
+function chunksOf(text: string): readonly string[] {
+  const chunks: string[] = [];
+  let current = '';
+  for (const line of text.split('\n')) {
+    if (current !== '' && current.length + line.length > maxChunkCharacters) {
+      chunks.push(current);
+      current = '';
+    }
+    current += `${line}\n`;
+  }
+  chunks.push(current.slice(0, -1));
+  return chunks;
+}
+
+/** The rule file in the platform: immutable chunks under one manifest with a revision. */
+export class RuleStore {
+  /**
+   * @param store - The platform's objects.
+   * @param digest - Names chunks by their content.
+   */
+  constructor(
+    private readonly store: IObjectStore,
+    private readonly digest: Digest,
+  ) {}
+
+  /** Reads the current rule file. */
+  async read(): Promise<Result<RuleFile, RulesUnavailableError>> {
+    const manifest = await this.readManifest();
+    return manifest.isErr() ? manifest : this.readFile(manifest.value?.value ?? emptyManifest);
+  }
+
+  /**
+   * Applies a change if the rules are still at the revision that it is based on.
+   *
+   * @param edit - The change.
+   * @returns The new revision, or why there is none.
+   */
+  async apply(
+    edit: RuleEdit,
+  ): Promise<Result<number, RulesUnavailableError | RulesInvalidError | RulesConflictError>> {
+    const parsed = parseRules(edit.text);
+    if (parsed.isErr()) {
+      return Err(new RulesInvalidError(parsed.error));
+    }
+    const chunks = await this.writeChunks(edit.text);
+    if (chunks === undefined) {
+      return Err(new RulesUnavailableError('the platform did not take the rule text'));
+    }
+    for (let tries = 0; tries < maxTries; tries += 1) {
+      const outcome = await this.tryManifest(edit, chunks);
+      if (outcome !== undefined) {
+        return outcome;
+      }
+    }
+    return Err(new RulesUnavailableError(`the platform did not confirm change ${edit.id}`));
+  }
+
+  /** Tries one conditional update; undefined if its outcome is not known. */
+  private async tryManifest(
+    edit: RuleEdit,
+    chunks: readonly string[],
+  ): Promise<Result<number, RulesUnavailableError | RulesConflictError> | undefined> {
+    const read = await this.readManifest();
+    if (read.isErr()) {
+      return undefined;
+    }
+    const manifest = read.value?.value ?? emptyManifest;
+    const done = manifest.changes.find((change) => change.id === edit.id);
+    if (done) {
+      return Ok(done.revision);
+    }
+    if (manifest.revision !== edit.baseRevision) {
+      return this.conflict(manifest);
+    }
+    const { id, by, atMs } = edit;
+    const revision = manifest.revision + 1;
+    const changes = [...manifest.changes, { id, revision, by, atMs }].slice(-maxChanges);
+    const next: RuleManifest = { revision, chunks, changes };
+    const version = read.value?.version ?? absentVersion;
+    const put = await this.store.put(ObjectKind.RuleManifest, manifestName, next, version);
+    return put.isOk() ? Ok(revision) : undefined;
+  }
+
+  private async conflict(
+    manifest: RuleManifest,
+  ): Promise<Result<number, RulesUnavailableError | RulesConflictError>> {
+    const file = await this.readFile(manifest);
+    if (file.isErr()) {
+      return file;
+    }
+    const by = manifest.changes[manifest.changes.length - 1]?.by ?? 'nobody';
+    return Err(new RulesConflictError(manifest.revision, file.value.text, by));
+  }
+
+  private async writeChunks(text: string): Promise<readonly string[] | undefined> {
+    const names: string[] = [];
+    for (const chunk of chunksOf(text)) {
+      const name = this.digest(chunk);
+      const put = await this.store.put(ObjectKind.RuleChunks, name, { text: chunk }, absentVersion);
+      const stored = put.isOk() || put.error instanceof VersionConflictError;
+      if (!stored && !(await this.hasChunk(name))) {
+        return undefined;
+      }
+      names.push(name);
+    }
+    return names;
+  }
+
+  private async hasChunk(name: string): Promise<boolean> {
+    const read = await this.store.get(ObjectKind.RuleChunks, name);
+    return read.isOk() && read.value !== undefined;
+  }
+
+  private async readManifest(): Promise<
+    Result<StoredObject<RuleManifest> | undefined, RulesUnavailableError>
+  > {
+    const read = await this.store.get<RuleManifest>(ObjectKind.RuleManifest, manifestName);
+    return read.mapErr((err) => new RulesUnavailableError(err.message, { cause: err }));
+  }
+
+  private async readFile(manifest: RuleManifest): Promise<Result<RuleFile, RulesUnavailableError>> {
+    const texts: string[] = [];
+    for (const name of manifest.chunks) {
+      const read = await this.store.get<{ text: string }>(ObjectKind.RuleChunks, name);
+      if (read.isErr() || read.value === undefined) {
+        return Err(new RulesUnavailableError(`chunk ${name} cannot be read`));
+      }
+      texts.push(read.value.value.text);
+    }
+    const text = texts.join('');
+    const rules = parseRules(text);
+    if (rules.isErr()) {
+      return Err(new RulesUnavailableError('the stored rules do not parse'));
+    }
+    const { revision, changes } = manifest;
+    return Ok({ revision, text, changes, agreement: new Agreement(revision, rules.value) });
+  }
+}
--- /dev/null
+++ b/src/platform/settings/node/loadSettings.ts
@@ -0,0 +1,24 @@
+import { readFileSync } from 'node:fs';
+import type { GenericSchema, InferOutput } from 'valibot';
+import { Err, type Result } from 'ts-results-es';
+import { parse } from 'yaml';
+import { messageOf } from '../../../base/common/errors.js';
+import { checkSettings, SettingsError } from '../common/settings.js';
+
+/**
+ * Reads and checks a settings file.
+ *
+ * @param path - Path of the YAML file.
+ * @param schema - Schema of the program.
+ * @returns The settings, or every fault at once.
+ */
+export function loadSettings<S extends GenericSchema>(
+  path: string,
+  schema: S,
+): Result<InferOutput<S>, SettingsError> {
+  try {
+    return checkSettings(schema, parse(readFileSync(path, 'utf8')));
+  } catch (err) {
+    return Err(new SettingsError([`${path}: ${messageOf(err)}`]));
+  }
+}
--- /dev/null
+++ b/src/standin/node/platformServer.ts
@@ -0,0 +1,185 @@
+import { setTimeout as delay } from 'node:timers/promises';
+import Fastify, { type FastifyInstance } from 'fastify';
+import { SeededRandom } from '../../base/common/random.js';
+import type { InstanceRecord } from '../../platform/instances/common/instance.js';
+import { ObjectTable } from '../common/objectTable.js';
+
+/** Faults that the platform stand-in injects until `untilMs`. */
+interface PlatformFault {
+  readonly untilMs: number;
+  /** Share of calls that fail with status 503. */
+  readonly outage: number;
+  /** Delay of each answer, in milliseconds. */
+  readonly slowMs: number;
+  /** Share of writes that take effect while their answer is lost. */
+  readonly lostConfirmation: number;
+  /** Share of reads that return the version before the newest. */
+  readonly staleRead: number;
+}
+
+interface TimedRecord extends InstanceRecord {
+  readonly visibleAtMs: number;
+}
+
+const noFault: PlatformFault = {
+  untilMs: 0,
+  outage: 0,
+  slowMs: 0,
+  lostConfirmation: 0,
+  staleRead: 0,
+};
+
+/** Stand-in for the platform: objects, watches, the instance list and the weight store. */
+export class PlatformServer {
+  private readonly app: FastifyInstance = Fastify({
+    bodyLimit: 1_048_576,
+    forceCloseConnections: true,
+  });
+
+  private readonly table = new ObjectTable();
+
+  private readonly random: SeededRandom;
+
+  private readonly instances: TimedRecord[] = [];
+
+  private readonly counts = { reads: 0, writes: 0, watches: 0 };
+
+  private readonly wakers = new Set<() => void>();
+
+  private fault = noFault;
+
+  private weightFreeAtMs = 0;
+
+  /**
+   * @param seed - Seed of the injected faults.
+   * @param listLagMs - Lag of the instance list, in milliseconds.
+   * @param weightMiBPerSecond - Rate limit of the weight store.
+   */
+  constructor(
+    seed: number,
+    private readonly listLagMs: number,
+    private readonly weightMiBPerSecond: number,
+  ) {
+    this.random = new SeededRandom(seed);
+    this.addObjectRoutes();
+    this.addOtherRoutes();
+  }
+
+  /** Starts to listen and returns the address. */
+  listen(host: string, port: number): Promise<string> {
+    return this.app.listen({ host, port });
+  }
+
+  /** Stops listening. */
+  async close(): Promise<void> {
+    this.wakers.forEach((wake) => wake());
+    await this.app.close();
+  }
+
+  private addObjectRoutes(): void {
+    this.app.addHook('preHandler', async (req, reply) => {
+      const faulty = Date.now() < this.fault.untilMs && !req.url.startsWith('/control');
+      if (!faulty) {
+        return undefined;
+      }
+      await delay(this.fault.slowMs);
+      if (this.random.float() < this.fault.outage) {
+        return reply.code(503).send({ error: 'outage' });
+      }
+      return undefined;
+    });
+    this.app.get<{ Params: { kind: string; name: string } }>(
+      '/objects/:kind/:name',
+      (req, reply) => {
+        this.counts.reads += 1;
+        const stale = Date.now() < this.fault.untilMs && this.random.float() < this.fault.staleRead;
+        const found = this.table.get(req.params.kind, req.params.name, stale);
+        return found ? reply.send(found) : reply.code(404).send({ error: 'not found' });
+      },
+    );
+    this.app.get<{ Params: { kind: string } }>('/objects/:kind', (req, reply) => {
+      this.counts.reads += 1;
+      return reply.send({ items: this.table.list(req.params.kind), sequence: this.table.sequence });
+    });
+    this.app.put<{ Params: { kind: string; name: string } }>(
+      '/objects/:kind/:name',
+      async (req, reply) => {
+        this.counts.writes += 1;
+        const expected = req.headers['if-none-match'] === '*' ? 0 : Number(req.headers['if-match']);
+        const version = this.table.put(req.params.kind, req.params.name, req.body, expected);
+        if (version === undefined) {
+          return reply.code(412).send({ error: 'version does not match' });
+        }
+        this.wakers.forEach((wake) => wake());
+        const lost =
+          Date.now() < this.fault.untilMs && this.random.float() < this.fault.lostConfirmation;
+        if (lost) {
+          req.raw.destroy();
+          return reply.hijack();
+        }
+        return reply.send({ version });
+      },
+    );
+    this.app.get<{ Params: { kind: string }; Querystring: { after: string; waitMs: string } }>(
+      '/watch/:kind',
+      async (req, reply) => {
+        this.counts.watches += 1;
+        const after = Number(req.query.after);
+        const untilMs = Date.now() + Number(req.query.waitMs);
+        let names = this.table.changedAfter(req.params.kind, after);
+        while (names.length === 0 && Date.now() < untilMs && !req.raw.destroyed) {
+          await this.nextChange(untilMs - Date.now());
+          names = this.table.changedAfter(req.params.kind, after);
+        }
+        return reply.send({ sequence: this.table.sequence, names });
+      },
+    );
+  }
+
+  private nextChange(limitMs: number): Promise<void> {
+    return new Promise((resolve) => {
+      const timer = setTimeout(wake, Math.max(1, limitMs));
+      const { wakers } = this;
+      function wake(): void {
+        clearTimeout(timer);
+        wakers.delete(wake);
+        resolve();
+      }
+      wakers.add(wake);
+    });
+  }
+
+  private addOtherRoutes(): void {
+    this.app.get('/instances', (_req, reply) => {
+      this.counts.reads += 1;
+      const now = Date.now();
+      const visible = new Map<string, InstanceRecord>();
+      for (const { visibleAtMs, ...record } of this.instances) {
+        if (visibleAtMs <= now) {
+          visible.set(record.id, record);
+        }
+      }
+      const live = [...visible.values()].filter((record) => record.address !== '');
+      return reply.send({ instances: live });
+    });
+    this.app.post<{ Body: InstanceRecord }>('/control/instances', (req, reply) => {
+      this.instances.push({ ...req.body, visibleAtMs: Date.now() + this.listLagMs });
+      return reply.send({});
+    });
+    this.app.post<{ Body: Omit<PlatformFault, 'untilMs'> & { forMs: number } }>(
+      '/control/fault',
+      (req, reply) => {
+        this.fault = { ...noFault, ...req.body, untilMs: Date.now() + req.body.forMs };
+        return reply.send({});
+      },
+    );
+    this.app.get('/control/counts', (_req, reply) => reply.send(this.counts));
+    this.app.get<{ Querystring: { mib: string } }>('/weights', async (req, reply) => {
+      const now = Date.now();
+      const busyUntil = Math.max(now, this.weightFreeAtMs);
+      this.weightFreeAtMs = busyUntil + (Number(req.query.mib) / this.weightMiBPerSecond) * 1_000;
+      await delay(this.weightFreeAtMs - now);
+      return reply.send({});
+    });
+  }
+}
