Check chains and submissions on histories under a scheduler

Cause: the whole path had only been seen to work on one schedule.

Change: the real stage runners, gates, chat runner, claim ledger and submission flow run in memory under fast-check's scheduler, with kills, cuts, store faults (down, lost confirmation, delayed write, stale read) and racing entries. Two faults were found and mended: - a step that came after a cancel made a new record and ran its layers again; a cancel now names the epoch, which is remembered and not run again; - the start of an attempt held the live list of delivered tokens until it was encoded, so that tokens that came meanwhile changed the prefill.

--- a/src/agent/node/agentProgram.ts
+++ b/src/agent/node/agentProgram.ts
@@ -285,7 +285,7 @@
         this.stages?.resume(message);
         break;
       case MessageKind.Cancel:
-        this.stages?.cancel(message.attempt);
+        this.stages?.cancel(message.attempt, message.epoch);
         this.calls?.cancel(message.attempt, message.submission);
         break;
       case MessageKind.Call:
--- a/src/agent/stage/common/stageRunner.ts
+++ b/src/agent/stage/common/stageRunner.ts
@@ -35,6 +35,11 @@
   ended: boolean;
 }
 
+interface CancelledEpoch {
+  readonly epoch: number;
+  readonly expiresMs: number;
+}
+
 /** Work that the agent counted for the cost record. */
 export interface StageUsage {
   readonly organisation: string;
@@ -60,6 +65,9 @@
   readonly keepMs: number;
 }
 
+/** Time for which a cancelled epoch is remembered; longer than any request, in milliseconds. */
+const cancelMemoryMs = 180_000;
+
 /** Grace after an attempt's deadline before its record is dropped, in milliseconds. */
 const expiryGraceMs = 5_000;
 
@@ -72,6 +80,9 @@
 export class StageRunner {
   private readonly attempts = new Map<string, AttemptRecord>();
 
+  /** Epochs that were cancelled, so that steps that come late do not run again. */
+  private readonly cancelled = new Map<string, CancelledEpoch>();
+
   private readonly usages = new Emitter<StageUsage>();
 
   private leaving = false;
@@ -115,6 +126,9 @@
    */
   start(message: StartMessage): void {
     const { spec } = message;
+    if (this.isCancelled(spec.attempt, spec.epoch)) {
+      return;
+    }
     const refusal = this.refusalOf(spec);
     if (refusal !== undefined) {
       this.fail(spec, refusal, RunState.NotRun);
@@ -134,6 +148,9 @@
    * @param message - The step.
    */
   step(message: StepMessage): void {
+    if (this.isCancelled(message.attempt, message.epoch)) {
+      return;
+    }
     const known = this.attempts.get(message.attempt);
     const record = message.spec ? this.recordOf(message.spec, message.stage) : known;
     if (record === undefined || record.ended) {
@@ -161,21 +178,26 @@
   }
 
   /**
-   * Ends an attempt and frees its sequence.
+   * Ends an attempt's epoch and frees its sequence.
    *
    * @param attempt - Identifier of the attempt.
+   * @param epoch - Epoch that ends; a newer one goes on.
    */
-  cancel(attempt: string): void {
+  cancel(attempt: string, epoch: number): void {
+    const nowMs = this.clock.monotonicMs();
+    if (!this.isCancelled(attempt, epoch)) {
+      this.cancelled.set(attempt, { epoch, expiresMs: nowMs + cancelMemoryMs });
+    }
     const record = this.attempts.get(attempt);
-    if (record === undefined) {
+    if (record === undefined || record.spec.epoch > epoch) {
       return;
     }
     this.engine.drop(sequenceOf(record.spec));
-    this.gate.finish(attempt, this.clock.monotonicMs());
+    this.gate.finish(attempt, nowMs);
     const keepsAnswer = record.spec.submission && record.tokens.length > 0;
     if (keepsAnswer) {
       record.ended = true;
-      record.expiresMs = this.clock.monotonicMs() + this.options.keepMs;
+      record.expiresMs = nowMs + this.options.keepMs;
     } else {
       this.attempts.delete(attempt);
     }
@@ -189,7 +211,7 @@
   entryLost(entry: string): void {
     for (const [attempt, record] of [...this.attempts]) {
       if (record.entry === entry && !record.spec.submission) {
-        this.cancel(attempt);
+        this.cancel(attempt, record.spec.epoch);
       }
     }
   }
@@ -230,6 +252,15 @@
         this.attempts.delete(attempt);
       }
     }
+    for (const [attempt, { expiresMs }] of this.cancelled) {
+      if (expiresMs < nowMs) {
+        this.cancelled.delete(attempt);
+      }
+    }
+  }
+
+  private isCancelled(attempt: string, epoch: number): boolean {
+    return epoch <= (this.cancelled.get(attempt)?.epoch ?? 0);
   }
 
   private refusalOf(spec: AttemptSpec): FailureReason | undefined {
--- /dev/null
+++ b/src/base/test/common/fakeClock.ts
@@ -0,0 +1,32 @@
+import type { CancelTimer, IClock, ITimers } from '../../common/clock.js';
+
+/** Clock that a test moves; timers fire when it passes their time. */
+export class FakeClock implements IClock, ITimers {
+  private nowMs = 0;
+
+  private timers: { readonly atMs: number; readonly action: () => void }[] = [];
+
+  monotonicMs(): number {
+    return this.nowMs;
+  }
+
+  wallMs(): number {
+    return this.nowMs;
+  }
+
+  after(delayMs: number, action: () => void): CancelTimer {
+    const timer = { atMs: this.nowMs + delayMs, action };
+    this.timers.push(timer);
+    return () => {
+      this.timers = this.timers.filter((other) => other !== timer);
+    };
+  }
+
+  /** Moves the time and fires the timers that are due, in their order. */
+  advance(byMs: number): void {
+    this.nowMs += byMs;
+    const due = this.timers.filter((timer) => timer.atMs <= this.nowMs);
+    this.timers = this.timers.filter((timer) => timer.atMs > this.nowMs);
+    due.sort((a, b) => a.atMs - b.atMs).forEach((timer) => timer.action());
+  }
+}
--- a/src/entry/chat/common/chatRunner.ts
+++ b/src/entry/chat/common/chatRunner.ts
@@ -5,6 +5,7 @@
 import {
   FailureReason,
   MessageKind,
+  SealOutcome,
   type AttemptFailedMessage,
   type AttemptSpec,
   type LinkMessage,
@@ -64,6 +65,8 @@
   /** First step of the current epoch; its chain prefills everything before. */
   firstStep: number;
   refusals: number;
+  /** For an attempt that was started elsewhere: what its gate said. */
+  collecting: SealOutcome | undefined;
   /** Work counted so far. */
   layerTokens: number;
   micros: number;
@@ -78,6 +81,9 @@
 /** Outcome of a submission's attempt that is not an answer. */
 export type AttemptRefused = (run: RunState, reason: FailureReason) => void;
 
+/** Time that an attempt under way may take to its first token, in milliseconds. */
+const collectExpectedMs = 10_000;
+
 /** Share of retries among requests that the budget allows. */
 const retryShare = 0.2;
 
@@ -162,20 +168,23 @@
    * @param request - The request.
    * @param attempt - The attempt.
    * @param keeper - Last stage of its chain.
+   * @param sealed - What the gate of its first stage said.
    * @param sink - Receives the answer from its first token on.
    */
   collect(
     request: ChatRequest,
     attempt: string,
     keeper: Pick<StageSpec, 'endpoint' | 'incarnation'>,
+    sealed: SealOutcome,
     sink: IChatSink,
   ): void {
     const session = this.createSession(request, attempt, sink, true);
     session.epoch = 1;
+    session.collecting = sealed;
     session.progressMs = this.clock.monotonicMs();
     session.route = {
       chain: [{ ...keeper, address: '', range: { from: 0, to: 0 } }],
-      expectedMs: 0,
+      expectedMs: collectExpectedMs,
       prefixHits: 0,
       considered: 1,
     };
@@ -195,6 +204,8 @@
           epoch: session.epoch,
         });
         this.repair(session, undefined);
+      } else if (session.collecting !== undefined && session.route) {
+        this.sendResume(session, session.route.chain[0].incarnation);
       }
     }
     this.admission.sweep();
@@ -218,6 +229,7 @@
       epoch: 0,
       firstStep: 0,
       refusals: 0,
+      collecting: undefined,
       layerTokens: 0,
       micros: 0,
       mayHaveRun: false,
@@ -242,15 +254,18 @@
     session.progressMs = this.clock.monotonicMs();
     session.firstStep = session.assembler.tokens.length;
     session.assembler.beginEpoch();
-    const sent = this.fleet.send(route.chain[0].incarnation, {
+    if (!this.sendStart(session, route)) {
+      this.refusedBy(session, route.chain[0].endpoint, FailureReason.StageLost);
+    }
+  }
+
+  private sendStart(session: Session, route: Route): boolean {
+    return this.fleet.send(route.chain[0].incarnation, {
       kind: MessageKind.Start,
       spec: this.specOf(session, route),
       prompt: session.request.prompt,
-      delivered: session.assembler.tokens,
+      delivered: [...session.assembler.tokens], // the message is encoded later in this turn
     });
-    if (!sent) {
-      this.refusedBy(session, route.chain[0].endpoint, FailureReason.StageLost);
-    }
   }
 
   private specOf(session: Session, route: Route): AttemptSpec {
@@ -319,7 +334,9 @@
       .get(message.attempt)
       .filter((session) => session.epoch === message.epoch && session.route !== undefined);
     for (const session of concerned) {
-      if (message.run === RunState.NotRun) {
+      if (message.reason === FailureReason.UnknownAttempt) {
+        this.keeperIsEmpty(session);
+      } else if (message.run === RunState.NotRun) {
         this.refusedBy(session, message.endpoint, message.reason);
       } else {
         this.repair(session, message.endpoint);
@@ -327,6 +344,14 @@
     }
   }
 
+  /** The last stage has not seen the attempt yet, or no longer keeps its answer. */
+  private keeperIsEmpty(session: Session): void {
+    if (session.collecting === SealOutcome.Ran) {
+      const detail = 'the request ran before; its answer is no longer kept';
+      this.fail(session, problem(ProblemKind.OutcomeUnknown, RunState.Ran, detail));
+    }
+  }
+
   /** Handles an endpoint that did not start the current epoch. */
   private refusedBy(session: Session, endpoint: string, reason: FailureReason): void {
     const { request } = session;
@@ -386,9 +411,15 @@
     }
   }
 
+  /** Sends again what may have been lost with the link that was replaced. */
   private endpointRestored(restored: FleetChange): void {
     for (const [, session] of this.sessions.entries()) {
-      const chain = session.route?.chain ?? [];
+      const { route } = session;
+      const chain = route?.chain ?? [];
+      const hasStarted = session.assembler.tokens.length > session.firstStep;
+      if (route && chain[0].incarnation === restored.incarnation && !hasStarted) {
+        this.sendStart(session, route);
+      }
       if (chain[chain.length - 1]?.incarnation === restored.incarnation) {
         this.sendResume(session, restored.incarnation);
       }
@@ -467,6 +498,7 @@
         this.fleet.send(stage.incarnation, {
           kind: MessageKind.Cancel,
           attempt: session.attempt,
+          epoch: session.epoch,
           submission: session.submission,
         });
       }
--- a/src/entry/services/common/serviceCaller.ts
+++ b/src/entry/services/common/serviceCaller.ts
@@ -278,7 +278,8 @@
 
   private expire(attempt: string): void {
     for (const { submission, target } of this.calls.get(attempt)) {
-      this.fleet.send(target.incarnation, { kind: MessageKind.Cancel, attempt, submission });
+      const cancel = { kind: MessageKind.Cancel, attempt, epoch: 1, submission } as const;
+      this.fleet.send(target.incarnation, cancel);
     }
     const detail = 'the deadline passed during the call';
     this.settle(attempt, {
--- a/src/entry/submission/common/chatSubmission.ts
+++ b/src/entry/submission/common/chatSubmission.ts
@@ -65,9 +65,9 @@
     });
   }
 
-  collect(attempt: string, claim: Claim): Promise<RunOutcome<AnswerSummary>> {
+  collect(attempt: string, claim: Claim, sealed: SealOutcome): Promise<RunOutcome<AnswerSummary>> {
     return new Promise((resolve) => {
-      this.runner.collect(this.request, attempt, claim.keeper, this.sinkOf(resolve));
+      this.runner.collect(this.request, attempt, claim.keeper, sealed, this.sinkOf(resolve));
     });
   }
 
--- a/src/entry/submission/common/submissionFlow.ts
+++ b/src/entry/submission/common/submissionFlow.ts
@@ -54,7 +54,7 @@
   /** Sends the attempt to its endpoint, once. */
   run(attempt: string, prepared: P): Promise<RunOutcome<R>>;
   /** Fetches the answer of an attempt that was admitted, waiting for its end if need be. */
-  collect(attempt: string, claim: Claim): Promise<RunOutcome<R>>;
+  collect(attempt: string, claim: Claim, sealed: SealOutcome): Promise<RunOutcome<R>>;
   /** Asks the gate of an endpoint; undefined if it does not answer. */
   seal(attempt: string, target: ClaimTarget): Promise<SealOutcome | undefined>;
 }
@@ -264,7 +264,7 @@
         return this.claimNext(claim);
       case SealOutcome.Running:
       case SealOutcome.Ran:
-        return this.conclude(claim, await this.runner.collect(attempt, claim));
+        return this.conclude(claim, await this.runner.collect(attempt, claim, sealed));
       case SealOutcome.RanForgotten:
         return Err(this.ranBefore());
       default:
--- a/src/platform/link/common/messages.ts
+++ b/src/platform/link/common/messages.ts
@@ -161,6 +161,8 @@
 export interface CancelMessage {
   readonly kind: MessageKind.Cancel;
   readonly attempt: string;
+  /** Epoch that ends, with all before it; later epochs may still run. */
+  readonly epoch: number;
   /** True if the attempt is a submission, which runs to its end once admitted. */
   readonly submission: boolean;
 }
