--- a/src/platform/objects/test/common/faultyStore.ts
+++ b/src/platform/objects/test/common/faultyStore.ts
@@ -56,7 +56,7 @@
   async list<T>(kind: ObjectKind): Promise<Result<readonly StoredObject<T>[], ReadError>> {
     await this.scheduler.schedule(Promise.resolve(), `list ${kind}`);
     const newest = [...this.objects.values()].map((versions) => versions[versions.length - 1]);
-    return Ok(newest.filter((object) => object.kind === kind) as StoredObject<T>[]);
+    return Ok(newest.filter((object) => object.kind === String(kind)) as StoredObject<T>[]);
   }
 
   async put<T>(
