Keep requests that kill endpoints apart, and quarantine them after two

Cause: a request that crashes each endpoint that runs it was retried without end. Under the scheduler the same change showed two faults of the chain: - the entry took tokens of an epoch whose chain it had already cancelled, and an agent sent on the output of a step that ran while the cancel dropped its cache: the answer's last token was wrong; - ruled out: the order of steps and the prefill, which the history showed intact.

Change: suspicions by fingerprint, shared through one object of the platform, one run of a suspect at a time, no two suspects at one endpoint, cleared after three tokens, quarantined at the second crash. Only a process that died counts, not one that fell silent: counting joint losses within a second by time failed, because a fast retry looks like a joint loss. Tokens of a left epoch are dropped, cancelled epochs send nothing on, and an engine is told which step begins a sequence. Endpoints that keep failing are ejected, with a floor.

--- a/src/agent/node/agentProgram.ts
+++ b/src/agent/node/agentProgram.ts
@@ -113,7 +113,7 @@
     this.orders = new OrderGate(new LeaseTermSource(store, settings.region));
     if (settings.engineUrl !== undefined) {
       const limits = { stepMs: settings.engineStepMs, stateMs: settings.engineStateMs };
-      this.engine = new HttpStageEngine(settings.engineUrl, limits);
+      this.engine = new HttpStageEngine(this.incarnation, settings.engineUrl, limits);
       this.stages = this.createStages(this.engine);
     }
     if (settings.service !== undefined) {
--- a/src/agent/node/httpStageEngine.ts
+++ b/src/agent/node/httpStageEngine.ts
@@ -50,14 +50,21 @@
 
   private waiting: Waiting[] = [];
 
+  /** Grows with each crash of the engine, so that all its failed steps share an id. */
+  private crashes = 0;
+
+  private answering = false;
+
   /** Fires with a reason when a call to the engine failed. */
   readonly onDidFail = this.failures.event;
 
   /**
+   * @param name - Incarnation of the agent; begins the ids of crashes.
    * @param baseUrl - For example `http://127.0.0.1:9000`.
    * @param limits - Time limits.
    */
   constructor(
+    private readonly name: string,
     private readonly baseUrl: string,
     private readonly limits: EngineLimits,
   ) {}
@@ -86,8 +93,10 @@
     try {
       const path = `/state?cacheAfter=${cacheAfter}`;
       const reply = await this.call('GET', path, undefined, this.limits.stateMs);
+      this.answering = true;
       return reply.body as EngineState;
     } catch {
+      this.crashId();
       return undefined;
     }
   }
@@ -116,6 +125,14 @@
     await this.agent.destroy();
   }
 
+  private crashId(): string {
+    if (this.answering) {
+      this.answering = false;
+      this.crashes += 1;
+    }
+    return `${this.name}#${this.crashes}`;
+  }
+
   private async sendBatch(): Promise<void> {
     const batch = this.waiting;
     this.waiting = [];
@@ -125,7 +142,7 @@
       const { replies } = reply.body as { replies: StepReply[] };
       batch.forEach((waiting, index) => waiting.resolve(resultOf(replies[index])));
     } catch (err) {
-      const error = new EngineError(messageOf(err), { cause: err });
+      const error = new EngineError(messageOf(err), this.crashId());
       this.failures.fire(error.message);
       batch.forEach((waiting) => waiting.resolve(Err(error)));
     }
--- a/src/agent/stage/common/stageContracts.ts
+++ b/src/agent/stage/common/stageContracts.ts
@@ -6,12 +6,25 @@
 /** The engine beside the agent failed or refused a step. */
 export class EngineError extends IbissparError {
   readonly code = 'engine-failed';
+
+  /**
+   * @param message - What went wrong.
+   * @param crash - Id of the engine's crash; undefined if it answered and refused.
+   */
+  constructor(
+    message: string,
+    readonly crash?: string,
+  ) {
+    super(message);
+  }
 }
 
 /** Step for the engine. */
 export interface EngineStep {
   readonly sequence: string;
   readonly step: number;
+  /** True on the sequence's first step; on any other the engine must know the sequence. */
+  readonly first: boolean;
   /** Prompt; only on the first step at the first stage. */
   readonly prompt?: string;
   readonly data: readonly number[];
--- a/src/agent/stage/common/stageRunner.ts
+++ b/src/agent/stage/common/stageRunner.ts
@@ -32,6 +32,8 @@
   lastSent?: StepMessage;
   /** Tokens of the current epoch; only at the last stage. */
   tokens: TokenMessage[];
+  /** Steps that ran in the current epoch. */
+  stepsRun: number;
   ended: boolean;
 }
 
@@ -68,6 +70,9 @@
 /** Time for which a cancelled epoch is remembered; longer than any request, in milliseconds. */
 const cancelMemoryMs = 180_000;
 
+/** Steps after which a request that may crash the engine no longer keeps others away. */
+const suspectSteps = 3;
+
 /** Grace after an attempt's deadline before its record is dropped, in milliseconds. */
 const expiryGraceMs = 5_000;
 
@@ -152,6 +157,10 @@
       return;
     }
     const known = this.attempts.get(message.attempt);
+    if (message.spec && this.hasOtherSuspect(message.spec)) {
+      this.fail(message.spec, FailureReason.Busy, RunState.Ran);
+      return;
+    }
     const record = message.spec ? this.recordOf(message.spec, message.stage) : known;
     if (record === undefined || record.ended) {
       return;
@@ -267,6 +276,9 @@
     if (spec.chain[0]?.incarnation !== this.options.incarnation) {
       return FailureReason.WrongIncarnation;
     }
+    if (this.hasOtherSuspect(spec)) {
+      return FailureReason.Busy;
+    }
     if (this.attempts.has(spec.attempt)) {
       return undefined;
     }
@@ -276,6 +288,20 @@
     return this.active >= this.options.capacity() ? FailureReason.Busy : undefined;
   }
 
+  /** Tells whether another request that may crash the engine has not yet got past its first steps. */
+  private hasOtherSuspect(spec: AttemptSpec): boolean {
+    if (!spec.suspect) {
+      return false;
+    }
+    return [...this.attempts.values()].some(
+      (record) =>
+        record.spec.suspect &&
+        !record.ended &&
+        record.stepsRun < suspectSteps &&
+        record.spec.attempt !== spec.attempt,
+    );
+  }
+
   private admitSubmission(spec: AttemptSpec): boolean {
     const outcome = this.gate.admit(spec.attempt, this.clock.monotonicMs());
     if (outcome === AdmitOutcome.Sealed) {
@@ -289,13 +315,14 @@
     const known = this.attempts.get(spec.attempt);
     if (known === undefined) {
       const sequencer = new StepSequencer<StepInput>();
-      const record = {
+      const record: AttemptRecord = {
         spec,
         stage,
         entry: spec.entry,
         expiresMs,
         sequencer,
         tokens: [],
+        stepsRun: 0,
         ended: false,
       };
       this.attempts.set(spec.attempt, record);
@@ -309,6 +336,7 @@
         expiresMs,
         lastSent: undefined,
         tokens: [],
+        stepsRun: 0,
         ended: false,
       });
     }
@@ -318,7 +346,7 @@
   private arrive(record: AttemptRecord, arrived: ArrivedStep<StepInput>, first: boolean): void {
     const decision = record.sequencer.accept(arrived, first);
     if (decision === StepDecision.Run) {
-      void this.run(record, arrived, record.spec);
+      void this.run(record, arrived, record.spec, first);
     } else if (decision === StepDecision.Resend && record.lastSent) {
       this.links.toStage(nextStageOf(record), record.lastSent);
     }
@@ -328,21 +356,27 @@
     record: AttemptRecord,
     arrived: ArrivedStep<StepInput>,
     spec: AttemptSpec,
+    first: boolean,
   ): Promise<void> {
     const result = await this.engine.run({
       sequence: sequenceOf(spec),
       step: arrived.step,
+      first,
       ...arrived.input,
       last: record.stage === spec.chain.length - 1,
       priority: spec.priority,
     });
-    if (!record.sequencer.finish(arrived.epoch, arrived.step)) {
+    const isCurrent = record.sequencer.finish(arrived.epoch, arrived.step);
+    if (!isCurrent || this.isCancelled(spec.attempt, spec.epoch)) {
       return;
     }
     if (result.isErr()) {
-      this.fail(spec, FailureReason.EngineFailed, RunState.Ran);
+      const { crash } = result.error;
+      const reason = crash === undefined ? FailureReason.StepRefused : FailureReason.EngineFailed;
+      this.fail(spec, reason, RunState.Ran, crash);
       return;
     }
+    record.stepsRun += 1;
     this.countUsage(record, arrived, result.value);
     this.forward(record, arrived.step, result.value);
     const held = record.sequencer.takeHeld();
@@ -411,9 +445,9 @@
     });
   }
 
-  private fail(spec: AttemptSpec, reason: FailureReason, run: RunState): void {
+  private fail(spec: AttemptSpec, reason: FailureReason, run: RunState, crash?: string): void {
     const entry = this.attempts.get(spec.attempt)?.entry ?? spec.entry;
-    this.links.toEntry(entry, { ...this.failure(spec, reason), run });
+    this.links.toEntry(entry, { ...this.failure(spec, reason), run, crash });
   }
 
   private failure(
--- a/src/bench/test/common/chainHistory.test.ts
+++ b/src/bench/test/common/chainHistory.test.ts
@@ -8,7 +8,7 @@
 import { referenceAnswer } from '../../../standin/common/fakeModel.js';
 import type { HistoryEvent } from '../../../standin/common/historyEvent.js';
 import { checkLayers } from '../../common/promises.js';
-import { ChainWorld, worldModel } from './chainWorld.js';
+import { ChainWorld, crashPrompt, worldModel } from './chainWorld.js';
 
 interface Fault {
   readonly kind: 'kill' | 'cut';
@@ -55,7 +55,11 @@
 async function play(
   scheduler: Scheduler,
   plan: { readonly prompts: readonly string[]; readonly faults: readonly Fault[] },
-): Promise<{ readonly answers: readonly Answer[]; readonly history: readonly HistoryEvent[] }> {
+): Promise<{
+  readonly answers: readonly Answer[];
+  readonly history: readonly HistoryEvent[];
+  readonly deaths: number;
+}> {
   const world = new ChainWorld(scheduler);
   const answers = plan.prompts.map((prompt, index): Answer => {
     const answer: Answer = { prompt, text: '', summary: undefined, problem: undefined };
@@ -80,7 +84,7 @@
         world.cut(name);
       } else if (kills < 2) {
         kills += 1; // one whole chain always survives
-        world.kill(name);
+        world.kill(name, false);
       }
     });
   });
@@ -94,7 +98,7 @@
       await Promise.resolve();
     }
   }
-  return { answers, history: world.history };
+  return { answers, history: world.history, deaths: world.deaths };
 }
 
 function faultOf(played: Awaited<ReturnType<typeof play>>): string | undefined {
@@ -103,6 +107,9 @@
     return JSON.stringify(layers.faults[0]);
   }
   for (const { prompt, text, summary, problem } of played.answers) {
+    if (prompt.includes(crashPrompt)) {
+      continue;
+    }
     const expected = referenceAnswer(worldModel.layers, prompt, maxTokens);
     const digest = createHash('sha256').update(expected).digest('hex');
     if (problem !== undefined || summary === undefined) {
@@ -126,6 +133,25 @@
   });
 });
 
+describe('a request that kills each endpoint that runs it', () => {
+  it('kills two at most, while the others in its batches get whole answers', async () => {
+    const prompts = fc.shuffledSubarray(['ab', 'abc', 'hello', 'ax'], {
+      minLength: 4,
+      maxLength: 4,
+    });
+    await fc.assert(
+      fc.asyncProperty(fc.scheduler(), prompts, async (scheduler, order) => {
+        const played = await play(scheduler, { prompts: order, faults: [] });
+        expect(faultOf(played)).to.equal(undefined);
+        expect(played.deaths).to.equal(2);
+        const poisoned = played.answers.find(({ prompt }) => prompt.includes(crashPrompt));
+        expect(poisoned?.problem?.status).to.equal(422);
+      }),
+      { seed: 43, numRuns: 500 },
+    );
+  });
+});
+
 describe('the check of layers', () => {
   const run = (step: number, from: number, to: number, endpoint = 'e'): HistoryEvent =>
     ({ kind: 'layers-run', atMs: 0, endpoint, subject: 's', step, from, to }) as HistoryEvent;
--- a/src/bench/test/common/chainWorld.ts
+++ b/src/bench/test/common/chainWorld.ts
@@ -15,9 +15,16 @@
 import { ChatAdmission } from '../../../entry/chat/common/chatAdmission.js';
 import { ChatRunner } from '../../../entry/chat/common/chatRunner.js';
 import type { EndpointView } from '../../../entry/fleet/common/endpointView.js';
-import type { FleetChange, FleetMessage, IFleet } from '../../../entry/fleet/common/fleet.js';
+import type {
+  FleetChange,
+  FleetLoss,
+  FleetMessage,
+  IFleet,
+} from '../../../entry/fleet/common/fleet.js';
 import { FastestChainRouter } from '../../../entry/routing/common/chainRouter.js';
 import { PrefixDirectory } from '../../../entry/routing/common/prefixDirectory.js';
+import { CrashSuspects } from '../../../entry/suspects/common/crashSuspects.js';
+import { SuspectGuard } from '../../../entry/suspects/common/suspectGuard.js';
 import { MessageKind, type LinkMessage } from '../../../platform/link/common/messages.js';
 import { AcceleratorKind, type LayerRange } from '../../../platform/model/common/model.js';
 import { EngineCore } from '../../../standin/common/engineCore.js';
@@ -28,6 +35,9 @@
 /** Name of the entry in the world. */
 export const entryName = 'entry';
 
+/** Text of prompts that kill the endpoint that runs them. */
+export const crashPrompt = 'x';
+
 /** Model of the world: layers 0 to 6 in chains of three stages. */
 export const worldModel = {
   name: 'm',
@@ -78,7 +88,7 @@
 
   private readonly received = new Emitter<FleetMessage>();
 
-  private readonly lost = new Emitter<FleetChange>();
+  private readonly lost = new Emitter<FleetLoss>();
 
   private readonly restored = new Emitter<FleetChange>();
 
@@ -109,7 +119,10 @@
     );
     const limits = { stallMs: 3_000, notReadyStallMs: 500, maxEpochs: 50, maxRefusals: 50 };
     const options = { entry: entryName, ...limits };
-    this.runner = new ChatRunner(options, fleet, admission, this.clock, silent);
+    const suspects = new CrashSuspects(entryName);
+    const sharing = { share: (wanted: readonly string[]) => Promise.resolve(wanted) };
+    const guard = new SuspectGuard(suspects, sharing, this.clock, this.clock, silent);
+    this.runner = new ChatRunner(options, fleet, admission, guard, this.clock, silent);
   }
 
   /** Names of the agents. */
@@ -117,8 +130,13 @@
     return [...this.agents.keys()];
   }
 
-  /** Kills an agent with its engine; its peers learn of it later. */
-  kill(id: string): void {
+  /** Number of agents that died. */
+  get deaths(): number {
+    return [...this.agents.values()].filter((agent) => !agent.alive).length;
+  }
+
+  /** Kills an agent with its engine; its peers learn of it later, by a closed link if it `died`. */
+  kill(id: string, died: boolean): void {
     const agent = this.agents.get(id);
     if (agent === undefined || !agent.alive) {
       return;
@@ -128,7 +146,7 @@
       this.agents.forEach((peer) => peer.runner.stageLost(agent.incarnation));
     });
     this.later(`entry learns of ${id}`, () => {
-      this.lost.fire({ endpoint: id, incarnation: agent.incarnation });
+      this.lost.fire({ endpoint: id, incarnation: agent.incarnation, died });
     });
   }
 
@@ -155,6 +173,10 @@
     });
   }
 
+  private isAlive(id: string): boolean {
+    return this.agents.get(id)?.alive ?? false;
+  }
+
   private later(label: string, action: () => void): void {
     void this.scheduler.schedule(Promise.resolve(), label).then(action);
   }
@@ -169,12 +191,17 @@
       keepMs: 1_000_000,
     };
     const links = {
-      toStage: (stage: { endpoint: string }, message: LinkMessage) =>
-        this.deliver(id, stage.endpoint, message),
-      toEntry: (_entry: string, message: LinkMessage) =>
-        this.pipe(id, entryName).send(() =>
-          this.received.fire({ endpoint: id, incarnation, message }),
-        ),
+      toStage: (stage: { endpoint: string }, message: LinkMessage) => {
+        if (this.isAlive(id)) {
+          this.deliver(id, stage.endpoint, message);
+        }
+      },
+      toEntry: (_entry: string, message: LinkMessage) => {
+        if (this.isAlive(id)) {
+          const fire = () => this.received.fire({ endpoint: id, incarnation, message });
+          this.pipe(id, entryName).send(fire);
+        }
+      },
     };
     const gate = new AttemptGate({ answerMs: 1_000_000, outcomeMs: 1_000_000 });
     const engine = this.createEngine(id, range);
@@ -188,7 +215,10 @@
     return {
       run: async (step: EngineStep): Promise<Result<EngineOutput, EngineError>> => {
         await this.scheduler.schedule(Promise.resolve(), `engine ${id}`);
-        if (!this.agents.get(id)?.alive) {
+        if (step.prompt?.includes(crashPrompt)) {
+          this.kill(id, true);
+        }
+        if (!this.isAlive(id)) {
           return Err(new EngineError('killed'));
         }
         const reply = core.run(step);
--- a/src/entry/chat/common/chatAdmission.ts
+++ b/src/entry/chat/common/chatAdmission.ts
@@ -16,8 +16,8 @@
 /** A request that waits for a chain. */
 export interface ChainWaiter {
   readonly request: ChatRequest;
-  /** Endpoints that this request must not use. */
-  readonly avoid: ReadonlySet<string>;
+  /** Returns the endpoints that this request must not use now. */
+  avoid(): ReadonlySet<string>;
   /** Called with the chain; its endpoints count as loaded until `release`. */
   admitted(route: Route): void;
   /** Called if no chain will be given. */
@@ -206,14 +206,14 @@
   }
 
   private routeOf(waiter: ChainWaiter): Route | undefined {
-    const { request, avoid } = waiter;
+    const { request } = waiter;
     return this.router.route(
       {
         model: request.model,
         place: this.options.place,
         promptLength: request.prompt.length,
         maxTokens: request.maxTokens,
-        avoid,
+        avoid: waiter.avoid(),
         holdsPrefix: (endpoint) => this.prefixes.holds(endpoint, request.prompt),
       },
       this.fleet.endpoints(),
@@ -239,7 +239,7 @@
       expectedMs: Math.round(route.expectedMs),
       prefixHits: route.prefixHits,
       considered: route.considered,
-      avoided: waiter.avoid.size,
+      avoided: waiter.avoid().size,
       waiting: entry.queue.size,
       revision: waiter.request.revision,
     });
--- a/src/entry/chat/common/chatRunner.ts
+++ b/src/entry/chat/common/chatRunner.ts
@@ -18,8 +18,9 @@
   RunState,
   type Problem,
 } from '../../../platform/problem/common/problem.js';
-import type { FleetChange, IFleet } from '../../fleet/common/fleet.js';
+import type { FleetChange, FleetLoss, IFleet } from '../../fleet/common/fleet.js';
 import type { Route } from '../../routing/common/chainRouter.js';
+import type { SuspectGuard, SuspectWaiter } from '../../suspects/common/suspectGuard.js';
 import { AnswerAssembler } from './answerAssembler.js';
 import type { ChatAdmission, ChainWaiter } from './chatAdmission.js';
 import type { ChatRequest, IChatSink } from './chatRequest.js';
@@ -50,6 +51,12 @@
   readonly micros: number;
 }
 
+/** Outcome of work at an endpoint. */
+export interface EndpointOutcome {
+  readonly endpoint: string;
+  readonly failed: boolean;
+}
+
 /** Ends a session at the caller's wish. */
 export interface ChatHandle {
   cancel(): void;
@@ -60,7 +67,11 @@
   readonly sink: IChatSink;
   readonly submission: boolean;
   readonly assembler: AnswerAssembler;
-  readonly avoid: Set<string>;
+  /** Endpoints that failed this request. */
+  readonly failed: Set<string>;
+  readonly suspectWaiter: SuspectWaiter;
+  /** True while the request runs apart because an endpoint died with it. */
+  apart: boolean;
   epoch: number;
   /** First step of the current epoch; its chain prefills everything before. */
   firstStep: number;
@@ -84,6 +95,12 @@
 /** Time that an attempt under way may take to its first token, in milliseconds. */
 const collectExpectedMs = 10_000;
 
+/** Time without a chain after which endpoints that failed a request are tried again, in ms. */
+const forgiveMs = 1_000;
+
+/** Tokens after which a request that was suspected is cleared. */
+const clearingTokens = 3;
+
 /** Share of retries among requests that the budget allows. */
 const retryShare = 0.2;
 
@@ -97,8 +114,13 @@
 
   private readonly usages = new Emitter<ChatUsage>();
 
+  private readonly outcomes = new Emitter<EndpointOutcome>();
+
   private retryTokens = maxRetryTokens;
 
+  /** Fires when an endpoint started an answer or refused a step. */
+  readonly onDidOutcome = this.outcomes.event;
+
   /** Fires when an answer ended, whole or not. */
   readonly onDidUse = this.usages.event;
 
@@ -106,6 +128,7 @@
    * @param options - Limits.
    * @param fleet - The endpoints.
    * @param admission - Gives chains.
+   * @param guard - Keeps apart requests that may crash endpoints.
    * @param clock - Source of time.
    * @param logger - Receives repairs.
    */
@@ -113,6 +136,7 @@
     private readonly options: ChatRunnerOptions,
     private readonly fleet: IFleet,
     private readonly admission: ChatAdmission,
+    private readonly guard: SuspectGuard,
     private readonly clock: IClock,
     private readonly logger: ILogger,
   ) {
@@ -137,7 +161,7 @@
   open(request: ChatRequest, sink: IChatSink): ChatHandle {
     const session = this.createSession(request, request.id, sink, false);
     this.retryTokens = Math.min(maxRetryTokens, this.retryTokens + retryShare);
-    this.admission.enqueue(session);
+    this.guard.admit(session.suspectWaiter);
     return { cancel: () => this.cancel(session) };
   }
 
@@ -204,6 +228,8 @@
           epoch: session.epoch,
         });
         this.repair(session, undefined);
+      } else if (!session.route && nowMs - session.progressMs > forgiveMs) {
+        session.failed.clear(); // rather an endpoint that failed before than none
       } else if (session.collecting !== undefined && session.route) {
         this.sendResume(session, session.route.chain[0].incarnation);
       }
@@ -225,7 +251,13 @@
       sink,
       submission,
       assembler: new AnswerAssembler(),
-      avoid: new Set(),
+      failed: new Set(),
+      apart: false,
+      suspectWaiter: {
+        fingerprint: request.fingerprint,
+        proceed: (apart) => this.enqueue(session, apart),
+        refuse: () => this.fail(session, quarantined(session)),
+      },
       epoch: 0,
       firstStep: 0,
       refusals: 0,
@@ -236,6 +268,7 @@
       route: undefined,
       progressMs: 0,
       done: false,
+      avoid: () => this.avoidOf(session),
       admitted: (route) => this.begin(session, route),
       refused: (refusal) =>
         this.fail(session, session.mayHaveRun ? { ...refusal, run: RunState.Ran } : refusal),
@@ -282,7 +315,7 @@
       maxTokens: request.maxTokens,
       priority: request.priority,
       submission: session.submission,
-      suspect: false,
+      suspect: session.apart,
       remainingMs: Math.max(1, request.deadlineMs - this.clock.monotonicMs()),
     };
   }
@@ -298,7 +331,8 @@
   private receiveToken(message: TokenMessage): void {
     this.sessions
       .get(message.attempt)
-      .filter((session) => session.epoch === message.epoch)
+      // An epoch whose chain was left is cancelled, and its engines may have dropped its cache.
+      .filter((session) => session.epoch === message.epoch && session.route !== undefined)
       .forEach((session) => this.deliver(session, message));
   }
 
@@ -308,6 +342,14 @@
       this.countToken(session, token);
       session.sink.token(token.text);
     }
+    const progress = session.assembler.tokens.length - session.firstStep;
+    if (progress === 1) {
+      this.reportOutcome(session, undefined);
+    }
+    if (session.apart && (progress >= clearingTokens || session.assembler.whole)) {
+      session.apart = false;
+      this.guard.clear(session.request.fingerprint);
+    }
     if (session.assembler.whole) {
       this.finish(session);
       session.sink.end(session.assembler.summary());
@@ -336,10 +378,30 @@
     for (const session of concerned) {
       if (message.reason === FailureReason.UnknownAttempt) {
         this.keeperIsEmpty(session);
-      } else if (message.run === RunState.NotRun) {
+      } else if (message.run === RunState.NotRun || message.reason === FailureReason.Busy) {
+        session.mayHaveRun ||= message.run !== RunState.NotRun;
         this.refusedBy(session, message.endpoint, message.reason);
       } else {
-        this.repair(session, message.endpoint);
+        this.failedAt(session, message);
+      }
+    }
+  }
+
+  private failedAt(session: Session, message: AttemptFailedMessage): void {
+    if (message.reason === FailureReason.StepRefused) {
+      this.reportOutcome(session, message.endpoint);
+    }
+    if (message.crash !== undefined) {
+      this.guard.crashed(message.crash, session.request.fingerprint);
+    }
+    this.repair(session, message.endpoint);
+  }
+
+  /** Reports the outcome of a chain's start, or of the step at which it failed. */
+  private reportOutcome(session: Session, failedAt: string | undefined): void {
+    for (const { endpoint } of session.route?.chain ?? []) {
+      if (failedAt === undefined || failedAt === endpoint) {
+        this.outcomes.fire({ endpoint, failed: endpoint === failedAt });
       }
     }
   }
@@ -374,6 +436,27 @@
     this.admission.enqueue(session, true);
   }
 
+  /** Lets a request wait for a chain, in front of others if its answer is under way. */
+  private enqueue(session: Session, apart: boolean): void {
+    if (session.done) {
+      this.guard.release(session.request.fingerprint);
+      return;
+    }
+    session.apart = apart;
+    this.admission.enqueue(session, session.mayHaveRun);
+  }
+
+  private avoidOf(session: Session): ReadonlySet<string> {
+    if (!session.apart) {
+      return session.failed;
+    }
+    const others = this.sessions
+      .entries()
+      .filter(([, other]) => other !== session && other.apart)
+      .flatMap(([, other]) => other.route?.chain.map((stage) => stage.endpoint) ?? []);
+    return new Set([...session.failed, ...others]);
+  }
+
   /** Replaces the chain of a lookup; a submission ends with an unknown outcome. */
   private repair(session: Session, failed: string | undefined): void {
     const { request } = session;
@@ -397,15 +480,20 @@
     }
     this.retryTokens -= 1;
     if (failed !== undefined) {
-      session.avoid.add(failed);
+      session.failed.add(failed);
     }
     this.logger.log(LogLevel.Warn, 'repair', { request: request.id, epoch, failed, tokens });
-    this.admission.enqueue(session, true);
+    this.leaveApart(session);
+    this.guard.admit(session.suspectWaiter);
   }
 
-  private endpointLost(lost: FleetChange): void {
+  /** Replaces chains; only a process that died is held against the requests that it ran. */
+  private endpointLost(lost: FleetLoss): void {
     for (const [, session] of this.sessions.entries()) {
       if (session.route?.chain.some((stage) => stage.incarnation === lost.incarnation)) {
+        if (lost.died) {
+          this.guard.crashed(`${lost.incarnation}#lost`, session.request.fingerprint);
+        }
         this.repair(session, lost.endpoint);
       }
     }
@@ -479,13 +567,22 @@
     this.sessions.delete(session.attempt, session);
     this.refusals.delete(session.attempt);
     this.admission.withdraw(session);
+    this.guard.withdraw(session.suspectWaiter);
     this.leaveChain(session);
+    this.leaveApart(session);
     const { organisation, model, revision } = session.request;
     const tokens = session.assembler.tokens.length;
     const { layerTokens, micros } = session;
     this.usages.fire({ organisation, model: model.name, revision, tokens, layerTokens, micros });
   }
 
+  private leaveApart(session: Session): void {
+    if (session.apart) {
+      session.apart = false;
+      this.guard.release(session.request.fingerprint);
+    }
+  }
+
   /** Frees the current chain; a submission keeps running there until its end. */
   private leaveChain(session: Session): void {
     const { route } = session;
@@ -506,3 +603,9 @@
     this.admission.release(route);
   }
 }
+
+function quarantined(session: Session): Problem {
+  const run = session.mayHaveRun ? RunState.Ran : RunState.NotRun;
+  const detail = 'endpoints died while they ran this request; it is not run again';
+  return problem(ProblemKind.Quarantined, run, detail);
+}
--- a/src/entry/fleet/common/endpointView.ts
+++ b/src/entry/fleet/common/endpointView.ts
@@ -68,3 +68,18 @@
 export function sameRange(a: LayerRange, b: LayerRange): boolean {
   return a.from === b.from && a.to === b.to;
 }
+
+/**
+ * Lists the endpoints that can do the same work as another.
+ *
+ * @param views - All endpoints.
+ * @param endpoint - Id of the endpoint.
+ * @returns Ids of those with the same layers or service, itself included.
+ */
+export function sameWork(views: readonly EndpointView[], endpoint: string): readonly string[] {
+  const self = views.find((view) => view.id === endpoint);
+  return views
+    .filter(({ report }) => self !== undefined && report.model === self.report.model)
+    .filter(({ report }) => self !== undefined && sameRange(report.range, self.report.range))
+    .map((view) => view.id);
+}
--- a/src/entry/fleet/common/fleet.ts
+++ b/src/entry/fleet/common/fleet.ts
@@ -15,6 +15,12 @@
   readonly incarnation: string;
 }
 
+/** A run of an agent that is gone. */
+export interface FleetLoss extends FleetChange {
+  /** True if its link was closed, as when its process died; false if it fell silent. */
+  readonly died: boolean;
+}
+
 /** The endpoints that an entry can reach. */
 export interface IFleet {
   /** Returns the endpoints as known now. */
@@ -28,7 +34,7 @@
   /** Fires for each message of an agent but hellos and heartbeats. */
   readonly onDidReceive: Event<FleetMessage>;
   /** Fires when an incarnation is known to be gone or was silent past the deadline. */
-  readonly onDidLose: Event<FleetChange>;
+  readonly onDidLose: Event<FleetLoss>;
   /** Fires when a link to a known incarnation was replaced. */
   readonly onDidRestore: Event<FleetChange>;
   /** Fires when an endpoint joined, changed or left. */
--- a/src/entry/fleet/node/agentPool.ts
+++ b/src/entry/fleet/node/agentPool.ts
@@ -14,9 +14,9 @@
   type LinkMessage,
 } from '../../../platform/link/common/messages.js';
 import { connect } from '../../../platform/link/node/connect.js';
-import type { Link, LinkTiming } from '../../../platform/link/node/link.js';
+import { LinkEnd, type Link, type LinkTiming } from '../../../platform/link/node/link.js';
 import type { EndpointView } from '../common/endpointView.js';
-import type { FleetChange, FleetMessage, IFleet } from '../common/fleet.js';
+import type { FleetChange, FleetLoss, FleetMessage, IFleet } from '../common/fleet.js';
 
 interface Member {
   readonly record: InstanceRecord;
@@ -24,6 +24,8 @@
   incarnation: string | undefined;
   report: EndpointReport | undefined;
   link: Link | undefined;
+  /** How the last link ended. */
+  lastEnd: LinkEnd | undefined;
   connecting: boolean;
   leavingNoticed: boolean;
   listedLeaving: boolean;
@@ -52,7 +54,7 @@
 
   private readonly messages = new Emitter<FleetMessage>();
 
-  private readonly lost = new Emitter<FleetChange>();
+  private readonly lost = new Emitter<FleetLoss>();
 
   private readonly restored = new Emitter<FleetChange>();
 
@@ -217,6 +219,7 @@
       incarnation: undefined,
       report: undefined,
       link: undefined,
+      lastEnd: undefined,
       connecting: false,
       leavingNoticed: false,
       listedLeaving: false,
@@ -242,8 +245,10 @@
     if (incarnation !== undefined) {
       this.byIncarnation.delete(incarnation);
       Object.assign(member, { incarnation: undefined, report: undefined });
-      this.logger.log(LogLevel.Warn, 'endpoint-lost', { endpoint: member.record.id, incarnation });
-      this.lost.fire({ endpoint: member.record.id, incarnation });
+      const endpoint = member.record.id;
+      const died = member.lastEnd !== LinkEnd.Silent;
+      this.logger.log(LogLevel.Warn, 'endpoint-lost', { endpoint, incarnation, died });
+      this.lost.fire({ endpoint, incarnation, died });
     }
   }
 
@@ -286,7 +291,7 @@
     this.byIncarnation.set(incarnation, member);
     link.onDidReceive((message) => this.receive(member, incarnation, message));
     link.onDidEnd((reason) => {
-      Object.assign(member, { link: undefined });
+      Object.assign(member, { link: undefined, lastEnd: reason });
       this.logger.log(LogLevel.Warn, 'link-ended', { endpoint, reason });
       this.changes.fire();
       if (this.timer !== undefined && !member.connecting) {
--- a/src/entry/node/entryProgram.ts
+++ b/src/entry/node/entryProgram.ts
@@ -24,6 +24,9 @@
 import { ChatAdmission } from '../chat/common/chatAdmission.js';
 import { ChatRunner } from '../chat/common/chatRunner.js';
 import { costReport } from '../costs/common/costReport.js';
+import { EndpointHealth } from '../ejection/common/endpointHealth.js';
+import { SequentialTest } from '../ejection/common/failureDetector.js';
+import { sameWork } from '../fleet/common/endpointView.js';
 import { AgentPool } from '../fleet/node/agentPool.js';
 import { CallerDirectory, type OrganisationRecord } from '../http/common/callerDirectory.js';
 import { DecisionLog } from '../http/common/decisionLog.js';
@@ -38,6 +41,9 @@
 import { PrefixDirectory } from '../routing/common/prefixDirectory.js';
 import { RuleFeed } from '../rules/node/ruleFeed.js';
 import { ServiceCaller } from '../services/common/serviceCaller.js';
+import { CrashSuspects, type SuspectRecord } from '../suspects/common/crashSuspects.js';
+import { SuspectGuard } from '../suspects/common/suspectGuard.js';
+import { SuspectStore } from '../suspects/common/suspectStore.js';
 import { ChatSubmission } from '../submission/common/chatSubmission.js';
 import { ServiceSubmission } from '../submission/common/serviceSubmission.js';
 import {
@@ -64,6 +70,15 @@
 /** Interval of the search for stalls and passed deadlines, in milliseconds. */
 const sweepIntervalMs = 100;
 
+/** Interval of the search for ejections that are over, in milliseconds. */
+const healthIntervalMs = 1_000;
+
+/** Limits of ejections. */
+const ejection = { ejectMs: 10_000, maxEjectMs: 300_000, maxEjectedShare: 0.34 };
+
+/** Test that finds failing endpoints. */
+const ejectionTest = { baseRate: 0.01, minFailures: 4, criticalValue: 3.5, horizon: 5 };
+
 /** Interval of placement steps, in milliseconds. */
 const placeIntervalMs = 500;
 
@@ -123,6 +138,12 @@
 
   private readonly runner: ChatRunner;
 
+  private readonly quarantine: ObjectCache<{ readonly records: readonly SuspectRecord[] }>;
+
+  private readonly guard: SuspectGuard;
+
+  private readonly health: EndpointHealth;
+
   private readonly caller: ServiceCaller;
 
   private readonly ledger: ClaimLedger;
@@ -153,6 +174,7 @@
     this.models = new ObjectCache(store, ObjectKind.Models);
     this.services = new ObjectCache(store, ObjectKind.Services);
     this.organisations = new ObjectCache(store, ObjectKind.Organisations);
+    this.quarantine = new ObjectCache(store, ObjectKind.Quarantine);
     this.organisations.onDidChange(() => this.callers.update(this.organisations.values()));
     this.admission = new ChatAdmission(
       { place: settings.place, queueLimit: settings.queueLimit, patienceMs },
@@ -163,13 +185,16 @@
       this.logger,
     );
     const { instance, stallMs } = settings;
+    this.guard = this.createGuard();
     this.runner = new ChatRunner(
       { entry: instance, stallMs, notReadyStallMs, maxEpochs, maxRefusals },
       this.pool,
       this.admission,
+      this.guard,
       clock,
       this.logger,
     );
+    this.health = this.createHealth();
     this.caller = new ServiceCaller(this.pool, clock, clock, random, this.logger);
     this.ledger = new ClaimLedger(
       {
@@ -186,6 +211,7 @@
     const owner = { side: UsageSide.Entry, instance, incarnation: this.incarnation };
     this.usageWriter = new UsageWriter(owner, this.usage, store, settings.usageFlushMs);
     this.countUsage();
+    this.watchOutcomes();
     this.app = this.createApp();
   }
 
@@ -197,6 +223,8 @@
     this.models.start();
     this.services.start();
     this.organisations.start();
+    this.quarantine.start();
+    this.every(healthIntervalMs, () => this.health.sweep());
     this.every(sweepIntervalMs, () => this.runner.sweep());
     this.every(placeIntervalMs, () => this.placer.step(clock.monotonicMs()));
     const address = await this.app.listen({ host: settings.host, port: settings.httpPort });
@@ -226,6 +254,7 @@
     this.models.close();
     this.services.close();
     this.organisations.close();
+    this.quarantine.close();
     this.pool.close();
   }
 
@@ -254,6 +283,34 @@
     return new AgentPool(options, new PlatformInstanceList(store), this.logger);
   }
 
+  private createGuard(): SuspectGuard {
+    const { clock, store } = this.parts;
+    const suspects = new CrashSuspects(this.incarnation);
+    const sharing = new SuspectStore(suspects, store, clock);
+    const guard = new SuspectGuard(suspects, sharing, clock, clock, this.logger);
+    this.quarantine.onDidChange(() => {
+      this.quarantine.values().forEach(({ records }) => guard.merge(records));
+    });
+    return guard;
+  }
+
+  private createHealth(): EndpointHealth {
+    const { clock } = this.parts;
+    const createDetector = () => new SequentialTest(ejectionTest);
+    const groupOf = (endpoint: string) => sameWork(this.pool.endpoints(), endpoint);
+    return new EndpointHealth(ejection, createDetector, groupOf, clock, this.logger);
+  }
+
+  private watchOutcomes(): void {
+    this.health.onDidChange(({ endpoint, ejected }) => this.pool.setEjected(endpoint, ejected));
+    this.runner.onDidOutcome(({ endpoint, failed }) => this.health.record(endpoint, failed));
+    this.caller.onDidOutcome(({ endpoint, failed }) => this.health.record(endpoint, failed));
+    this.pool.onDidLose(({ endpoint }) => {
+      this.health.forget(endpoint);
+      this.prefixes.forget(endpoint);
+    });
+  }
+
   private createLease(): LeaseCandidate {
     const { settings, store, clock } = this.parts;
     const name = `placement-${settings.region}`;
--- a/src/entry/services/common/serviceCaller.ts
+++ b/src/entry/services/common/serviceCaller.ts
@@ -1,5 +1,6 @@
 import { Err, Ok, type Result } from 'ts-results-es';
 import type { IClock, ITimers } from '../../../base/common/clock.js';
+import { Emitter } from '../../../base/common/event.js';
 import { MultiMap } from '../../../base/common/multiMap.js';
 import type { IRandom } from '../../../base/common/random.js';
 import { LogLevel, type ILogger } from '../../../base/common/logger.js';
@@ -20,6 +21,7 @@
   RunState,
   type Problem,
 } from '../../../platform/problem/common/problem.js';
+import type { EndpointOutcome } from '../../chat/common/chatRunner.js';
 import { isUsable, loadOf, type EndpointView } from '../../fleet/common/endpointView.js';
 import type { FleetChange, IFleet } from '../../fleet/common/fleet.js';
 import { RunOutcomeKind, type RunOutcome } from '../../submission/common/submissionFlow.js';
@@ -56,6 +58,9 @@
 /** Time for the answer to a seal, in milliseconds; longer than the detection of a dead link. */
 const sealLimitMs = 4_000;
 
+/** Lowest HTTP status that blames the server. */
+const serverErrorStatus = 500;
+
 const unresolved = { kind: RunOutcomeKind.Unresolved } as const;
 
 /** Calls plain services through the agents beside them. */
@@ -64,6 +69,11 @@
 
   private readonly seals = new MultiMap<string, PendingSeal>();
 
+  private readonly outcomes = new Emitter<EndpointOutcome>();
+
+  /** Fires when a call ended at an endpoint. */
+  readonly onDidOutcome = this.outcomes.event;
+
   /**
    * @param fleet - The endpoints.
    * @param timers - For deadlines.
@@ -176,6 +186,8 @@
     this.fleet.addActive(view.id, -1);
     if (result.kind === RunOutcomeKind.Refused) {
       this.fleet.markFull(view.id);
+    } else {
+      this.outcomes.fire({ endpoint: view.id, failed: isFailure(result) });
     }
     return result;
   }
@@ -354,6 +366,12 @@
   }
 }
 
+function isFailure(outcome: RunOutcome<ServiceAnswer>): boolean {
+  return outcome.kind === RunOutcomeKind.Answered
+    ? outcome.value.status >= serverErrorStatus
+    : outcome.kind === RunOutcomeKind.Failed;
+}
+
 function outcomeOf(message: CallResultMessage): RunOutcome<ServiceAnswer> {
   if (message.answer) {
     return { kind: RunOutcomeKind.Answered, value: message.answer };
--- a/src/entry/submission/common/chatSubmission.ts
+++ b/src/entry/submission/common/chatSubmission.ts
@@ -41,7 +41,7 @@
     return new Promise((resolve) => {
       const waiter: ChainWaiter = {
         request: this.request,
-        avoid: new Set(),
+        avoid: () => new Set(),
         admitted: (route) => resolve(Ok(prepared(route))),
         refused: (refusal) => resolve(Err(refusal)),
       };
--- a/src/platform/link/common/messages.ts
+++ b/src/platform/link/common/messages.ts
@@ -140,7 +140,10 @@
   Sealed = 'sealed',
   WrongIncarnation = 'wrong-incarnation',
   NotLoaded = 'not-loaded',
+  /** The engine did not answer or died. */
   EngineFailed = 'engine-failed',
+  /** The engine answered that it cannot run the step. */
+  StepRefused = 'step-refused',
   StageLost = 'stage-lost',
   DeadlineExceeded = 'deadline-exceeded',
   UnknownAttempt = 'unknown-attempt',
@@ -155,6 +158,8 @@
   readonly run: RunState;
   /** Endpoint at which it failed. */
   readonly endpoint: string;
+  /** If the engine died: id of that crash. */
+  readonly crash?: string;
 }
 
 /** Ends an attempt and frees what it holds. */
--- a/src/standin/common/engineCore.ts
+++ b/src/standin/common/engineCore.ts
@@ -5,6 +5,8 @@
 export interface StepRequest {
   readonly sequence: string;
   readonly step: number;
+  /** True on the sequence's first step. */
+  readonly first: boolean;
   /** Prompt text; only at the first stage's first step. */
   readonly prompt?: string;
   /** Tokens at the first stage, outputs of the stage before elsewhere. */
@@ -98,7 +100,8 @@
     const { sequence: id, step } = req;
     const layerCount = this.range.to - this.range.from;
     const known = this.sequences.get(id);
-    if (layerCount === 0 || (known !== undefined && known.nextStep !== step)) {
+    const expected = known === undefined ? req.first : known.nextStep === step;
+    if (layerCount === 0 || !expected) {
       const error = layerCount === 0 ? 'no layers loaded' : `step ${known?.nextStep} expected`;
       return { sequence: id, step, error, data: [] };
     }
