Check the promises on separate processes while faults happen

Cause: the scheduler tests leave out sockets, timers, placement and restarts.

Change: npm run faults starts three entries, ten engines and three services, sends chats, lookups and submissions, brings about 19 kinds of faults, also two at once, and checks seven promises on what callers, operators, engines and services recorded. It found, and this change mends: - endpoints that were given other layers while chains still used them: agents now finish what runs first, and steps name the layers they are for; - a caller that came back through a second entry took the tokens away from the first: tokens now go to every entry that asked; - a submission whose chain broke stayed active at the surviving stages and held a planned stop up for 20 s: it is cancelled there; - two faults of the harness itself: a stop's record lasted past the restart, and a refused connection to a stopped entry counted as a cut.

--- a/src/agent/node/agentProgram.ts
+++ b/src/agent/node/agentProgram.ts
@@ -1,5 +1,5 @@
 import { randomUUID } from 'node:crypto';
-import type { SystemClock } from '../../base/node/systemClock.js';
+import { sleep, type SystemClock } from '../../base/node/systemClock.js';
 import { LogLevel, type ILogger } from '../../base/common/logger.js';
 import type { IMetrics } from '../../base/node/metrics.js';
 import { InstanceRole } from '../../platform/instances/common/instance.js';
@@ -45,6 +45,9 @@
 /** Interval of the clean-up of expired records, in milliseconds. */
 const expireIntervalMs = 1_000;
 
+/** Longest wait for the work under way before other layers are loaded, in milliseconds. */
+const reloadLimitMs = 60_000;
+
 /** Interval at which a drain checks whether the work is finished, in milliseconds. */
 const drainPollMs = 20;
 
@@ -144,18 +147,13 @@
 
   /** Takes no new work, finishes what runs, within the drain time. */
   async drain(): Promise<void> {
-    const { settings, clock, logger } = this.parts;
+    const { settings, logger } = this.parts;
     this.leaving = true;
     this.stages?.leave();
     this.calls?.leave();
     this.server.links.forEach((link) => link.send({ kind: MessageKind.Leaving }));
     logger.log(LogLevel.Info, 'drain-started', { active: this.active });
-    const limitMs = clock.monotonicMs() + settings.drainMs;
-    while (this.active > 0 && clock.monotonicMs() < limitMs) {
-      await new Promise((resolve) => {
-        setTimeout(resolve, drainPollMs);
-      });
-    }
+    await this.untilIdle(settings.drainMs);
     logger.log(LogLevel.Info, 'drain-ended', { active: this.active });
   }
 
@@ -236,7 +234,7 @@
       capacity: service?.capacity ?? this.state.capacity,
       leaving: this.leaving,
       answering: this.answering,
-      ready: this.ready,
+      ready: this.ready && !this.ordering,
       term: this.orders.highestTerm,
     };
   }
@@ -337,12 +335,24 @@
 
   private async load(order: OrderMessage): Promise<void> {
     this.ordering = true;
+    this.stages?.pause(true);
+    await this.untilIdle(reloadLimitMs);
     const layerMiB = await readLayerMiB(this.parts.store, order.model);
     if (layerMiB !== undefined) {
       await this.engine?.order(order, layerMiB);
     }
-    this.ordering = false;
     await this.poll();
+    this.ordering = false;
+    this.stages?.pause(false);
+  }
+
+  /** Waits for the work under way, within a limit. */
+  private async untilIdle(limitMs: number): Promise<void> {
+    const { clock } = this.parts;
+    const untilMs = clock.monotonicMs() + limitMs;
+    while (this.active > 0 && clock.monotonicMs() < untilMs) {
+      await sleep(drainPollMs);
+    }
   }
 
   private holds(order: OrderMessage): boolean {
--- a/src/agent/stage/common/stageContracts.ts
+++ b/src/agent/stage/common/stageContracts.ts
@@ -1,7 +1,7 @@
 import type { Result } from 'ts-results-es';
 import { IbissparError } from '../../../base/common/errors.js';
 import type { LinkMessage } from '../../../platform/link/common/messages.js';
-import type { StageSpec } from '../../../platform/model/common/model.js';
+import type { LayerRange, StageSpec } from '../../../platform/model/common/model.js';
 
 /** The engine beside the agent failed or refused a step. */
 export class EngineError extends IbissparError {
@@ -22,6 +22,9 @@
 /** Step for the engine. */
 export interface EngineStep {
   readonly sequence: string;
+  readonly model: string;
+  /** Layers that the engine must hold; it refuses the step if it holds others. */
+  readonly range: LayerRange;
   readonly step: number;
   /** True on the sequence's first step; on any other the engine must know the sequence. */
   readonly first: boolean;
--- a/src/agent/stage/common/stageRunner.ts
+++ b/src/agent/stage/common/stageRunner.ts
@@ -5,6 +5,7 @@
   MessageKind,
   type AttemptFailedMessage,
   type AttemptSpec,
+  type LinkMessage,
   type ResumeMessage,
   type StartMessage,
   type StepMessage,
@@ -23,8 +24,8 @@
 
 interface AttemptRecord {
   spec: AttemptSpec;
-  /** Entry that receives the tokens; changes when a caller comes back through another entry. */
-  entry: string;
+  /** Entries that receive the tokens: the first, and those through which the caller came back. */
+  readonly entries: Set<string>;
   stage: number;
   expiresMs: number;
   readonly sequencer: StepSequencer<StepInput>;
@@ -92,6 +93,8 @@
 
   private leaving = false;
 
+  private paused = false;
+
   /** Fires when the engine ran a step. */
   readonly onDidUse = this.usages.event;
 
@@ -124,6 +127,15 @@
     this.leaving = true;
   }
 
+  /**
+   * Refuses new attempts for a while, so that the engine can load other layers.
+   *
+   * @param paused - True to refuse, false to take attempts again.
+   */
+  pause(paused: boolean): void {
+    this.paused = paused;
+  }
+
   /**
    * Starts an attempt, or a new epoch of one, at the first stage.
    *
@@ -157,7 +169,8 @@
       return;
     }
     const known = this.attempts.get(message.attempt);
-    if (message.spec && this.hasOtherSuspect(message.spec)) {
+    const isNew = message.spec !== undefined && known === undefined;
+    if (message.spec && (this.hasOtherSuspect(message.spec) || (isNew && this.paused))) {
       this.fail(message.spec, FailureReason.Busy, RunState.Ran);
       return;
     }
@@ -180,10 +193,10 @@
       this.links.toEntry(message.entry, this.failure(message, FailureReason.UnknownAttempt));
       return;
     }
-    record.entry = message.entry;
+    record.entries.add(message.entry);
     record.tokens
       .filter((token) => token.step >= message.fromStep)
-      .forEach((token) => this.links.toEntry(record.entry, token));
+      .forEach((token) => this.links.toEntry(message.entry, token));
   }
 
   /**
@@ -203,11 +216,8 @@
     }
     this.engine.drop(sequenceOf(record.spec));
     this.gate.finish(attempt, nowMs);
-    const keepsAnswer = record.spec.submission && record.tokens.length > 0;
-    if (keepsAnswer) {
-      record.ended = true;
-      record.expiresMs = nowMs + this.options.keepMs;
-    } else {
+    const keepsAnswer = record.spec.submission && record.ended;
+    if (!keepsAnswer) {
       this.attempts.delete(attempt);
     }
   }
@@ -219,7 +229,8 @@
    */
   entryLost(entry: string): void {
     for (const [attempt, record] of [...this.attempts]) {
-      if (record.entry === entry && !record.spec.submission) {
+      record.entries.delete(entry);
+      if (record.entries.size === 0 && !record.spec.submission) {
         this.cancel(attempt, record.spec.epoch);
       }
     }
@@ -285,6 +296,9 @@
     if (this.leaving) {
       return FailureReason.Leaving;
     }
+    if (this.paused) {
+      return FailureReason.NotLoaded;
+    }
     return this.active >= this.options.capacity() ? FailureReason.Busy : undefined;
   }
 
@@ -318,7 +332,7 @@
       const record: AttemptRecord = {
         spec,
         stage,
-        entry: spec.entry,
+        entries: new Set([spec.entry]),
         expiresMs,
         sequencer,
         tokens: [],
@@ -360,6 +374,8 @@
   ): Promise<void> {
     const result = await this.engine.run({
       sequence: sequenceOf(spec),
+      model: spec.model,
+      range: spec.chain[record.stage].range,
       step: arrived.step,
       first,
       ...arrived.input,
@@ -418,7 +434,7 @@
       end,
     };
     record.tokens.push(token);
-    this.links.toEntry(record.entry, token);
+    this.toEntries(record, token);
     if (end) {
       record.ended = true;
       record.expiresMs = this.clock.monotonicMs() + this.options.keepMs;
@@ -446,8 +462,17 @@
   }
 
   private fail(spec: AttemptSpec, reason: FailureReason, run: RunState, crash?: string): void {
-    const entry = this.attempts.get(spec.attempt)?.entry ?? spec.entry;
-    this.links.toEntry(entry, { ...this.failure(spec, reason), run, crash });
+    const message = { ...this.failure(spec, reason), run, crash };
+    const record = this.attempts.get(spec.attempt);
+    if (record) {
+      this.toEntries(record, message);
+    } else {
+      this.links.toEntry(spec.entry, message);
+    }
+  }
+
+  private toEntries(record: AttemptRecord, message: LinkMessage): void {
+    record.entries.forEach((entry) => this.links.toEntry(entry, message));
   }
 
   private failure(
--- a/src/bench/node/caller.ts
+++ b/src/bench/node/caller.ts
@@ -4,6 +4,7 @@
 import { messageOf } from '../../base/common/errors.js';
 import { RunState, type Problem } from '../../platform/problem/common/problem.js';
 import { referenceAnswer } from '../../standin/common/fakeModel.js';
+import { CallEnd } from '../faults/common/records.js';
 import { keyOf } from './fleet.js';
 
 /** A chat call as a caller makes it. */
@@ -18,18 +19,6 @@
   readonly timeoutMs?: number;
 }
 
-/** How a call ended, as its caller saw it. */
-export enum CallEnd {
-  /** A whole answer that equals what a correct pipeline gives. */
-  Whole = 'whole',
-  /** An answer that claims to be whole and is not. */
-  Wrong = 'wrong',
-  /** A problem, before or instead of a whole answer. */
-  Problem = 'problem',
-  /** The connection broke without a word. */
-  Broken = 'broken',
-}
-
 /** Result of a call. */
 export interface CallResult {
   readonly end: CallEnd;
--- a/src/bench/node/demo.ts
+++ b/src/bench/node/demo.ts
@@ -2,7 +2,8 @@
 import { sleep } from '../../base/node/systemClock.js';
 import { AcceleratorKind } from '../../platform/model/common/model.js';
 import { checkLayers, ranTwice } from '../common/promises.js';
-import { callService, CallEnd, chat, type CallResult } from './caller.js';
+import { CallEnd } from '../faults/common/records.js';
+import { callService, chat, type CallResult } from './caller.js';
 import { adminKey, Fleet, keyOf, type EngineSpec, type FleetSpec } from './fleet.js';
 
 const model = { name: 'casa-24', layers: 24, layerMiB: 512, replicas: 2 };
--- a/src/bench/node/fleet.ts
+++ b/src/bench/node/fleet.ts
@@ -10,6 +10,7 @@
 import type { AcceleratorKind } from '../../platform/model/common/model.js';
 import { absentVersion, ObjectKind } from '../../platform/objects/common/objects.js';
 import { HttpObjectStore } from '../../platform/objects/node/httpObjectStore.js';
+import type { RuleManifest } from '../../platform/rules/common/ruleStore.js';
 import type { HistoryEvent } from '../../standin/common/historyEvent.js';
 import { hashKey } from './keys.js';
 import { ProcessGroup, type RunningProcess } from './processes.js';
@@ -164,15 +165,22 @@
     text: string,
     baseRevision: number,
     by: string,
+    id = `${by}-${baseRevision}-${Date.now()}`,
   ): Promise<{ readonly status: number; readonly body: { revision?: number } }> {
     const res = await request(`${this.url(entry)}/admin/v1/rules`, {
       method: 'PUT',
       headers: { authorization: `Bearer ${adminKey}`, 'content-type': 'application/json' },
-      body: JSON.stringify({ id: `${by}-${baseRevision}-${Date.now()}`, baseRevision, text, by }),
+      body: JSON.stringify({ id, baseRevision, text, by }),
     });
     return { status: res.statusCode, body: (await res.body.json()) as { revision?: number } };
   }
 
+  /** Ids of the accepted rule changes that the platform holds. */
+  async storedChanges(): Promise<readonly string[]> {
+    const read = await this.store.get<RuleManifest>(ObjectKind.RuleManifest, 'rules');
+    return read.isOk() ? (read.value?.value.changes ?? []).map((change) => change.id) : [];
+  }
+
   /** Events that the stand-ins recorded so far. */
   history(): readonly HistoryEvent[] {
     try {
@@ -203,21 +211,48 @@
 
   /** Starts a plain service and its agent, and lists the instance. */
   async startServiceEndpoint(spec: ServiceSpec): Promise<FleetEndpoint> {
-    const args = ['service', '--name', spec.name, '--work-ms', String(spec.workMs)];
-    const withHistory = [...args, '--history', this.historyPath];
-    const standin = await this.group.start(spec.name, 'standin', withHistory, /listening (\S+)/);
+    const standin = await this.startService(spec, 0);
     const service = { name: spec.service, url: standin.started };
     return this.startAgent(spec.name, spec.place, standin, { service });
   }
 
-  /** Kills an agent and starts it again on the same port. */
+  /** Starts a plain service process; port 0 takes any free one. */
+  startService(spec: ServiceSpec, port: number): Promise<RunningProcess> {
+    const args = ['service', '--name', spec.name, '--work-ms', String(spec.workMs)];
+    const rest = ['--port', String(port), '--history', this.historyPath];
+    return this.group.start(spec.name, 'standin', [...args, ...rest], /listening (\S+)/);
+  }
+
+  /** Starts an agent that ended, on the same port. */
   async restartAgent(name: string): Promise<void> {
     const endpoint = this.endpoint(name);
-    endpoint.agent.signal('SIGKILL');
     await endpoint.agent.ended();
     endpoint.agent = await this.spawnAgent(name, endpoint.agentPort);
   }
 
+  /** Starts an engine or service that ended, on the same port. */
+  async restartStandin(name: string): Promise<void> {
+    const endpoint = this.endpoint(name);
+    const port = Number(new URL(endpoint.standin.started).port);
+    await endpoint.standin.ended();
+    const engine = this.spec.engines.find((spec) => spec.name === name);
+    const service = this.spec.services.find((spec) => spec.name === name);
+    if (engine) {
+      endpoint.standin = await this.startEngine(engine, port);
+    } else if (service) {
+      endpoint.standin = await this.startService(service, port);
+    }
+  }
+
+  /** Starts an entry that ended, on the same port. */
+  async restartEntry(index: number): Promise<void> {
+    const entry = this.entries[index];
+    await entry.process.ended();
+    const started = await this.startEntry(entry.name, entry.port);
+    entry.process = started.process;
+    await this.untilEntryReady(entry);
+  }
+
   /** Starts an entry; port 0 takes any free one. */
   async startEntry(name: string, port: number): Promise<FleetEntry> {
     const path = this.group.writeSettings(name, {
--- a/src/bin/ibisspar-bench.ts
+++ b/src/bin/ibisspar-bench.ts
@@ -1,5 +1,6 @@
 import { cac } from 'cac';
 import { messageOf } from '../base/common/errors.js';
+import { runFaults } from '../bench/faults/node/faultRun.js';
 import { runDemo } from '../bench/node/demo.js';
 
 const cli = cac('ibisspar-bench');
@@ -19,5 +20,13 @@
   .option('--serve', 'Leave the system up and print curl lines')
   .action((options: { serve?: boolean }) => report(runDemo(options.serve ?? false)));
 
+cli
+  .command('faults', 'Checks the promises while faults happen')
+  .option('--seed <seed>', 'Seed of workload and faults', { default: 1 })
+  .option('--minutes <minutes>', 'Least time', { default: 1 })
+  .action(({ seed, minutes }: { seed: number; minutes: number }) => {
+    report(runFaults(seed, minutes));
+  });
+
 cli.help();
 cli.parse();
--- a/src/entry/chat/common/chatRunner.ts
+++ b/src/entry/chat/common/chatRunner.ts
@@ -406,11 +406,11 @@
     }
   }
 
-  /** The last stage has not seen the attempt yet, or no longer keeps its answer. */
+  /** The last stage has not seen the attempt yet, or does not keep its answer. */
   private keeperIsEmpty(session: Session): void {
     if (session.collecting === SealOutcome.Ran) {
-      const detail = 'the request ran before; its answer is no longer kept';
-      this.fail(session, problem(ProblemKind.OutcomeUnknown, RunState.Ran, detail));
+      const detail = 'the request was started before; its answer is not kept';
+      this.fail(session, problem(ProblemKind.OutcomeUnknown, RunState.Unknown, detail));
     }
   }
 
@@ -583,22 +583,17 @@
     }
   }
 
-  /** Frees the current chain; a submission keeps running there until its end. */
+  /** Frees the current chain; an answer that is whole stays kept at its last stage. */
   private leaveChain(session: Session): void {
-    const { route } = session;
+    const { route, attempt, epoch, submission, collecting } = session;
     if (route === undefined) {
       return;
     }
     session.route = undefined;
-    if (!session.submission || session.assembler.whole) {
-      for (const stage of route.chain) {
-        this.fleet.send(stage.incarnation, {
-          kind: MessageKind.Cancel,
-          attempt: session.attempt,
-          epoch: session.epoch,
-          submission: session.submission,
-        });
-      }
+    const isCollected = collecting !== undefined && !session.assembler.whole;
+    for (const stage of isCollected ? [] : route.chain) {
+      const cancel = { kind: MessageKind.Cancel, attempt, epoch, submission } as const;
+      this.fleet.send(stage.incarnation, cancel);
     }
     this.admission.release(route);
   }
--- a/src/entry/http/node/adminRoutes.ts
+++ b/src/entry/http/node/adminRoutes.ts
@@ -15,6 +15,7 @@
 /** State of an entry as shown to operators. */
 export interface EntryStatus {
   readonly instance: string;
+  readonly incarnation: string;
   readonly place: string;
   readonly draining: boolean;
   readonly ready: boolean;
--- a/src/entry/node/entryProgram.ts
+++ b/src/entry/node/entryProgram.ts
@@ -452,6 +452,7 @@
     const { instance, place } = this.parts.settings;
     return {
       instance,
+      incarnation: this.incarnation,
       place,
       draining: this.draining,
       ready: this.ready,
--- a/src/standin/common/engineCore.ts
+++ b/src/standin/common/engineCore.ts
@@ -4,6 +4,9 @@
 /** Step that an engine is asked to run. */
 export interface StepRequest {
   readonly sequence: string;
+  readonly model: string;
+  /** Layers that must be loaded. */
+  readonly range: LayerRange;
   readonly step: number;
   /** True on the sequence's first step. */
   readonly first: boolean;
@@ -101,8 +104,10 @@
     const layerCount = this.range.to - this.range.from;
     const known = this.sequences.get(id);
     const expected = known === undefined ? req.first : known.nextStep === step;
-    if (layerCount === 0 || !expected) {
-      const error = layerCount === 0 ? 'no layers loaded' : `step ${known?.nextStep} expected`;
+    const { from, to } = this.range;
+    const isLoaded = req.model === this.model && req.range.from === from && req.range.to === to;
+    if (!isLoaded || !expected) {
+      const error = isLoaded ? `step ${known?.nextStep} expected` : `layers ${from}-${to} loaded`;
       return { sequence: id, step, error, data: [] };
     }
     const sequence = known ?? { cache: emptyCache(layerCount), nextStep: step };
