--- a/src/bench/faults/node/workload.ts
+++ b/src/bench/faults/node/workload.ts
@@ -1,5 +1,6 @@
 import { SeededRandom } from '../../../base/common/random.js';
 import { sleep } from '../../../base/node/systemClock.js';
+import { RunState } from '../../../platform/problem/common/problem.js';
 import { callService, chat, type CallResult } from '../../node/caller.js';
 import type { Fleet, FleetModel } from '../../node/fleet.js';
 import { CallEnd, CallKind, type CallRecord } from '../common/records.js';
@@ -104,7 +105,7 @@
       const at = entry + tries;
       const calls = [this.send(kind, at, name), ...(twice ? [this.send(kind, at + 1, name)] : [])];
       const results = await Promise.all(calls);
-      const known = results.some(({ end, run }) => end === CallEnd.Whole || run === 'ran');
+      const known = results.some(({ end, run }) => end === CallEnd.Whole || run === RunState.Ran);
       if (known || this.stopped) {
         return;
       }
