Take a late stage's refusal of a submission as a failure

A later stage that was loading other layers refused it as busy after the first stage had run, and the entry claimed the next attempt.

Change: only a refusal that says not-run lets a submission be claimed again; a stage that waits to load other layers still finishes chains that began. Epochs that fail are cancelled from stage to stage, so that they end even if their entry is gone. A suspect holds its slot for eight steps, more than entries need to clear it. A stopping entry serves for a second on connections that close, then refuses: a reset of an idle connection had cut one chat.

--- a/src/agent/node/agentProgram.ts
+++ b/src/agent/node/agentProgram.ts
@@ -283,7 +283,7 @@
         this.stages?.resume(message);
         break;
       case MessageKind.Cancel:
-        this.stages?.cancel(message.attempt, message.epoch);
+        this.stages?.cancel(message.attempt, message.epoch, message.relay);
         this.calls?.cancel(message.attempt, message.submission);
         break;
       case MessageKind.Call:
--- a/src/agent/stage/common/stageRunner.ts
+++ b/src/agent/stage/common/stageRunner.ts
@@ -71,8 +71,11 @@
 /** Time for which a cancelled epoch is remembered; longer than any request, in milliseconds. */
 const cancelMemoryMs = 180_000;
 
-/** Steps after which a request that may crash the engine no longer keeps others away. */
-const suspectSteps = 3;
+/**
+ * Steps after which a request that may crash the engine no longer keeps others away; more than the
+ * entries need to clear it, or a crash would still count against it.
+ */
+const suspectSteps = 8;
 
 /** Grace after an attempt's deadline before its record is dropped, in milliseconds. */
 const expiryGraceMs = 5_000;
@@ -169,8 +172,7 @@
       return;
     }
     const known = this.attempts.get(message.attempt);
-    const isNew = message.spec !== undefined && known === undefined;
-    if (message.spec && (this.hasOtherSuspect(message.spec) || (isNew && this.paused))) {
+    if (message.spec && this.hasOtherSuspect(message.spec)) {
       this.fail(message.spec, FailureReason.Busy, RunState.Ran);
       return;
     }
@@ -204,8 +206,9 @@
    *
    * @param attempt - Identifier of the attempt.
    * @param epoch - Epoch that ends; a newer one goes on.
+   * @param relay - True to tell the next stage, whether or not an entry does.
    */
-  cancel(attempt: string, epoch: number): void {
+  cancel(attempt: string, epoch: number, relay = false): void {
     const nowMs = this.clock.monotonicMs();
     if (!this.isCancelled(attempt, epoch)) {
       this.cancelled.set(attempt, { epoch, expiresMs: nowMs + cancelMemoryMs });
@@ -220,6 +223,11 @@
     if (!keepsAnswer) {
       this.attempts.delete(attempt);
     }
+    if (relay && !record.ended) {
+      const { submission } = record.spec;
+      const message = { kind: MessageKind.Cancel, attempt, epoch, submission, relay } as const;
+      this.links.toStage(nextStageOf(record), message);
+    }
   }
 
   /**
@@ -242,9 +250,9 @@
    * @param incarnation - Incarnation of the lost agent.
    */
   stageLost(incarnation: string): void {
-    for (const record of this.attempts.values()) {
+    for (const record of [...this.attempts.values()]) {
       if (!record.ended && nextStageOf(record).incarnation === incarnation) {
-        this.fail(record.spec, FailureReason.StageLost, RunState.Ran);
+        this.abort(record.spec, FailureReason.StageLost);
       }
     }
   }
@@ -389,7 +397,7 @@
     if (result.isErr()) {
       const { crash } = result.error;
       const reason = crash === undefined ? FailureReason.StepRefused : FailureReason.EngineFailed;
-      this.fail(spec, reason, RunState.Ran, crash);
+      this.abort(spec, reason, crash);
       return;
     }
     record.stepsRun += 1;
@@ -461,6 +469,12 @@
     });
   }
 
+  /** Ends an epoch that cannot go on, here and at the other stages, even if its entry is gone. */
+  private abort(spec: AttemptSpec, reason: FailureReason, crash?: string): void {
+    this.fail(spec, reason, RunState.Ran, crash);
+    this.cancel(spec.attempt, spec.epoch, true);
+  }
+
   private fail(spec: AttemptSpec, reason: FailureReason, run: RunState, crash?: string): void {
     const message = { ...this.failure(spec, reason), run, crash };
     const record = this.attempts.get(spec.attempt);
--- a/src/bench/faults/node/faultDriver.ts
+++ b/src/bench/faults/node/faultDriver.ts
@@ -6,6 +6,9 @@
 import type { Operators } from './operators.js';
 import type { Workload } from './workload.js';
 
+/** Longest time that a fault and its recovery may take, in milliseconds. */
+const actLimitMs = 90_000;
+
 /** How long a frozen process stays frozen, in milliseconds. */
 const freezeMs = 3_500;
 
@@ -54,13 +57,18 @@
     const fault = { kind, target, startMs, endMs: Number.MAX_SAFE_INTEGER };
     this.faults.push(fault);
     try {
-      await this.act(kind, target);
+      await Promise.race([this.act(kind, target), this.giveUp(kind, target)]);
     } finally {
       fault.endMs = Math.min(fault.endMs, Date.now());
       this.busy.delete(target);
     }
   }
 
+  private async giveUp(kind: FaultKind, target: string): Promise<never> {
+    await sleep(actLimitMs);
+    throw new Error(`${kind} of ${target} took longer than ${actLimitMs} ms`);
+  }
+
   private targetOf(kind: FaultKind): string | undefined {
     switch (kind) {
       case FaultKind.KillEntry:
@@ -216,7 +224,7 @@
         this.badExits.push('a request that kills endpoints was answered');
       }
     }
-    const dead = this.names((endpoint) => !endpoint.standin.running);
+    const dead = this.names(({ standin, isService }) => !standin.running && !isService);
     if (dead.length > 2) {
       this.badExits.push(`one request killed ${dead.length} endpoints`);
     }
--- a/src/bench/test/common/chainWorld.ts
+++ b/src/bench/test/common/chainWorld.ts
@@ -253,7 +253,7 @@
       } else if (message.kind === MessageKind.Resume) {
         agent.runner.resume(message);
       } else if (message.kind === MessageKind.Cancel) {
-        agent.runner.cancel(message.attempt, message.epoch);
+        agent.runner.cancel(message.attempt, message.epoch, message.relay);
       }
     });
   }
--- a/src/entry/chat/common/chatRunner.ts
+++ b/src/entry/chat/common/chatRunner.ts
@@ -378,7 +378,7 @@
     for (const session of concerned) {
       if (message.reason === FailureReason.UnknownAttempt) {
         this.keeperIsEmpty(session);
-      } else if (message.run === RunState.NotRun || message.reason === FailureReason.Busy) {
+      } else if (isRefusal(session, message)) {
         session.mayHaveRun ||= message.run !== RunState.NotRun;
         this.refusedBy(session, message.endpoint, message.reason);
       } else {
@@ -604,3 +604,9 @@
   const detail = 'endpoints died while they ran this request; it is not run again';
   return problem(ProblemKind.Quarantined, run, detail);
 }
+
+/** A later stage may refuse a lookup after the first ran; for a submission that is a failure. */
+function isRefusal(session: Session, message: AttemptFailedMessage): boolean {
+  const isBusy = message.reason === FailureReason.Busy && !session.submission;
+  return message.run === RunState.NotRun || isBusy;
+}
--- a/src/entry/node/entryProgram.ts
+++ b/src/entry/node/entryProgram.ts
@@ -86,7 +86,7 @@
 const drainPollMs = 20;
 
 /** Time that the balancer is given to notice a drain, in milliseconds. */
-const balancerGraceMs = 250;
+const balancerGraceMs = 1_000;
 
 /** Most epochs of one answer. */
 const maxEpochs = 6;
@@ -160,6 +160,10 @@
 
   private activeSubmissions = 0;
 
+  /** True once the balancer shall send no more callers. */
+  private leaving = false;
+
+  /** True once new requests are refused. */
   private draining = false;
 
   /** @param parts - Settings and shared services; owned by the caller. */
@@ -234,9 +238,10 @@
   /** Takes no new requests, finishes those under way, within the drain time. */
   async drain(): Promise<void> {
     const { settings, clock } = this.parts;
-    this.draining = true;
+    this.leaving = true;
     this.logger.log(LogLevel.Info, 'drain-started', { active: this.active });
-    await sleep(balancerGraceMs);
+    await sleep(balancerGraceMs); // callers are still served, on connections that then close
+    this.draining = true;
     const limitMs = clock.monotonicMs() + settings.drainMs;
     while (this.active > 0 && clock.monotonicMs() < limitMs) {
       await sleep(drainPollMs);
@@ -358,9 +363,15 @@
       ajv: { customOptions: { allErrors: true, coerceTypes: false } },
     });
     app.setErrorHandler(handleError);
+    app.addHook('onRequest', (_req, reply, done) => {
+      if (this.leaving) {
+        reply.raw.setHeader('connection', 'close');
+      }
+      done();
+    });
     app.get('/healthz', (_req, reply) => {
-      const healthy = this.ready && !this.draining;
-      return reply.code(healthy ? 200 : 503).send({ ready: this.ready, draining: this.draining });
+      const healthy = this.ready && !this.leaving;
+      return reply.code(healthy ? 200 : 503).send({ ready: this.ready, leaving: this.leaving });
     });
     const guard = new RequestGuard({
       callers: this.callers,
--- a/src/entry/submission/common/submissionFlow.ts
+++ b/src/entry/submission/common/submissionFlow.ts
@@ -76,7 +76,7 @@
 const dispatchGraceMs = 500;
 
 /** Most attempts that one call of the flow claims. */
-const maxAttempts = 4;
+const maxAttempts = 16;
 
 /** Seconds after which a caller may ask for an outcome that is not known yet. */
 const retryAfterSeconds = 2;
--- a/src/platform/link/common/messages.ts
+++ b/src/platform/link/common/messages.ts
@@ -170,6 +170,8 @@
   readonly epoch: number;
   /** True if the attempt is a submission, which runs to its end once admitted. */
   readonly submission: boolean;
+  /** True if each stage shall pass the message on to the next, because the chain is broken. */
+  readonly relay?: boolean;
 }
 
 /** Asks the last stage to send again from a step on, after a link was replaced. */
