--- /dev/null
+++ b/src/bench/measure/common/statistics.ts
@@ -0,0 +1,43 @@
+/**
+ * Returns a quantile.
+ *
+ * @param values - The values, in any order.
+ * @param share - From 0 (smallest) to 1 (largest).
+ * @returns The value at that share; NaN without values.
+ */
+export function quantile(values: readonly number[], share: number): number {
+  const sorted = [...values].sort((a, b) => a - b);
+  return sorted[Math.min(sorted.length - 1, Math.floor(share * sorted.length))] ?? NaN;
+}
+
+/** A straight line. */
+export interface Line {
+  readonly slope: number;
+  readonly intercept: number;
+}
+
+/**
+ * Fits a straight line by least squares.
+ *
+ * @param points - Pairs of x and y; at least two different x.
+ * @returns The line.
+ */
+export function fitLine(points: readonly (readonly [number, number])[]): Line {
+  const meanX = points.reduce((sum, [x]) => sum + x, 0) / points.length;
+  const meanY = points.reduce((sum, [, y]) => sum + y, 0) / points.length;
+  const above = points.reduce((sum, [x, y]) => sum + (x - meanX) * (y - meanY), 0);
+  const below = points.reduce((sum, [x]) => sum + (x - meanX) ** 2, 0);
+  const slope = above / below;
+  return { slope, intercept: meanY - slope * meanX };
+}
+
+/**
+ * Rounds to a number of digits after the point.
+ *
+ * @param value - The value.
+ * @param digits - How many digits.
+ * @returns The rounded value.
+ */
+export function round(value: number, digits = 2): number {
+  return Number(value.toFixed(digits));
+}
--- /dev/null
+++ b/src/bench/measure/node/load.ts
@@ -0,0 +1,81 @@
+import { performance } from 'node:perf_hooks';
+import { CallEnd } from '../../faults/common/records.js';
+import { chat, type CallResult } from '../../node/caller.js';
+import type { Fleet, FleetModel } from '../../node/fleet.js';
+import { quantile, round } from '../common/statistics.js';
+
+/** Load of streamed chats by callers that each wait for their answers. */
+export interface LoadSpec {
+  readonly callers: number;
+  readonly durationMs: number;
+  readonly maxTokens: number;
+  readonly organisation: string;
+  /** Length of the prompts, in characters. */
+  readonly promptLength: number;
+}
+
+/** What a load measured. */
+export interface LoadResult {
+  readonly calls: number;
+  readonly notWhole: number;
+  readonly tokensPerSecond: number;
+  readonly callsPerSecond: number;
+  readonly firstTokenP50Ms: number;
+  readonly firstTokenP95Ms: number;
+  readonly gapP50Ms: number;
+  readonly gapP95Ms: number;
+}
+
+/**
+ * Runs a load over all entries of a fleet.
+ *
+ * @param fleet - The system.
+ * @param model - Model of the chats.
+ * @param spec - The load.
+ * @param onResult - Called with each finished call.
+ * @returns Throughput and latencies.
+ */
+export async function runLoad(
+  fleet: Fleet,
+  model: FleetModel,
+  spec: LoadSpec,
+  onResult: (result: CallResult) => void = () => undefined,
+): Promise<LoadResult> {
+  const startedMs = performance.now();
+  const results: CallResult[] = [];
+  let count = 0;
+  const work = async (index: number) => {
+    while (performance.now() - startedMs < spec.durationMs) {
+      count += 1;
+      const result = await chat({
+        url: fleet.url(index),
+        organisation: spec.organisation,
+        model: model.name,
+        layers: model.layers,
+        content: `${spec.organisation} ${count} `.padEnd(spec.promptLength, 'x'.repeat(7)),
+        maxTokens: spec.maxTokens,
+      });
+      results.push(result);
+      onResult(result);
+    }
+  };
+  await Promise.all(Array.from({ length: spec.callers }, (_unused, index) => work(index)));
+  return summarize(results, performance.now() - startedMs);
+}
+
+function summarize(results: readonly CallResult[], elapsedMs: number): LoadResult {
+  const whole = results.filter((result) => result.end === CallEnd.Whole);
+  const firsts = whole.map((result) => result.firstTokenMs ?? 0);
+  const gaps = whole.flatMap((result) => result.gapsMs);
+  const tokens = whole.reduce((sum, result) => sum + result.tokens, 0);
+  return {
+    calls: results.length,
+    notWhole: results.length - whole.length,
+    tokensPerSecond: round((tokens / elapsedMs) * 1_000, 1),
+    callsPerSecond: round((results.length / elapsedMs) * 1_000, 1),
+    firstTokenP50Ms: round(quantile(firsts, 0.5), 1),
+    firstTokenP95Ms: round(quantile(firsts, 0.95), 1),
+    gapP50Ms: round(quantile(gaps, 0.5), 1),
+    gapP95Ms: round(quantile(gaps, 0.95), 1),
+  };
+}
--- /dev/null
+++ b/src/bench/measure/node/routingBench.ts
@@ -0,0 +1,136 @@
+import { performance } from 'node:perf_hooks';
+import { request } from 'undici';
+import { AcceleratorKind } from '../../../platform/model/common/model.js';
+import { RoutingPolicy } from '../../../platform/settings/common/settings.js';
+import { chat } from '../../node/caller.js';
+import { demoRules } from '../../node/demo.js';
+import { Fleet, type EngineSpec, type FleetSpec } from '../../node/fleet.js';
+import { quantile, round } from '../common/statistics.js';
+import { runLoad, type LoadResult } from './load.js';
+
+const model = { name: 'casa-12', layers: 12, layerMiB: 512, replicas: 4 };
+
+const kinds = Object.values(AcceleratorKind);
+
+/** Time of a layer by kind of accelerator, in microseconds. */
+const layerMicros = [300, 500, 900, 1_400, 2_000];
+
+const callers = 32;
+
+const durationMs = 10_000;
+
+/** Engines that each hold a third of the model, so that any kind can stand for any other. */
+function engine(index: number): EngineSpec {
+  const kind = index % kinds.length;
+  return {
+    name: `engine-${index + 1}`,
+    place: 'ragusa',
+    accelerator: kinds[kind],
+    memoryMiB: 2_600,
+    layerMicros: layerMicros[kind],
+    capacity: 32,
+  };
+}
+
+function specOf(routing: RoutingPolicy): FleetSpec {
+  return {
+    entries: 2,
+    engines: Array.from({ length: 12 }, (_unused, index) => engine(index)),
+    services: [],
+    models: [model],
+    organisations: ['coop', 'index'],
+    rules: demoRules,
+    seed: 1,
+    entrySettings: { routing },
+  };
+}
+
+async function measurePolicy(routing: RoutingPolicy): Promise<LoadResult> {
+  const fleet = new Fleet(specOf(routing));
+  try {
+    await fleet.start();
+    const load = { callers, durationMs, maxTokens: 32, organisation: 'coop', promptLength: 40 };
+    return await runLoad(fleet, model, load);
+  } finally {
+    await fleet.close();
+  }
+}
+
+const overheadTokens = 64;
+
+const overheadRuns = 20;
+
+/** Calls one engine directly, token by token, as a caller without a router would. */
+async function directGaps(url: string): Promise<readonly number[]> {
+  const gaps: number[] = [];
+  const step = async (index: number, sequence: string, data: readonly number[]) => {
+    const range = { from: 0, to: model.layers };
+    const step0 = { sequence, model: model.name, range, step: index, first: index === 0 };
+    const prompt = index === 0 ? { prompt: 'user: overhead' } : {};
+    const steps = [{ ...step0, ...prompt, data, last: true, priority: 0 }];
+    const res = await request(`${url}/steps`, {
+      method: 'POST',
+      headers: { 'content-type': 'application/json' },
+      body: JSON.stringify({ steps }),
+    });
+    const { replies } = (await res.body.json()) as { replies: { token: number }[] };
+    return replies[0].token;
+  };
+  for (let run = 0; run < overheadRuns; run += 1) {
+    let token = await step(0, `direct-${run}`, []);
+    for (let index = 1; index < overheadTokens; index += 1) {
+      const startedMs = performance.now();
+      token = await step(index, `direct-${run}`, [token]);
+      gaps.push(performance.now() - startedMs);
+    }
+  }
+  return gaps;
+}
+
+/** Compares one stream through entry and agent with direct calls of the same engine. */
+async function measureOverhead() {
+  const fleet = new Fleet({
+    ...specOf(RoutingPolicy.Fastest),
+    entries: 1,
+    engines: [{ ...engine(0), memoryMiB: 16_000 }],
+    models: [{ ...model, replicas: 1 }],
+  });
+  try {
+    await fleet.start();
+    const direct = await directGaps(fleet.endpoint('engine-1').standin.started);
+    const firsts: number[] = [];
+    const gaps: number[] = [];
+    for (let run = 0; run < overheadRuns; run += 1) {
+      const { name, layers } = model;
+      const call = { url: fleet.url(0), organisation: 'coop', model: name, layers };
+      const result = await chat({ ...call, content: `overhead ${run}`, maxTokens: overheadTokens });
+      firsts.push(result.firstTokenMs ?? 0);
+      gaps.push(...result.gapsMs);
+    }
+    const directP50Ms = round(quantile(direct, 0.5));
+    const routedP50Ms = round(quantile(gaps, 0.5));
+    return {
+      directTokenP50Ms: directP50Ms,
+      routedTokenP50Ms: routedP50Ms,
+      addedPerTokenMs: round(routedP50Ms - directP50Ms),
+      firstTokenP50Ms: round(quantile(firsts, 0.5)),
+    };
+  } finally {
+    await fleet.close();
+  }
+}
+
+/**
+ * Compares the routing policies on the same mixed accelerators and load, one after the other.
+ *
+ * @returns True if ours is at or above both baselines in throughput.
+ */
+export async function runRoutingBench(): Promise<boolean> {
+  const fastest = await measurePolicy(RoutingPolicy.Fastest);
+  const random = await measurePolicy(RoutingPolicy.Random);
+  const roundRobin = await measurePolicy(RoutingPolicy.RoundRobin);
+  const overhead = await measureOverhead();
+  process.stdout.write(`${JSON.stringify({ fastest, random, roundRobin, overhead })}\n`);
+  const best = Math.max(random.tokensPerSecond, roundRobin.tokensPerSecond);
+  return fastest.tokensPerSecond >= best && fastest.notWhole === 0;
+}
--- a/src/bench/test/common/chainWorld.ts
+++ b/src/bench/test/common/chainWorld.ts
@@ -110,7 +110,7 @@
     };
     const router = new FastestChainRouter(() => 1, new SeededRandom(1));
     const admission = new ChatAdmission(
-      { place: 'p', queueLimit: 100, patienceMs: 5_000 },
+      { place: 'p', queueLimit: 100, patienceMs: 5_000, fair: true },
       fleet,
       router,
       new PrefixDirectory(),
--- a/src/bin/ibisspar-bench.ts
+++ b/src/bin/ibisspar-bench.ts
@@ -1,6 +1,7 @@
 import { cac } from 'cac';
 import { messageOf } from '../base/common/errors.js';
 import { runFaults } from '../bench/faults/node/faultRun.js';
+import { runRoutingBench } from '../bench/measure/node/routingBench.js';
 import { runDemo } from '../bench/node/demo.js';
 
 const cli = cac('ibisspar-bench');
@@ -28,5 +29,9 @@
     report(runFaults(seed, minutes));
   });
 
+cli
+  .command('routing', 'Compares routing policies, and the path with direct calls')
+  .action(() => report(runRoutingBench()));
+
 cli.help();
 cli.parse();
--- a/src/entry/chat/common/chatAdmission.ts
+++ b/src/entry/chat/common/chatAdmission.ts
@@ -31,6 +31,8 @@
   readonly queueLimit: number;
   /** Time that a request waits for a model that no chain serves, in milliseconds. */
   readonly patienceMs: number;
+  /** True to serve organisations by their weights, false in the order of arrival. */
+  readonly fair: boolean;
 }
 
 interface ModelQueue {
@@ -100,7 +102,7 @@
     }
     entry.queue.push(
       {
-        flow: request.organisation,
+        flow: this.options.fair ? request.organisation : '',
         value: waiter,
         cost: request.maxTokens + request.prompt.length / 20,
         weight: request.weight,
--- a/src/entry/node/entryProgram.ts
+++ b/src/entry/node/entryProgram.ts
@@ -1,7 +1,7 @@
 import { createHash, randomUUID } from 'node:crypto';
 import Fastify, { type FastifyInstance } from 'fastify';
 import { LogLevel, type ILogger } from '../../base/common/logger.js';
-import { SeededRandom } from '../../base/common/random.js';
+import { SeededRandom, type IRandom } from '../../base/common/random.js';
 import type { IMetrics } from '../../base/node/metrics.js';
 import { sleep, type SystemClock } from '../../base/node/systemClock.js';
 import { ClaimLedger } from '../../platform/claims/common/claimLedger.js';
@@ -18,7 +18,11 @@
 import type { HttpObjectStore } from '../../platform/objects/node/httpObjectStore.js';
 import { ObjectCache } from '../../platform/objects/node/objectCache.js';
 import { RuleStore } from '../../platform/rules/common/ruleStore.js';
-import type { EntrySettings } from '../../platform/settings/common/settings.js';
+import {
+  QueueingPolicy,
+  RoutingPolicy,
+  type EntrySettings,
+} from '../../platform/settings/common/settings.js';
 import { UsageCounters, UsageSide, type UsageRecord } from '../../platform/usage/common/usage.js';
 import { UsageWriter } from '../../platform/usage/node/usageWriter.js';
 import { ChatAdmission } from '../chat/common/chatAdmission.js';
@@ -36,7 +40,8 @@
 import { handleError } from '../http/node/problemReply.js';
 import { addServiceRoutes, type ServiceSubmissionStarter } from '../http/node/serviceRoutes.js';
 import { Placer, type ModelRecord } from '../placement/node/placer.js';
-import { FastestChainRouter } from '../routing/common/chainRouter.js';
+import { RandomRouter, RoundRobinRouter } from '../routing/common/baselineRouters.js';
+import { FastestChainRouter, type IChainRouter } from '../routing/common/chainRouter.js';
 import { placeLatency } from '../routing/common/placeLatency.js';
 import { PrefixDirectory } from '../routing/common/prefixDirectory.js';
 import { RuleFeed } from '../rules/node/ruleFeed.js';
@@ -110,6 +115,17 @@
   return createHash('sha256').update(text).digest('hex');
 }
 
+function createRouter(settings: EntrySettings, random: IRandom): IChainRouter {
+  switch (settings.routing) {
+    case RoutingPolicy.Random:
+      return new RandomRouter(random);
+    case RoutingPolicy.RoundRobin:
+      return new RoundRobinRouter();
+    default:
+      return new FastestChainRouter(placeLatency(settings.latencies), random);
+  }
+}
+
 /** The process that callers and operators talk to. */
 export class EntryProgram {
   private readonly incarnation = randomUUID();
@@ -181,9 +197,14 @@
     this.quarantine = new ObjectCache(store, ObjectKind.Quarantine);
     this.organisations.onDidChange(() => this.callers.update(this.organisations.values()));
     this.admission = new ChatAdmission(
-      { place: settings.place, queueLimit: settings.queueLimit, patienceMs },
+      {
+        place: settings.place,
+        queueLimit: settings.queueLimit,
+        patienceMs,
+        fair: settings.queueing === QueueingPolicy.Fair,
+      },
       this.pool,
-      new FastestChainRouter(placeLatency(settings.latencies), random),
+      createRouter(settings, random),
       this.prefixes,
       clock,
       this.logger,
--- a/src/platform/settings/common/settings.ts
+++ b/src/platform/settings/common/settings.ts
@@ -13,6 +13,24 @@
   }
 }
 
+/** How chains are chosen. */
+export enum RoutingPolicy {
+  /** The least expected time among sampled candidates. */
+  Fastest = 'fastest',
+  /** A baseline for measurements. */
+  Random = 'random',
+  /** A baseline for measurements. */
+  RoundRobin = 'round-robin',
+}
+
+/** In which order waiting requests leave. */
+export enum QueueingPolicy {
+  /** By the weights of the rules. */
+  Fair = 'fair',
+  /** First come, first served: a baseline for measurements. */
+  Arrival = 'arrival',
+}
+
 const port = v.pipe(v.number(), v.integer(), v.minValue(0), v.maxValue(65_535));
 const name = v.pipe(v.string(), v.regex(/^[a-z0-9][a-z0-9.-]{0,62}$/, 'must be a lower-case name'));
 const milliseconds = v.pipe(v.number(), v.integer(), v.minValue(1));
@@ -51,6 +69,8 @@
     adminKeyHashes: v.optional(v.array(v.pipe(v.string(), v.regex(/^[0-9a-f]{64}$/))), []),
     requestMs: v.optional(milliseconds, 60_000),
     bodyBytes: v.optional(count, 1_048_576),
+    routing: v.optional(v.enum(RoutingPolicy), RoutingPolicy.Fastest),
+    queueing: v.optional(v.enum(QueueingPolicy), QueueingPolicy.Fair),
     queueLimit: v.optional(count, 512),
     stallMs: v.optional(milliseconds, 3_000),
     claimShards: v.optional(count, 64),
