Estimate load and step times from what agents report

Two reasons: with two entries, the larger of own and reported load hid the other entry's share; and the nominal time of a layer leaves out waiting and the engine's own overhead. Ruled out: the search, which found the least cost of its own estimates.

Change: load is this entry's count plus the others' at the last report; agents report a smoothed step time, which the router scales by the load.

--- a/src/agent/node/agentProgram.ts
+++ b/src/agent/node/agentProgram.ts
@@ -230,6 +230,7 @@
       accelerator: this.state.accelerator,
       memoryMiB: this.state.memoryMiB,
       layerMicros: this.state.layerMicros,
+      stepMicros: this.stages?.stepMicros ?? 0,
       active: this.active,
       capacity: service?.capacity ?? this.state.capacity,
       leaving: this.leaving,
--- a/src/agent/stage/common/stageRunner.ts
+++ b/src/agent/stage/common/stageRunner.ts
@@ -77,6 +77,9 @@
  */
 const suspectSteps = 8;
 
+/** Weight of the newest sample in the smoothed time of a step. */
+const stepSmoothing = 0.1;
+
 /** Grace after an attempt's deadline before its record is dropped, in milliseconds. */
 const expiryGraceMs = 5_000;
 
@@ -94,6 +97,8 @@
 
   private readonly usages = new Emitter<StageUsage>();
 
+  private smoothedStepMicros = 0;
+
   private leaving = false;
 
   private paused = false;
@@ -125,6 +130,11 @@
     return count;
   }
 
+  /** Smoothed time that the engine took for one token lately, in microseconds; 0 if unknown. */
+  get stepMicros(): number {
+    return Math.round(this.smoothedStepMicros);
+  }
+
   /** Refuses attempts that arrive from now on; those under way go on. */
   leave(): void {
     this.leaving = true;
@@ -380,6 +390,7 @@
     spec: AttemptSpec,
     first: boolean,
   ): Promise<void> {
+    const startedMs = this.clock.monotonicMs();
     const result = await this.engine.run({
       sequence: sequenceOf(spec),
       model: spec.model,
@@ -390,6 +401,10 @@
       last: record.stage === spec.chain.length - 1,
       priority: spec.priority,
     });
+    if (result.isOk() && !first) {
+      const sampleMicros = (this.clock.monotonicMs() - startedMs) * 1_000;
+      this.smoothedStepMicros += (sampleMicros - this.smoothedStepMicros) * stepSmoothing;
+    }
     const isCurrent = record.sequencer.finish(arrived.epoch, arrived.step);
     if (!isCurrent || this.isCancelled(spec.attempt, spec.epoch)) {
       return;
--- a/src/bench/measure/node/load.ts
+++ b/src/bench/measure/node/load.ts
@@ -10,6 +10,8 @@
   readonly durationMs: number;
   readonly maxTokens: number;
   readonly organisation: string;
+  /** Entries that the callers use, by their order. */
+  readonly entries: readonly number[];
   /** Length of the prompts, in characters. */
   readonly promptLength: number;
 }
@@ -48,7 +50,7 @@
     while (performance.now() - startedMs < spec.durationMs) {
       count += 1;
       const result = await chat({
-        url: fleet.url(index),
+        url: fleet.url(spec.entries[index % spec.entries.length]),
         organisation: spec.organisation,
         model: model.name,
         layers: model.layers,
--- a/src/bench/measure/node/routingBench.ts
+++ b/src/bench/measure/node/routingBench.ts
@@ -32,25 +32,34 @@
   };
 }
 
-function specOf(routing: RoutingPolicy): FleetSpec {
-  return {
-    entries: 2,
-    engines: Array.from({ length: 12 }, (_unused, index) => engine(index)),
-    services: [],
-    models: [model],
-    organisations: ['coop', 'index'],
-    rules: demoRules,
-    seed: 1,
-    entrySettings: { routing },
-  };
+const policies = [RoutingPolicy.Fastest, RoutingPolicy.Random, RoutingPolicy.RoundRobin];
+
+/** Two entries for each policy, before the same engines. */
+const spec: FleetSpec = {
+  entries: 2 * policies.length,
+  engines: Array.from({ length: 12 }, (_unused, index) => engine(index)),
+  services: [],
+  models: [model],
+  organisations: ['coop', 'index'],
+  rules: demoRules,
+  seed: 1,
+  entrySettingsByIndex: policies.flatMap((routing) => [{ routing }, { routing }]),
+};
+
+function measurePolicy(fleet: Fleet, policy: RoutingPolicy): Promise<LoadResult> {
+  const first = 2 * policies.indexOf(policy);
+  const load = { callers, durationMs, maxTokens: 32, organisation: 'coop', promptLength: 40 };
+  return runLoad(fleet, model, { ...load, entries: [first, first + 1] });
 }
 
-async function measurePolicy(routing: RoutingPolicy): Promise<LoadResult> {
-  const fleet = new Fleet(specOf(routing));
+async function measurePolicies() {
+  const fleet = new Fleet(spec);
   try {
     await fleet.start();
-    const load = { callers, durationMs, maxTokens: 32, organisation: 'coop', promptLength: 40 };
-    return await runLoad(fleet, model, load);
+    const fastest = await measurePolicy(fleet, RoutingPolicy.Fastest);
+    const random = await measurePolicy(fleet, RoutingPolicy.Random);
+    const roundRobin = await measurePolicy(fleet, RoutingPolicy.RoundRobin);
+    return { fastest, random, roundRobin };
   } finally {
     await fleet.close();
   }
@@ -90,7 +99,7 @@
 /** Compares one stream through entry and agent with direct calls of the same engine. */
 async function measureOverhead() {
   const fleet = new Fleet({
-    ...specOf(RoutingPolicy.Fastest),
+    ...spec,
     entries: 1,
     engines: [{ ...engine(0), memoryMiB: 16_000 }],
     models: [{ ...model, replicas: 1 }],
@@ -126,9 +135,7 @@
  * @returns True if ours is at or above both baselines in throughput.
  */
 export async function runRoutingBench(): Promise<boolean> {
-  const fastest = await measurePolicy(RoutingPolicy.Fastest);
-  const random = await measurePolicy(RoutingPolicy.Random);
-  const roundRobin = await measurePolicy(RoutingPolicy.RoundRobin);
+  const { fastest, random, roundRobin } = await measurePolicies();
   const overhead = await measureOverhead();
   process.stdout.write(`${JSON.stringify({ fastest, random, roundRobin, overhead })}\n`);
   const best = Math.max(random.tokensPerSecond, roundRobin.tokensPerSecond);
--- a/src/bench/node/fleet.ts
+++ b/src/bench/node/fleet.ts
@@ -58,6 +58,8 @@
   /** Additional settings of entries and agents. */
   readonly entrySettings?: Record<string, unknown>;
   readonly agentSettings?: Record<string, unknown>;
+  /** Additional settings of single entries, by their order. */
+  readonly entrySettingsByIndex?: readonly Record<string, unknown>[];
 }
 
 /** Key of the administration API in every fleet. */
@@ -264,12 +266,17 @@
       platformUrl: this.platformUrl,
       adminKeyHashes: [hashKey(adminKey)],
       ...this.spec.entrySettings,
+      ...this.spec.entrySettingsByIndex?.[this.indexOf(name)],
     });
     const ready = /entry-started.*address=http:\/\/127\.0\.0\.1:(\d+)/;
     const started = await this.group.start(name, 'entry', ['--settings', path], ready);
     return { name, port: Number(started.started), process: started };
   }
 
+  private indexOf(entry: string): number {
+    return Number(entry.split('-')[1]) - 1;
+  }
+
   /** Waits until an entry says that it is ready. */
   async untilEntryReady(entry: FleetEntry): Promise<void> {
     await this.until(async () => {
--- a/src/bench/test/common/chainWorld.ts
+++ b/src/bench/test/common/chainWorld.ts
@@ -284,6 +284,7 @@
       leaving: false,
       ejected: false,
       ownActive: 0,
+      othersActive: 0,
       report: {
         model: worldModel.name,
         range,
@@ -291,6 +292,7 @@
         accelerator: AcceleratorKind.Medium,
         memoryMiB: 1,
         layerMicros: 1,
+        stepMicros: 0,
         active: 0,
         capacity: 100,
         leaving: false,
--- a/src/entry/fleet/common/endpointView.ts
+++ b/src/entry/fleet/common/endpointView.ts
@@ -18,16 +18,18 @@
   readonly ejected: boolean;
   /** Attempts of this entry that run there. */
   readonly ownActive: number;
+  /** Attempts of other entries that ran there at the agent's last report. */
+  readonly othersActive: number;
 }
 
 /**
  * Estimates how many attempts run at an endpoint.
  *
  * @param view - The endpoint.
- * @returns The larger of the agent's last count and this entry's own.
+ * @returns This entry's present count and the others' at the agent's last report.
  */
 export function loadOf(view: EndpointView): number {
-  return Math.max(view.report.active, view.ownActive);
+  return view.ownActive + view.othersActive;
 }
 
 /**
--- a/src/entry/fleet/node/agentPool.ts
+++ b/src/entry/fleet/node/agentPool.ts
@@ -31,6 +31,7 @@
   listedLeaving: boolean;
   ejected: boolean;
   ownActive: number;
+  othersActive: number;
   revision: number;
   lowestRevision: number;
 }
@@ -137,6 +138,7 @@
           leaving: member.leavingNoticed || member.listedLeaving || report.leaving,
           ejected: member.ejected,
           ownActive: member.ownActive,
+          othersActive: member.othersActive,
         },
       ];
     });
@@ -158,7 +160,7 @@
   markFull(endpoint: string): void {
     const member = this.members.get(endpoint);
     if (member?.report) {
-      member.report = { ...member.report, active: member.report.capacity };
+      member.othersActive = member.report.capacity;
     }
   }
 
@@ -225,6 +227,7 @@
       listedLeaving: false,
       ejected: false,
       ownActive: 0,
+      othersActive: 0,
       revision: 0,
       lowestRevision: 0,
     };
@@ -284,7 +287,7 @@
     const isRestored = member.incarnation === incarnation;
     if (!isRestored) {
       this.loseIncarnation(member);
-      Object.assign(member, { leavingNoticed: false, ownActive: 0, incarnation });
+      Object.assign(member, { leavingNoticed: false, ownActive: 0, othersActive: 0, incarnation });
       this.logger.log(LogLevel.Info, 'endpoint-joined', { endpoint, incarnation });
     }
     Object.assign(member, { link, report: peer.report });
@@ -327,6 +330,7 @@
       lowestRevision: heartbeat.lowestRevision ?? 0,
     });
     const after = member.report;
+    member.othersActive = Math.max(0, (after?.active ?? 0) - member.ownActive);
     const changed =
       before?.ready !== after?.ready ||
       before?.model !== after?.model ||
--- a/src/entry/routing/common/chainRouter.ts
+++ b/src/entry/routing/common/chainRouter.ts
@@ -202,7 +202,11 @@
   private stageCostMs(request: RouteRequest, view: EndpointView): number {
     const { report } = view;
     const layers = report.range.to - report.range.from;
-    const tokenMs = ((layers * report.layerMicros) / 1_000) * (1 + loadOf(view) * loadShare);
+    const idleMicros =
+      report.stepMicros > 0
+        ? report.stepMicros / (1 + Math.max(0, report.active - 1) * loadShare)
+        : layers * report.layerMicros;
+    const tokenMs = (idleMicros / 1_000) * (1 + loadOf(view) * loadShare);
     const prefill = request.holdsPrefix(view.id) ? 0 : request.promptLength * prefillShare;
     return tokenMs * (Math.min(request.maxTokens, expectedTokens) + prefill);
   }
--- a/src/platform/link/common/messages.ts
+++ b/src/platform/link/common/messages.ts
@@ -33,6 +33,8 @@
   readonly memoryMiB: number;
   /** Time that one layer takes for one token, in microseconds. */
   readonly layerMicros: number;
+  /** Smoothed time that the engine took for one token lately, in microseconds; 0 if unknown. */
+  readonly stepMicros: number;
   /** Attempts that are running. */
   readonly active: number;
   /** Most attempts that may run at once. */
