--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -11,6 +11,7 @@
   target: 'node20',
   format: 'esm',
   minifySyntax: true,
+  minifyWhitespace: true,
   // Native add-ons are optional for these packages; each falls back to JavaScript.
   external: ['msgpackr-extract', 'unix-dgram', 'bufferutil', 'utf-8-validate'],
   banner: {
--- a/src/agent/node/agentProgram.ts
+++ b/src/agent/node/agentProgram.ts
@@ -216,6 +216,7 @@
     return {
       kind: MessageKind.Heartbeat,
       revision: this.revision,
+      entries: revisions.length,
       lowestRevision: revisions.length === 0 ? 0 : Math.min(...revisions),
       report: this.report(),
     };
--- /dev/null
+++ b/src/bench/measure/common/ejectionComparison.ts
@@ -0,0 +1,133 @@
+import { SeededRandom } from '../../../base/common/random.js';
+import {
+  ConsecutiveFailures,
+  SequentialTest,
+  type IFailureDetector,
+  type SequentialTestOptions,
+} from '../../../entry/ejection/common/failureDetector.js';
+import { quantile, round } from './statistics.js';
+
+/** Failure rate of healthy endpoints on the traces. */
+const healthyRate = 0.01;
+
+/** Failure rates of failing endpoints on the traces. */
+const failingRates = [0.1, 0.3, 1];
+
+const endpoints = 200;
+
+const requests = 5_000;
+
+/** Share of requests of a healthy endpoint at which a short burst of failures begins. */
+const burstRate = 0.0005;
+
+const burstLength = 3;
+
+/** What a detector did on the traces. */
+export interface DetectorResult {
+  /** Healthy endpoints of 200 that were ejected within 5,000 requests each. */
+  readonly mistaken: number;
+  /** By failure rate: median and 95th percentile of the requests until ejection. */
+  readonly requestsToEject: Readonly<
+    Record<string, { readonly p50: number; readonly p95: number }>
+  >;
+  /** By failure rate: failing endpoints of 200 that were never ejected. */
+  readonly missed: Readonly<Record<string, number>>;
+}
+
+/** Outcomes of one healthy endpoint: single failures and short bursts. */
+function healthyTrace(random: SeededRandom): readonly boolean[] {
+  let burst = 0;
+  return Array.from({ length: requests }, () => {
+    if (burst === 0 && random.float() < burstRate) {
+      burst = burstLength;
+    }
+    const isBurst = burst > 0;
+    burst = Math.max(0, burst - 1);
+    return random.float() < healthyRate || isBurst;
+  });
+}
+
+function failingTrace(random: SeededRandom, rate: number): readonly boolean[] {
+  return Array.from({ length: requests }, () => random.float() < rate);
+}
+
+/** Number of requests until the detector signals; undefined if it never does. */
+function requestsUntilSignal(
+  detector: IFailureDetector,
+  trace: readonly boolean[],
+): number | undefined {
+  const index = trace.findIndex((failed) => detector.record(failed));
+  return index < 0 ? undefined : index + 1;
+}
+
+function evaluate(seed: number, create: () => IFailureDetector): DetectorResult {
+  const random = new SeededRandom(seed);
+  const traces = (make: () => readonly boolean[]) => Array.from({ length: endpoints }, make);
+  const signals = (all: readonly (readonly boolean[])[]) =>
+    all.map((trace) => requestsUntilSignal(create(), trace));
+  const healthy = signals(traces(() => healthyTrace(random)));
+  const failing = failingRates.map((rate) => ({
+    rate,
+    found: signals(traces(() => failingTrace(random, rate))),
+  }));
+  const toEject = failing.map(({ rate, found }) => {
+    const times = found.filter((value) => value !== undefined);
+    return [rate, { p50: quantile(times, 0.5), p95: quantile(times, 0.95) }] as const;
+  });
+  const missed = failing.map(
+    ({ rate, found }) => [rate, found.filter((value) => value === undefined).length] as const,
+  );
+  return {
+    mistaken: healthy.filter((value) => value !== undefined).length,
+    requestsToEject: Object.fromEntries(toEject),
+    missed: Object.fromEntries(missed),
+  };
+}
+
+/** Settings of the sequential test that are compared. */
+export const comparedTests: Readonly<Record<string, SequentialTestOptions>> = {
+  minimum1: { baseRate: healthyRate, minFailures: 1, criticalValue: 3.5, horizon: 5 },
+  minimum3: { baseRate: healthyRate, minFailures: 3, criticalValue: 5, horizon: 5 },
+  minimum4: { baseRate: healthyRate, minFailures: 4, criticalValue: 6, horizon: 5 },
+  minimum5: { baseRate: healthyRate, minFailures: 5, criticalValue: 8, horizon: 5 },
+  'minimum5-allowance': { baseRate: 2 * healthyRate, minFailures: 5, criticalValue: 8, horizon: 5 },
+};
+
+/** Lengths of rows of failures that are compared. */
+const comparedRows = [3, 5, 8];
+
+/**
+ * Compares detectors of failing endpoints on the same seeded traces.
+ *
+ * @param seed - Seed of the traces.
+ * @returns Results by detector.
+ */
+export function compareDetectors(seed: number): Readonly<Record<string, DetectorResult>> {
+  const rows = comparedRows.map((limit) => {
+    const result = evaluate(seed, () => new ConsecutiveFailures(limit));
+    return [`consecutive${limit}`, result] as const;
+  });
+  const tests = Object.entries(comparedTests).map(([name, options]) => {
+    const result = evaluate(seed, () => new SequentialTest(options));
+    return [`sequential-${name}`, result] as const;
+  });
+  return Object.fromEntries([...rows, ...tests]);
+}
+
+/**
+ * Formats a comparison as lines of text.
+ *
+ * @param results - Results by detector.
+ * @returns One line for each detector.
+ */
+export function formatComparison(results: Readonly<Record<string, DetectorResult>>): string {
+  return Object.entries(results)
+    .map(([name, { mistaken, requestsToEject, missed }]) => {
+      const times = failingRates.map((rate) => {
+        const { p50, p95 } = requestsToEject[rate];
+        return `${rate}: ${round(p50, 0)}/${round(p95, 0)} missed ${missed[rate]}`;
+      });
+      return `${name}: mistaken ${mistaken} of ${endpoints}; ${times.join('; ')}`;
+    })
+    .join('\n');
+}
--- /dev/null
+++ b/src/bench/measure/node/fakeAgents.ts
@@ -0,0 +1,82 @@
+import { InstanceRole, InstanceState } from '../../../platform/instances/common/instance.js';
+import {
+  linkVersion,
+  MessageKind,
+  type EndpointReport,
+} from '../../../platform/link/common/messages.js';
+import { LinkServer } from '../../../platform/link/node/linkServer.js';
+import { AcceleratorKind } from '../../../platform/model/common/model.js';
+import type { Fleet } from '../../node/fleet.js';
+
+const timing = { heartbeatMs: 500, deadlineMs: 1_500 };
+
+function reportOf(index: number): EndpointReport {
+  return {
+    model: 'm',
+    range: { from: (index % 3) * 4, to: (index % 3) * 4 + 4 },
+    service: false,
+    accelerator: AcceleratorKind.Medium,
+    memoryMiB: 16_384,
+    layerMicros: 500,
+    stepMicros: 0,
+    active: index % 7,
+    capacity: 16,
+    leaving: false,
+    answering: true,
+    ready: true,
+    term: 1,
+  };
+}
+
+/** Link servers that say hello and send heartbeats like agents, all in this process. */
+export class FakeAgents {
+  private readonly servers: LinkServer[] = [];
+
+  /**
+   * Starts agents and puts them on the instance list.
+   *
+   * @param fleet - Fleet whose entries shall link to them.
+   * @param count - How many.
+   */
+  async start(fleet: Fleet, count: number): Promise<void> {
+    for (let index = this.servers.length; index < count; index += 1) {
+      const id = `fake-${index}`;
+      const report = reportOf(index);
+      const place = 'ragusa';
+      const region = 'elsewhere'; // keeps the placement from giving them orders
+      const hello = { kind: MessageKind.Hello, version: linkVersion, instance: id } as const;
+      const who = { incarnation: `${id}-1`, role: InstanceRole.Agent, place, region, revision: 1 };
+      const server = new LinkServer(
+        timing,
+        () => ({ ...hello, ...who, report }),
+        () => ({ kind: MessageKind.Heartbeat, revision: 1, lowestRevision: 1, report }),
+      );
+      this.servers.push(server);
+      const address = `127.0.0.1:${await server.listen('127.0.0.1', 0)}`;
+      const { role } = who;
+      await fleet.control('instances', {
+        id,
+        role,
+        address,
+        place,
+        region,
+        state: InstanceState.Live,
+      });
+    }
+  }
+
+  /** Number of open links. */
+  get links(): number {
+    return this.servers.reduce((sum, server) => sum + server.links.size, 0);
+  }
+
+  /** Bytes that crossed the links so far, in both directions. */
+  get bytes(): number {
+    return this.servers.reduce((sum, server) => sum + server.bytes, 0);
+  }
+
+  /** Closes the links. */
+  close(): void {
+    this.servers.forEach((server) => server.close());
+  }
+}
--- /dev/null
+++ b/src/bench/measure/node/scaleBench.ts
@@ -0,0 +1,175 @@
+import { performance } from 'node:perf_hooks';
+import { SeededRandom } from '../../../base/common/random.js';
+import type { EndpointView } from '../../../entry/fleet/common/endpointView.js';
+import {
+  fleetInterval,
+  homeGroup,
+  homeGroupSize,
+  relaysPerPlace,
+} from '../../../entry/homes/common/homeGroups.js';
+import { planPlacement } from '../../../entry/placement/common/layerPlanner.js';
+import { FastestChainRouter } from '../../../entry/routing/common/chainRouter.js';
+import { FairQueue } from '../../../entry/shares/common/fairQueue.js';
+import { AcceleratorKind } from '../../../platform/model/common/model.js';
+import { parseRules } from '../../../platform/rules/common/parseRules.js';
+import { round } from '../common/statistics.js';
+
+const size = {
+  entries: 2_100,
+  replicas: 10_000,
+  organisations: 1_000,
+  models: 35,
+  regions: 3,
+  places: 11,
+};
+
+/** Stages of a replica. */
+const stages = 3;
+
+const model = { name: 'm', layers: 60, layerMiB: 512, contextTokens: 100_000, version: '1' };
+
+function microsEach(count: number, action: (index: number) => void): number {
+  const startedMs = performance.now();
+  for (let index = 0; index < count; index += 1) {
+    action(index);
+  }
+  return round(((performance.now() - startedMs) / count) * 1_000, 1);
+}
+
+/** Endpoints of one model in one region: replicas / models / regions chains of three stages. */
+function endpointsOfModel(): readonly EndpointView[] {
+  const chains = Math.ceil(size.replicas / size.models / size.regions);
+  const kinds = Object.values(AcceleratorKind);
+  return Array.from({ length: chains * stages }, (_unused, index): EndpointView => {
+    const stage = index % stages;
+    const range = { from: stage * 20, to: stage * 20 + 20 };
+    return {
+      id: `e${index}`,
+      incarnation: `e${index}-1`,
+      address: '',
+      place: `place-${index % 4}`,
+      region: 'r',
+      connected: true,
+      leaving: false,
+      ejected: false,
+      ownActive: index % 5,
+      othersActive: index % 3,
+      entries: homeGroupSize,
+      report: {
+        model: model.name,
+        range,
+        service: false,
+        accelerator: kinds[index % kinds.length],
+        memoryMiB: 16_384,
+        layerMicros: 300 + (index % 5) * 200,
+        stepMicros: 0,
+        active: index % 8,
+        capacity: 64,
+        leaving: false,
+        answering: true,
+        ready: true,
+        term: 1,
+      },
+    };
+  });
+}
+
+function measureRouting(views: readonly EndpointView[]): number {
+  const router = new FastestChainRouter(() => 1, new SeededRandom(1));
+  const request = {
+    model,
+    place: 'place-0',
+    promptLength: 200,
+    maxTokens: 256,
+    avoid: new Set<string>(),
+    holdsPrefix: (endpoint: string) => endpoint.endsWith('7'),
+  };
+  return microsEach(2_000, () => router.route(request, views));
+}
+
+function measureQueue(): number {
+  const queue = new FairQueue<number>((flow) => 1 + (flow.length % 7));
+  for (let index = 0; index < 5 * size.organisations; index += 1) {
+    const flow = `org-${index % size.organisations}`;
+    queue.push({ flow, value: index, cost: 10, priority: 0 });
+  }
+  return microsEach(1_000, () => queue.pop(() => true));
+}
+
+function measurePlacement(): number {
+  const count = Math.ceil((size.replicas / size.regions) * stages);
+  const candidates = Array.from({ length: count }, (_unused, index) => ({
+    id: `e${index}`,
+    place: `place-${index % 4}`,
+    memoryMiB: 13_000,
+    layerMicros: 300 + (index % 5) * 200,
+  }));
+  const replicas = Math.floor(size.replicas / size.regions / size.models);
+  const demands = Array.from({ length: size.models }, (_unused, index) => ({
+    model: { ...model, name: `m${index}` },
+    replicas,
+  }));
+  const first = planPlacement(demands, candidates, new Map());
+  const without = candidates.filter((candidate) => candidate.id !== 'e5');
+  return round(microsEach(3, () => planPlacement(demands, without, first)) / 1_000, 1);
+}
+
+function measureRules(): number {
+  const lines = Array.from({ length: size.organisations * size.models }, (_unused, index) => {
+    const organisation = `org-${Math.floor(index / size.models)}`;
+    return `share organisation=${organisation} model=m${index % size.models} weight=5 # asked by P`;
+  });
+  const text = lines.join('\n');
+  return round(microsEach(3, () => parseRules(text)) / 1_000, 0);
+}
+
+/** Heartbeats that a second sends over one link in both directions, and their bytes. */
+const bytesPerLinkSecond = 88;
+
+/** Longest time for each step by which a change spreads, in milliseconds. */
+const spread = { watchAnswerMs: 50, readChunksMs: 200, relayHeartbeatMs: 500, pullMs: 200 };
+
+/**
+ * Measures decisions at the size that the users expect in two years, and works out links and calls.
+ *
+ * @returns True.
+ */
+export function runScaleBench(): boolean {
+  const entries = Array.from({ length: size.entries }, (_unused, index) => ({
+    id: `entry-${index}`,
+    place: `place-${index % size.places}`,
+    region: `region-${(index % size.places) % size.regions}`,
+  }));
+  const views = endpointsOfModel();
+  const homes = (size.models * size.regions * homeGroupSize) / size.entries;
+  const endpointsPerModel = views.length;
+  const linksPerEntry = round(homes * endpointsPerModel, 0);
+  const usageIntervalMs = fleetInterval(size.entries + size.replicas * stages, 150, 5_000);
+  const relays = relaysPerPlace * size.places;
+  const result = {
+    microsPerDecision: {
+      route: measureRouting(views),
+      fairQueuePop: measureQueue(),
+      homeGroup: microsEach(200, (index) => homeGroup(`m${index % 35}`, 'region-0', entries)),
+    },
+    placementMsPerRegion: measurePlacement(),
+    parseRulesMs: measureRules(),
+    endpointsPerModelAndRegion: endpointsPerModel,
+    linksPerEntry,
+    linksPerAgent: homeGroupSize + 2,
+    heartbeatBytesPerSecond: {
+      entry: linksPerEntry * bytesPerLinkSecond,
+      agent: (homeGroupSize + 2) * bytesPerLinkSecond,
+    },
+    platformCallsPerSecond: {
+      usageWrites: 150,
+      usageIntervalMs: round(usageIntervalMs, 0),
+      watches: round((relays * 6) / 4, 1),
+      instanceListReads: round(relays, 1),
+      leases: round((size.regions * 2 * 2) / 1, 1),
+    },
+    changeInForceMs: Object.values(spread).reduce((sum, ms) => sum + ms, 0),
+  };
+  process.stdout.write(`${JSON.stringify(result)}\n`);
+  return true;
+}
--- /dev/null
+++ b/src/bench/measure/node/sharesBench.ts
@@ -0,0 +1,166 @@
+import { performance } from 'node:perf_hooks';
+import { sleep } from '../../../base/node/systemClock.js';
+import { waterFilling } from '../../../entry/shares/common/waterFilling.js';
+import { AcceleratorKind } from '../../../platform/model/common/model.js';
+import { QueueingPolicy } from '../../../platform/settings/common/settings.js';
+import { CallEnd } from '../../faults/common/records.js';
+import type { CallResult } from '../../node/caller.js';
+import { Fleet, type FleetSpec } from '../../node/fleet.js';
+import { round } from '../common/statistics.js';
+import { runLoad, type LoadResult } from './load.js';
+
+const model = { name: 'casa-12', layers: 12, layerMiB: 512, replicas: 3 };
+
+const kinds = [AcceleratorKind.Large, AcceleratorKind.Medium, AcceleratorKind.Small];
+
+/** Weights in the first and the second half, and callers of each organisation. */
+const organisations = [
+  { name: 'a', weights: [40, 10], callers: 16 },
+  { name: 'b', weights: [30, 30], callers: 16 },
+  { name: 'c', weights: [20, 20], callers: 16 },
+  { name: 'flood', weights: [10, 40], callers: 80 },
+] as const;
+
+const halfMs = 15_000;
+
+/** Time at the begin of each half that is not counted, while queues fill, in milliseconds. */
+const rampMs = 3_000;
+
+const maxTokens = 24;
+
+const promptLength = 40;
+
+function rulesOf(half: 0 | 1): string {
+  return organisations
+    .map(
+      ({ name, weights }) =>
+        `share organisation=${name} weight=${weights[half]} # asked by ${name}`,
+    )
+    .join('\n');
+}
+
+function specOf(queueing: QueueingPolicy): FleetSpec {
+  return {
+    entries: 2,
+    engines: Array.from({ length: 9 }, (_unused, index) => ({
+      name: `engine-${index + 1}`,
+      place: 'ragusa',
+      accelerator: kinds[index % kinds.length],
+      memoryMiB: 2_600,
+      layerMicros: [400, 700, 1_200][index % kinds.length],
+      capacity: 6,
+    })),
+    services: [],
+    models: [model],
+    organisations: organisations.map(({ name }) => name),
+    rules: rulesOf(0),
+    seed: 1,
+    entrySettings: { queueing },
+  };
+}
+
+interface Sample {
+  readonly organisation: string;
+  readonly endedMs: number;
+  readonly tokens: number;
+}
+
+interface Half {
+  readonly tokensPerSecond: number;
+  /** Lowest ratio of what an organisation got to its bound. */
+  readonly lowestRatio: number;
+  readonly perOrganisation: Readonly<Record<string, number>>;
+}
+
+function summarizeHalf(samples: readonly Sample[], startedMs: number, half: 0 | 1): Half {
+  const fromMs = startedMs + half * halfMs + rampMs;
+  const toMs = startedMs + (half + 1) * halfMs;
+  const within = samples.filter(({ endedMs }) => endedMs >= fromMs && endedMs < toMs);
+  const seconds = (toMs - fromMs) / 1_000;
+  const total = within.reduce((sum, { tokens }) => sum + tokens, 0) / seconds;
+  const demands = organisations.map(({ name, weights }) => ({
+    organisation: name,
+    demand: Infinity, // every organisation always has callers waiting
+    weight: weights[half],
+    ceiling: 1,
+    lend: true,
+  }));
+  const bound = waterFilling(total, demands);
+  const perOrganisation: Record<string, number> = {};
+  const ratios = organisations.map(({ name }) => {
+    const own = within.filter(({ organisation }) => organisation === name);
+    const rate = own.reduce((sum, { tokens }) => sum + tokens, 0) / seconds;
+    perOrganisation[name] = round(rate, 1);
+    return rate / (bound.get(name) ?? NaN);
+  });
+  return {
+    tokensPerSecond: round(total, 1),
+    lowestRatio: round(Math.min(...ratios), 3),
+    perOrganisation,
+  };
+}
+
+async function timeToForce(fleet: Fleet, revision: number): Promise<number> {
+  const startedMs = performance.now();
+  let lowest = 0;
+  while (lowest < revision) {
+    await sleep(10);
+    const status = await fleet.admin<{ lowestRevision?: number }>(0, 'status');
+    lowest = status.lowestRevision ?? 0;
+  }
+  return Math.round(performance.now() - startedMs);
+}
+
+async function measure(queueing: QueueingPolicy) {
+  const fleet = new Fleet(specOf(queueing));
+  try {
+    await fleet.start();
+    const load = { durationMs: halfMs / 2, maxTokens, promptLength, entries: [0, 1] };
+    const callers = organisations.reduce((sum, one) => sum + one.callers, 0);
+    await runLoad(fleet, model, { ...load, callers, organisation: 'b' }); // warms everything up
+    const alone = await runLoad(fleet, model, { ...load, callers, organisation: 'b' });
+    const samples: Sample[] = [];
+    let cut = 0;
+    const startedMs = performance.now();
+    const loads = organisations.map(({ name, callers: count }): Promise<LoadResult> => {
+      const onResult = ({ end, endedMs, tokens }: CallResult) => {
+        samples.push({ organisation: name, endedMs, tokens });
+        cut += end === CallEnd.Whole ? 0 : 1;
+      };
+      const spec = { ...load, durationMs: 2 * halfMs, callers: count, organisation: name };
+      return runLoad(fleet, model, spec, onResult);
+    });
+    await sleep(halfMs);
+    await fleet.applyRules(0, rulesOf(1), 1, 'partners');
+    const inForceMs = await timeToForce(fleet, 2);
+    await Promise.all(loads);
+    const halves = [summarizeHalf(samples, startedMs, 0), summarizeHalf(samples, startedMs, 1)];
+    const rates = halves.map((half) => half.tokensPerSecond);
+    return {
+      aloneTokensPerSecond: alone.tokensPerSecond,
+      ratioToBound: round(Math.min(...rates) / alone.tokensPerSecond, 3),
+      lowestRatio: Math.min(...halves.map((half) => half.lowestRatio)),
+      cut,
+      inForceMs,
+      halves,
+    };
+  } finally {
+    await fleet.close();
+  }
+}
+
+/** Least ratio to the bound that the agreement's users were promised. */
+const targetRatio = 0.95;
+
+/**
+ * Measures throughput and shares against the bound, with a flood and a change of the split.
+ *
+ * @returns True if the targets were met.
+ */
+export async function runSharesBench(): Promise<boolean> {
+  const fair = await measure(QueueingPolicy.Fair);
+  const arrival = await measure(QueueingPolicy.Arrival);
+  process.stdout.write(`${JSON.stringify({ fair, arrival })}\n`);
+  const { ratioToBound, lowestRatio, cut } = fair;
+  return ratioToBound >= targetRatio && lowestRatio >= targetRatio && cut === 0;
+}
--- a/src/bench/node/processes.ts
+++ b/src/bench/node/processes.ts
@@ -8,6 +8,9 @@
 /** Time that a process may take to start, in milliseconds. */
 const startLimitMs = 20_000;
 
+/** Keeps the young generation of the heap, and with it the resident memory, small. */
+const nodeFlags = ['--max-semi-space-size=1'];
+
 /** Directory of the bundled programs, next to the running bundle. */
 const programs = fileURLToPath(new URL('.', import.meta.url));
 
@@ -86,9 +89,13 @@
   ): Promise<RunningProcess> {
     this.count += 1;
     const log = createWriteStream(join(this.directory, `${name}-${this.count}.log`));
-    const child = spawn(process.execPath, [join(programs, `ibisspar-${program}.mjs`), ...args], {
-      stdio: ['ignore', 'pipe', 'pipe'],
-    });
+    const child = spawn(
+      process.execPath,
+      [...nodeFlags, join(programs, `ibisspar-${program}.mjs`), ...args],
+      {
+        stdio: ['ignore', 'pipe', 'pipe'],
+      },
+    );
     child.stdout.pipe(log);
     child.stderr.pipe(log);
     return new Promise((resolve, reject) => {
--- a/src/bench/test/common/chainWorld.ts
+++ b/src/bench/test/common/chainWorld.ts
@@ -26,6 +26,7 @@
 import { CrashSuspects } from '../../../entry/suspects/common/crashSuspects.js';
 import { SuspectGuard } from '../../../entry/suspects/common/suspectGuard.js';
 import { MessageKind, type LinkMessage } from '../../../platform/link/common/messages.js';
+import { Agreement } from '../../../platform/rules/common/agreement.js';
 import { AcceleratorKind, type LayerRange } from '../../../platform/model/common/model.js';
 import { EngineCore } from '../../../standin/common/engineCore.js';
 import { HistoryKind, type HistoryEvent } from '../../../standin/common/historyEvent.js';
@@ -114,6 +115,7 @@
       fleet,
       router,
       new PrefixDirectory(),
+      () => new Agreement(1, []),
       this.clock,
       silent,
     );
@@ -285,6 +287,7 @@
       ejected: false,
       ownActive: 0,
       othersActive: 0,
+      entries: 1,
       report: {
         model: worldModel.name,
         range,
--- a/src/bin/ibisspar-bench.ts
+++ b/src/bin/ibisspar-bench.ts
@@ -2,6 +2,11 @@
 import { messageOf } from '../base/common/errors.js';
 import { runFaults } from '../bench/faults/node/faultRun.js';
 import { runRoutingBench } from '../bench/measure/node/routingBench.js';
+import { compareDetectors, formatComparison } from '../bench/measure/common/ejectionComparison.js';
+import { runRecoveryBench } from '../bench/measure/node/recoveryBench.js';
+import { runScaleBench } from '../bench/measure/node/scaleBench.js';
+import { runSharesBench } from '../bench/measure/node/sharesBench.js';
+import { runSlopesBench } from '../bench/measure/node/slopesBench.js';
 import { runDemo } from '../bench/node/demo.js';
 
 const cli = cac('ibisspar-bench');
@@ -33,5 +38,29 @@
   .command('routing', 'Compares routing policies, and the path with direct calls')
   .action(() => report(runRoutingBench()));
 
+cli
+  .command('slopes', 'Measures how costs grow, for docs/CAPACITY.md')
+  .action(() => report(runSlopesBench()));
+
+cli
+  .command('shares', 'Measures throughput and shares against the bound')
+  .action(() => report(runSharesBench()));
+
+cli
+  .command('recovery', 'Measures how long answers stall after failures')
+  .action(() => report(runRecoveryBench()));
+
+cli
+  .command('ejection', 'Compares detectors of failing endpoints on seeded traces')
+  .option('--seed <seed>', 'Seed of the traces', { default: 1 })
+  .action(({ seed }: { seed: number }) => {
+    const results = compareDetectors(seed);
+    process.stdout.write(`${formatComparison(results)}\n${JSON.stringify(results)}\n`);
+  });
+
+cli
+  .command('scale', 'Measures decisions at the size expected in two years')
+  .action(() => report(Promise.resolve(runScaleBench())));
+
 cli.help();
 cli.parse();
--- a/src/entry/chat/common/chatAdmission.ts
+++ b/src/entry/chat/common/chatAdmission.ts
@@ -6,10 +6,12 @@
   RunState,
   type Problem,
 } from '../../../platform/problem/common/problem.js';
-import { servesModel } from '../../fleet/common/endpointView.js';
+import type { Agreement } from '../../../platform/rules/common/agreement.js';
+import { chainSlots, servesModel } from '../../fleet/common/endpointView.js';
 import type { IFleet } from '../../fleet/common/fleet.js';
 import type { IChainRouter, Route } from '../../routing/common/chainRouter.js';
 import type { PrefixDirectory } from '../../routing/common/prefixDirectory.js';
+import { SlotLimits } from '../../shares/common/slotLimits.js';
 import { FairQueue } from '../../shares/common/fairQueue.js';
 import type { ChatRequest } from './chatRequest.js';
 
@@ -37,6 +39,7 @@
 
 interface ModelQueue {
   readonly queue: FairQueue<ChainWaiter>;
+  readonly slots: SlotLimits;
   /** Since when no chain could serve the model even if idle, in monotonic milliseconds. */
   unservedSinceMs: number | undefined;
   /** Smoothed time between two admissions, in milliseconds. */
@@ -69,6 +72,7 @@
    * @param fleet - The endpoints.
    * @param router - Chooses chains.
    * @param prefixes - Tells which endpoints hold which prompt prefixes.
+   * @param agreement - Returns the rules in force.
    * @param clock - Source of time.
    * @param logger - Receives the decisions.
    */
@@ -77,6 +81,7 @@
     private readonly fleet: IFleet,
     private readonly router: IChainRouter,
     private readonly prefixes: PrefixDirectory,
+    private readonly agreement: () => Agreement,
     private readonly clock: IClock,
     private readonly logger: ILogger,
   ) {}
@@ -105,7 +110,6 @@
         flow: this.options.fair ? request.organisation : '',
         value: waiter,
         cost: request.maxTokens + request.prompt.length / 20,
-        weight: request.weight,
         priority: request.priority,
       },
       first,
@@ -125,9 +129,11 @@
   /**
    * Frees the endpoints of a chain.
    *
+   * @param request - The request that held them.
    * @param route - The chain.
    */
-  release(route: Route): void {
+  release(request: ChatRequest, route: Route): void {
+    this.queueOf(request.model.name).slots.add(request.organisation, -1);
     route.chain.forEach((stage) => this.fleet.addActive(stage.endpoint, -1));
     this.pump();
   }
@@ -167,7 +173,8 @@
       return known;
     }
     const created: ModelQueue = {
-      queue: new FairQueue<ChainWaiter>(),
+      queue: new FairQueue<ChainWaiter>((flow) => this.weightOf(flow, model)),
+      slots: new SlotLimits(),
       unservedSinceMs: undefined,
       admitIntervalMs: 0,
       lastAdmitMs: this.clock.monotonicMs(),
@@ -176,6 +183,10 @@
     return created;
   }
 
+  private weightOf(flow: string, model: string): number {
+    return this.agreement().termsOf(flow, model, this.options.place).weight;
+  }
+
   private refusalOf(entry: ModelQueue, request: ChatRequest): Problem | undefined {
     const waitMs = entry.queue.size * entry.admitIntervalMs;
     if (entry.queue.size >= this.options.queueLimit) {
@@ -193,9 +204,13 @@
   }
 
   private pumpModel(entry: ModelQueue): void {
+    if (entry.queue.size === 0) {
+      return;
+    }
     let route: Route | undefined;
+    const mayRun = this.limitOf(entry);
     const accept = (waiter: ChainWaiter) => {
-      route = this.routeOf(waiter);
+      route = mayRun(waiter.request) ? this.routeOf(waiter) : undefined;
       return route !== undefined;
     };
     for (;;) {
@@ -207,6 +222,26 @@
     }
   }
 
+  /** Returns the check of ceilings and reservations for one round of admissions. */
+  private limitOf(entry: ModelQueue): (request: ChatRequest) => boolean {
+    const { place } = this.options;
+    const rules = this.agreement();
+    return ({ organisation, model }) => {
+      const all = rules.allTerms(model.name, place);
+      const reservations = [...all]
+        .filter(([, terms]) => !terms.lend)
+        .map(([name, terms]) => ({ organisation: name, terms }));
+      const terms = rules.termsOf(organisation, model.name, place);
+      const isUnlimited = terms.lend && terms.ceiling === 1 && reservations.length === 0;
+      if (isUnlimited) {
+        return true;
+      }
+      const weight = [...all.values()].reduce((sum, one) => sum + one.weight, 0);
+      const slots = chainSlots(this.fleet.endpoints(), model.name);
+      return entry.slots.mayRun(organisation, terms, slots, reservations, weight);
+    };
+  }
+
   private routeOf(waiter: ChainWaiter): Route | undefined {
     const { request } = waiter;
     return this.router.route(
@@ -229,6 +264,7 @@
       admitIntervalMs: entry.admitIntervalMs * (1 - smoothing) + sampleMs * smoothing,
       lastAdmitMs: nowMs,
     });
+    entry.slots.add(waiter.request.organisation, 1);
     for (const stage of route.chain) {
       this.fleet.addActive(stage.endpoint, 1);
       this.prefixes.add(stage.endpoint, waiter.request.prompt);
--- a/src/entry/chat/common/chatRequest.ts
+++ b/src/entry/chat/common/chatRequest.ts
@@ -12,8 +12,6 @@
   readonly maxTokens: number;
   /** Priority at engines, from 0 (lowest) to 9. */
   readonly priority: number;
-  /** Weight of the organisation under the rules that admitted the request. */
-  readonly weight: number;
   /** Rule revision that admitted the request. */
   readonly revision: number;
   /** Price of 1,000 layer-tokens by accelerator under that revision, in micro-units. */
--- a/src/entry/chat/common/chatRunner.ts
+++ b/src/entry/chat/common/chatRunner.ts
@@ -279,7 +279,7 @@
 
   private begin(session: Session, route: Route): void {
     if (session.done) {
-      this.admission.release(route);
+      this.admission.release(session.request, route);
       return;
     }
     session.epoch += 1;
@@ -595,7 +595,11 @@
       const cancel = { kind: MessageKind.Cancel, attempt, epoch, submission } as const;
       this.fleet.send(stage.incarnation, cancel);
     }
-    this.admission.release(route);
+    if (collecting === undefined) {
+      this.admission.release(session.request, route);
+    } else {
+      this.fleet.addActive(route.chain[0].endpoint, -1); // it was never admitted here
+    }
   }
 }
 
--- a/src/entry/fleet/common/endpointView.ts
+++ b/src/entry/fleet/common/endpointView.ts
@@ -20,6 +20,8 @@
   readonly ownActive: number;
   /** Attempts of other entries that ran there at the agent's last report. */
   readonly othersActive: number;
+  /** Entries that are linked to the agent, this one included. */
+  readonly entries: number;
 }
 
 /**
@@ -85,3 +87,17 @@
     .filter(({ report }) => self !== undefined && sameRange(report.range, self.report.range))
     .map((view) => view.id);
 }
+
+/**
+ * Estimates how many requests of a model this entry may run at once: the capacity of the first
+ * stages, divided by the number of entries.
+ *
+ * @param views - All endpoints.
+ * @param model - Name of the model.
+ * @returns Number of requests.
+ */
+export function chainSlots(views: readonly EndpointView[], model: string): number {
+  return views
+    .filter((view) => view.connected && servesModel(view, model) && view.report.range.from === 0)
+    .reduce((sum, view) => sum + view.report.capacity / view.entries, 0);
+}
--- a/src/entry/fleet/node/agentPool.ts
+++ b/src/entry/fleet/node/agentPool.ts
@@ -32,6 +32,7 @@
   ejected: boolean;
   ownActive: number;
   othersActive: number;
+  entries: number;
   revision: number;
   lowestRevision: number;
 }
@@ -139,6 +140,7 @@
           ejected: member.ejected,
           ownActive: member.ownActive,
           othersActive: member.othersActive,
+          entries: member.entries,
         },
       ];
     });
@@ -228,6 +230,7 @@
       ejected: false,
       ownActive: 0,
       othersActive: 0,
+      entries: 1,
       revision: 0,
       lowestRevision: 0,
     };
@@ -328,6 +331,7 @@
       report: heartbeat.report ?? before,
       revision: Math.max(member.revision, heartbeat.revision),
       lowestRevision: heartbeat.lowestRevision ?? 0,
+      entries: Math.max(1, heartbeat.entries ?? 1),
     });
     const after = member.report;
     member.othersActive = Math.max(0, (after?.active ?? 0) - member.ownActive);
--- a/src/entry/http/node/chatRoutes.ts
+++ b/src/entry/http/node/chatRoutes.ts
@@ -202,7 +202,6 @@
     prompt,
     maxTokens,
     priority: terms(model.name).priority,
-    weight: terms(model.name).weight,
     revision,
     prices,
     fingerprint: digest(`${model.name}\n${prompt}`),
--- a/src/entry/node/entryProgram.ts
+++ b/src/entry/node/entryProgram.ts
@@ -82,7 +82,7 @@
 const ejection = { ejectMs: 10_000, maxEjectMs: 300_000, maxEjectedShare: 0.34 };
 
 /** Test that finds failing endpoints. */
-const ejectionTest = { baseRate: 0.01, minFailures: 4, criticalValue: 3.5, horizon: 5 };
+const ejectionTest = { baseRate: 0.02, minFailures: 5, criticalValue: 8, horizon: 5 };
 
 /** Interval of placement steps, in milliseconds. */
 const placeIntervalMs = 500;
@@ -206,6 +206,7 @@
       this.pool,
       createRouter(settings, random),
       this.prefixes,
+      () => this.rules.current.agreement,
       clock,
       this.logger,
     );
@@ -249,7 +250,7 @@
     this.services.start();
     this.organisations.start();
     this.quarantine.start();
-    this.every(healthIntervalMs, () => this.health.sweep());
+    this.every(healthIntervalMs, () => this.reportHealth());
     this.every(sweepIntervalMs, () => this.runner.sweep());
     this.every(placeIntervalMs, () => this.placer.step(clock.monotonicMs()));
     const address = await this.app.listen({ host: settings.host, port: settings.httpPort });
@@ -327,6 +328,14 @@
     return new EndpointHealth(ejection, createDetector, groupOf, clock, this.logger);
   }
 
+  private reportHealth(): void {
+    const { metrics } = this.parts;
+    this.health.sweep();
+    metrics.gauge('entry.active', this.active);
+    metrics.gauge('entry.waiting', this.admission.waiting);
+    metrics.gauge('entry.revision', this.rules.current.revision);
+  }
+
   private watchOutcomes(): void {
     this.health.onDidChange(({ endpoint, ejected }) => this.pool.setEjected(endpoint, ejected));
     this.runner.onDidOutcome(({ endpoint, failed }) => this.health.record(endpoint, failed));
--- a/src/entry/shares/common/fairQueue.ts
+++ b/src/entry/shares/common/fairQueue.ts
@@ -4,7 +4,6 @@
   readonly value: T;
   /** Expected cost, in any unit that all flows share. */
   readonly cost: number;
-  readonly weight: number;
   /** Items of a flow with a higher priority leave first. */
   readonly priority: number;
 }
@@ -32,6 +31,12 @@
 
   private count = 0;
 
+  /**
+   * @param weightOf - Returns the present weight of a flow, so that a change of weights also holds
+   * for items that wait already.
+   */
+  constructor(private readonly weightOf: (flow: string) => number) {}
+
   /** Number of waiting items. */
   get size(): number {
     return this.count;
@@ -77,7 +82,7 @@
     for (const { flow, item, start } of order) {
       if (accept(item.value, flow)) {
         this.virtualTime = Math.max(this.virtualTime, start);
-        this.finishTimes.set(flow, start + item.cost / item.weight);
+        this.finishTimes.set(flow, start + item.cost / this.weightOf(flow));
         this.removeAt(flow, 0);
         this.prune();
         return item.value;
--- a/src/entry/submission/common/chatSubmission.ts
+++ b/src/entry/submission/common/chatSubmission.ts
@@ -50,7 +50,7 @@
   }
 
   abandon(chain: PreparedChain): void {
-    this.admission.release(chain.route);
+    this.admission.release(this.request, chain.route);
   }
 
   run(attempt: string, chain: PreparedChain): Promise<RunOutcome<AnswerSummary>> {
--- a/src/platform/link/common/messages.ts
+++ b/src/platform/link/common/messages.ts
@@ -68,6 +68,8 @@
   readonly kind: MessageKind.Heartbeat;
   /** Highest rule revision that the sender has in force, or has heard of if it is an agent. */
   readonly revision: number;
+  /** From agents: number of linked entries. */
+  readonly entries?: number;
   /** From agents: lowest revision that one of the linked entries has in force. */
   readonly lowestRevision?: number;
   readonly report?: EndpointReport;
--- a/src/platform/link/node/linkServer.ts
+++ b/src/platform/link/node/linkServer.ts
@@ -1,5 +1,5 @@
 import { createServer, type Server } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
 import { WebSocketServer } from 'ws';
 import { Emitter } from '../../../base/common/event.js';
 import {
@@ -26,6 +26,8 @@
     perMessageDeflate: false,
   });
 
+  private readonly connections = new Set<Socket>();
+
   private readonly accepted = new Emitter<Link>();
 
   /** Links that are open and whose peer said hello. */
@@ -44,6 +46,10 @@
     private readonly hello: () => HelloMessage,
     private readonly heartbeat: () => HeartbeatMessage,
   ) {
+    this.http.on('connection', (connection: Socket) => {
+      this.connections.add(connection);
+      connection.on('close', () => this.connections.delete(connection));
+    });
     this.sockets.on('connection', (socket) => {
       const link = new Link(socket, this.timing, this.heartbeat);
       link.send(this.hello());
@@ -68,6 +74,14 @@
     });
   }
 
+  /** Bytes that crossed the open connections, in both directions. */
+  get bytes(): number {
+    return [...this.connections].reduce(
+      (sum, socket) => sum + socket.bytesRead + socket.bytesWritten,
+      0,
+    );
+  }
+
   /** Closes every link and stops listening. */
   close(): void {
     this.links.forEach((link) => link.close());
--- a/src/platform/rules/common/agreement.ts
+++ b/src/platform/rules/common/agreement.ts
@@ -90,6 +90,18 @@
     return this.priceByKind.get(accelerator) ?? defaultMicros;
   }
 
+  /**
+   * Lists the organisations that share rules name, with their terms.
+   *
+   * @param model - Name of the model.
+   * @param place - Name of the place.
+   * @returns Terms by organisation.
+   */
+  allTerms(model: string, place: string): ReadonlyMap<string, Terms> {
+    const names = [...this.shares.keys()];
+    return new Map(names.map((name) => [name, this.termsOf(name, model, place)]));
+  }
+
   /** Returns the prices of all kinds of accelerators. */
   prices(): Readonly<Record<AcceleratorKind, number>> {
     return {
