--- /dev/null
+++ b/src/agent/order/test/common/orderGate.test.ts
@@ -0,0 +1,28 @@
+import { expect } from 'chai';
+import { MessageKind, type OrderMessage } from '../../../../platform/link/common/messages.js';
+import { OrderGate } from '../../common/orderGate.js';
+
+function order(term: number): OrderMessage {
+  return { kind: MessageKind.Order, term, model: 'm', version: '1', range: { from: 0, to: 1 } };
+}
+
+describe('OrderGate', () => {
+  it('refuses orders of earlier terms', async () => {
+    const gate = new OrderGate({ currentTerm: () => Promise.resolve(0) });
+    expect(await gate.admit(order(3))).to.equal(true);
+    expect(await gate.admit(order(2))).to.equal(false);
+    expect(await gate.admit(order(3))).to.equal(true);
+    expect(gate.highestTerm).to.equal(3);
+  });
+
+  it('refuses an old order after a restart, although it has seen no other', async () => {
+    const restarted = new OrderGate({ currentTerm: () => Promise.resolve(5) });
+    expect(await restarted.admit(order(4))).to.equal(false);
+    expect(await restarted.admit(order(5))).to.equal(true);
+  });
+
+  it('obeys nothing while it cannot learn the current term', async () => {
+    const gate = new OrderGate({ currentTerm: () => Promise.resolve(undefined) });
+    expect(await gate.admit(order(9))).to.equal(false);
+  });
+});
--- a/src/base/common/rendezvous.ts
+++ b/src/base/common/rendezvous.ts
@@ -1,5 +1,26 @@
+import { pipe } from 'fp-ts/lib/function.js';
+import * as N from 'fp-ts/lib/number.js';
+import * as Ord from 'fp-ts/lib/Ord.js';
+import * as RA from 'fp-ts/lib/ReadonlyArray.js';
+import * as S from 'fp-ts/lib/string.js';
 import murmurhash from 'murmurhash';
 
+interface Weighted {
+  readonly candidate: string;
+  readonly weight: number;
+}
+
+const byWeightDown = pipe(
+  N.Ord,
+  Ord.reverse,
+  Ord.contramap((one: Weighted) => one.weight),
+);
+
+const byName = pipe(
+  S.Ord,
+  Ord.contramap((one: Weighted) => one.candidate),
+);
+
 /**
  * Weight of a candidate for a key under rendezvous hashing.
  *
@@ -24,9 +45,11 @@
   candidates: readonly string[],
   count: number,
 ): readonly string[] {
-  return candidates
-    .map((candidate) => ({ candidate, weight: rendezvousWeight(key, candidate) }))
-    .sort((a, b) => b.weight - a.weight || a.candidate.localeCompare(b.candidate))
-    .slice(0, count)
-    .map((entry) => entry.candidate);
+  return pipe(
+    candidates,
+    RA.map((candidate): Weighted => ({ candidate, weight: rendezvousWeight(key, candidate) })),
+    RA.sortBy([byWeightDown, byName]),
+    RA.takeLeft(count),
+    RA.map((one) => one.candidate),
+  );
 }
--- a/src/entry/costs/common/costReport.ts
+++ b/src/entry/costs/common/costReport.ts
@@ -1,9 +1,15 @@
+import { pipe } from 'fp-ts/lib/function.js';
+import * as RA from 'fp-ts/lib/ReadonlyArray.js';
+import * as NEA from 'fp-ts/lib/ReadonlyNonEmptyArray.js';
+import * as RR from 'fp-ts/lib/ReadonlyRecord.js';
+import * as S from 'fp-ts/lib/string.js';
 import {
   addUsage,
   noUsage,
   UsageSide,
   type UsageAmounts,
   type UsageRecord,
+  type UsageRow,
 } from '../../../platform/usage/common/usage.js';
 
 /** Line of the cost record: one organisation's work on one subject under one revision. */
@@ -19,12 +25,23 @@
   readonly differenceMicros: number;
 }
 
-interface MutableLine {
-  readonly organisation: string;
-  readonly subject: string;
-  readonly revision: number;
-  agents: UsageAmounts;
-  entries: UsageAmounts;
+interface SidedRow {
+  readonly side: UsageSide;
+  readonly row: UsageRow;
+}
+
+function sumOf(rows: readonly SidedRow[], side: UsageSide): UsageAmounts {
+  return rows
+    .filter((one) => one.side === side)
+    .reduce((sum, { row }) => addUsage(sum, row), noUsage);
+}
+
+function lineOf(rows: NEA.ReadonlyNonEmptyArray<SidedRow>): CostLine {
+  const { organisation, subject, revision } = NEA.head(rows).row;
+  const agents = sumOf(rows, UsageSide.Agent);
+  const entries = sumOf(rows, UsageSide.Entry);
+  const differenceMicros = agents.micros - entries.micros;
+  return { organisation, subject, revision, agents, entries, differenceMicros };
 }
 
 /**
@@ -40,30 +57,11 @@
   fromMs: number,
   toMs: number,
 ): readonly CostLine[] {
-  const lines = new Map<string, MutableLine>();
-  for (const record of records) {
-    if (record.untilMs < fromMs || record.sinceMs > toMs) {
-      continue;
-    }
-    for (const row of record.rows) {
-      const { organisation, subject, revision } = row;
-      const key = `${organisation}\n${subject}\n${revision}`;
-      const line = lines.get(key) ?? {
-        organisation,
-        subject,
-        revision,
-        agents: noUsage,
-        entries: noUsage,
-      };
-      lines.set(key, line);
-      if (record.side === UsageSide.Agent) {
-        line.agents = addUsage(line.agents, row);
-      } else {
-        line.entries = addUsage(line.entries, row);
-      }
-    }
-  }
-  return [...lines.entries()]
-    .sort(([a], [b]) => (a < b ? -1 : 1))
-    .map(([, line]) => ({ ...line, differenceMicros: line.agents.micros - line.entries.micros }));
+  return pipe(
+    records,
+    RA.filter((record) => record.untilMs >= fromMs && record.sinceMs <= toMs),
+    RA.chain(({ side, rows }) => rows.map((row): SidedRow => ({ side, row }))),
+    NEA.groupBy(({ row }) => `${row.organisation}\n${row.subject}\n${row.revision}`),
+    RR.collect(S.Ord)((_key, rows) => lineOf(rows)),
+  );
 }
--- /dev/null
+++ b/src/entry/placement/test/common/layerPlanner.test.ts
@@ -0,0 +1,114 @@
+import { expect } from 'chai';
+import fc from 'fast-check';
+import { coversOnce } from '../../../../platform/model/common/model.js';
+import {
+  layerCapacity,
+  planPlacement,
+  splitLayers,
+  type PlacementCandidate,
+  type PlannedChain,
+} from '../../common/layerPlanner.js';
+
+const model = { name: 'm', layers: 24, layerMiB: 100, contextTokens: 1, version: '1' };
+
+const candidates = fc
+  .array(
+    fc.record({
+      memoryMiB: fc.integer({ min: 100, max: 4_000 }),
+      layerMicros: fc.integer({ min: 100, max: 2_000 }),
+      place: fc.constantFrom('p', 'q'),
+    }),
+    { minLength: 1, maxLength: 12 },
+  )
+  .map((all) => all.map((one, index): PlacementCandidate => ({ id: `e${index}`, ...one })));
+
+function isWhole(chain: PlannedChain): boolean {
+  const stages = chain.map((stage) => ({ ...stage, incarnation: '', address: '' }));
+  return coversOnce(stages, model.layers);
+}
+
+function slowest(chain: PlannedChain, all: readonly PlacementCandidate[]): number {
+  return Math.max(
+    ...chain.map(({ endpoint, range }) => {
+      const candidate = all.find((one) => one.id === endpoint);
+      return (range.to - range.from) * (candidate?.layerMicros ?? Infinity);
+    }),
+  );
+}
+
+/** Least slowest stage over all ways to split the layers, by trying each limit. */
+function bestPossible(all: readonly PlacementCandidate[]): number {
+  const limits = all.flatMap((one) =>
+    Array.from(
+      { length: layerCapacity(one, model) },
+      (_unused, index) => (index + 1) * one.layerMicros,
+    ),
+  );
+  const fits = limits.filter(
+    (limit) =>
+      all.reduce(
+        (sum, one) =>
+          sum + Math.min(layerCapacity(one, model), Math.floor(limit / one.layerMicros)),
+        0,
+      ) >= model.layers,
+  );
+  return Math.min(...fits);
+}
+
+describe('splitLayers', () => {
+  it('covers every layer once, within memory, with the fastest slowest stage', () => {
+    fc.assert(
+      fc.property(candidates, (all) => {
+        const chain = splitLayers(all, model);
+        const enough = all.reduce((sum, one) => sum + layerCapacity(one, model), 0) >= model.layers;
+        expect(chain !== undefined).to.equal(enough);
+        if (chain) {
+          expect(isWhole(chain)).to.equal(true);
+          chain.forEach(({ endpoint, range }) => {
+            const one = all.find((candidate) => candidate.id === endpoint);
+            expect(range.to - range.from).to.be.at.most(one ? layerCapacity(one, model) : 0);
+          });
+          expect(slowest(chain, all)).to.be.at.most(bestPossible(all));
+        }
+      }),
+      { seed: 71, numRuns: 400 },
+    );
+  });
+});
+
+describe('planPlacement', () => {
+  const demands = [{ model, replicas: 2 }];
+
+  it('uses each endpoint once and keeps chains that stand', () => {
+    fc.assert(
+      fc.property(candidates, (all) => {
+        const first = planPlacement(demands, all, new Map());
+        const again = planPlacement(demands, all, first);
+        expect([...again]).to.deep.equal([...first]);
+        const used = (first.get('m') ?? []).flat().map((stage) => stage.endpoint);
+        expect(new Set(used).size).to.equal(used.length);
+        expect((first.get('m') ?? []).every(isWhole)).to.equal(true);
+      }),
+      { seed: 72, numRuns: 300 },
+    );
+  });
+
+  it('gives the layers of a lost stage to a spare and leaves the others where they are', () => {
+    const all = Array.from({ length: 4 }, (_unused, index) => ({
+      id: `e${index}`,
+      place: 'p',
+      memoryMiB: 1_000,
+      layerMicros: 100,
+    }));
+    const before = planPlacement([{ model, replicas: 1 }], all, new Map()).get('m') ?? [];
+    const lost = before[0][1].endpoint;
+    const left = all.filter((one) => one.id !== lost);
+    const after =
+      planPlacement([{ model, replicas: 1 }], left, new Map([['m', before]])).get('m') ?? [];
+    expect(after[0].map((stage) => stage.range)).to.deep.equal(
+      before[0].map((stage) => stage.range),
+    );
+    expect(after[0][0]).to.deep.equal(before[0][0]);
+    expect(after[0][1].endpoint).not.to.equal(lost);
+  });
+});
--- a/src/entry/shares/common/fairQueue.ts
+++ b/src/entry/shares/common/fairQueue.ts
@@ -63,8 +63,11 @@
     this.waiting.set(item.flow, items);
     this.sequence += 1;
     const tagged = { ...item, sequence: first ? -this.sequence : this.sequence };
-    const after = items.findIndex((other) => precedes(tagged, other));
-    items.splice(after < 0 ? items.length : after, 0, tagged);
+    let index = items.length;
+    while (index > 0 && precedes(tagged, items[index - 1])) {
+      index -= 1;
+    }
+    items.splice(index, 0, tagged);
     this.count += 1;
   }
 
--- /dev/null
+++ b/src/platform/lease/test/common/lease.test.ts
@@ -0,0 +1,68 @@
+import { expect } from 'chai';
+import fc from 'fast-check';
+import { FakeClock } from '../../../../base/test/common/fakeClock.js';
+import { FaultyStore, StoreFault } from '../../../objects/test/common/faultyStore.js';
+import { LeaseCandidate } from '../../common/lease.js';
+
+const durationMs = 1_000;
+
+const faults = fc.array(fc.constantFrom(...Object.values(StoreFault)), { maxLength: 40 });
+
+describe('LeaseCandidate', () => {
+  it('never gives the same term to two candidates, whatever calls fail', async () => {
+    const steps = fc.array(
+      fc.record({ who: fc.nat(2), waitMs: fc.integer({ min: 0, max: 900 }) }),
+      {
+        maxLength: 30,
+      },
+    );
+    await fc.assert(
+      fc.asyncProperty(fc.scheduler(), faults, steps, async (scheduler, storeFaults, plan) => {
+        const store = new FaultyStore(scheduler, storeFaults);
+        const clock = new FakeClock();
+        const names = ['a', 'b', 'c'];
+        const candidates = names.map(
+          (candidate) => new LeaseCandidate({ name: 'l', candidate, durationMs }, store, clock),
+        );
+        const holders = new Map<number, string>();
+        const running: Promise<void>[] = [];
+        for (const { who, waitMs } of plan) {
+          clock.advance(waitMs);
+          running.push(candidates[who].step());
+          if (scheduler.count() > 0) {
+            await scheduler.waitOne();
+          }
+          candidates.forEach((candidate, index) => {
+            const term = candidate.term();
+            if (term !== undefined) {
+              expect(holders.get(term) ?? names[index]).to.equal(names[index]);
+              holders.set(term, names[index]);
+            }
+          });
+        }
+        await scheduler.waitFor(Promise.all(running));
+      }),
+      { seed: 91, numRuns: 400 },
+    );
+  });
+
+  it('stops itself before another candidate may take the lease', async () => {
+    await fc.assert(
+      fc.asyncProperty(fc.scheduler(), async (scheduler) => {
+        const store = new FaultyStore(scheduler, []);
+        const clock = new FakeClock();
+        const first = new LeaseCandidate({ name: 'l', candidate: 'a', durationMs }, store, clock);
+        const second = new LeaseCandidate({ name: 'l', candidate: 'b', durationMs }, store, clock);
+        await scheduler.waitFor(first.step());
+        expect(first.term()).to.equal(1);
+        await scheduler.waitFor(second.step());
+        expect(second.term()).to.equal(undefined);
+        clock.advance(durationMs + 1);
+        expect(first.term()).to.equal(undefined);
+        await scheduler.waitFor(second.step());
+        expect(second.term()).to.equal(2);
+      }),
+      { seed: 92, numRuns: 20 },
+    );
+  });
+});
