Hold a crash only against requests that ran when it happened

Ruled out: the slot that keeps suspects apart, whose order in the logs was right.

Change: a step sent to an engine known to be dead carries no crash id; the agent refuses new attempts then, and tells its entries at once.

--- a/src/agent/node/agentProgram.ts
+++ b/src/agent/node/agentProgram.ts
@@ -186,11 +186,12 @@
     const options = {
       endpoint: settings.instance,
       incarnation: this.incarnation,
-      capacity: () => this.state.capacity,
+      capacity: () => (engine.answering ? this.state.capacity : 0),
       accelerator: () => this.state.accelerator,
       keepMs: settings.keepAnswerMs,
     };
     const stages = new StageRunner(options, engine, this.links, this.gate, clock);
+    engine.onDidFail(() => this.engineFailed());
     this.links.onDidLoseStage((incarnation) => stages.stageLost(incarnation));
     this.links.onDidRestoreStage((incarnation) => stages.stageRestored(incarnation));
     return stages;
@@ -376,6 +377,15 @@
     }
   }
 
+  /** Tells the entries at once that the engine does not answer. */
+  private engineFailed(): void {
+    if (this.ready) {
+      this.answering = false;
+      this.ready = false;
+      this.server.links.forEach((link) => link.send(this.heartbeat()));
+    }
+  }
+
   private expire(): void {
     const dropped = this.gate.expire(this.parts.clock.monotonicMs());
     this.calls?.forget(dropped);
--- a/src/agent/node/httpStageEngine.ts
+++ b/src/agent/node/httpStageEngine.ts
@@ -53,7 +53,8 @@
   /** Grows with each crash of the engine, so that all its failed steps share an id. */
   private crashes = 0;
 
-  private answering = false;
+  /** False from a failed call until the state can be read again. */
+  answering = false;
 
   /** Fires with a reason when a call to the engine failed. */
   readonly onDidFail = this.failures.event;
@@ -136,13 +137,16 @@
   private async sendBatch(): Promise<void> {
     const batch = this.waiting;
     this.waiting = [];
+    const wasAnswering = this.answering;
     const body = JSON.stringify({ steps: batch.map((waiting) => waiting.step) });
     try {
       const reply = await this.call('POST', '/steps', body, this.limits.stepMs);
       const { replies } = reply.body as { replies: StepReply[] };
       batch.forEach((waiting, index) => waiting.resolve(resultOf(replies[index])));
     } catch (err) {
-      const error = new EngineError(messageOf(err), this.crashId());
+      // Steps that were sent to an engine already known to be dead did not run when it died.
+      const crash = wasAnswering ? this.crashId() : undefined;
+      const error = new EngineError(messageOf(err), crash);
       this.failures.fire(error.message);
       batch.forEach((waiting) => waiting.resolve(Err(error)));
     }
--- a/src/bin/ibisspar-bench.ts
+++ b/src/bin/ibisspar-bench.ts
@@ -3,6 +3,7 @@
 import { runFaults } from '../bench/faults/node/faultRun.js';
 import { runRoutingBench } from '../bench/measure/node/routingBench.js';
 import { compareDetectors, formatComparison } from '../bench/measure/common/ejectionComparison.js';
+import { runCostsBench } from '../bench/measure/node/costsBench.js';
 import { runRecoveryBench } from '../bench/measure/node/recoveryBench.js';
 import { runScaleBench } from '../bench/measure/node/scaleBench.js';
 import { runSharesBench } from '../bench/measure/node/sharesBench.js';
@@ -62,5 +63,9 @@
   .command('scale', 'Measures decisions at the size expected in two years')
   .action(() => report(Promise.resolve(runScaleBench())));
 
+cli
+  .command('costs', 'Compares the cost record with the count of the engines')
+  .action(() => report(runCostsBench()));
+
 cli.help();
 cli.parse();
--- a/src/entry/node/entryProgram.ts
+++ b/src/entry/node/entryProgram.ts
@@ -444,7 +444,14 @@
   }
 
   private readonly startChatSubmission: ChatSubmissionStarter = (request, key, asked, onToken) => {
-    const run = new ChatSubmission(request, onToken, this.admission, this.runner, this.caller);
+    const run = new ChatSubmission(
+      request,
+      onToken,
+      this.admission,
+      this.runner,
+      this.caller,
+      this.guard,
+    );
     const identity = {
       key: digest(`${request.organisation}\n${key}`).slice(0, 32),
       request: asked,
--- a/src/entry/submission/common/chatSubmission.ts
+++ b/src/entry/submission/common/chatSubmission.ts
@@ -1,12 +1,18 @@
 import { Err, Ok, type Result } from 'ts-results-es';
 import type { Claim, ClaimTarget } from '../../../platform/claims/common/claim.js';
 import type { SealOutcome } from '../../../platform/link/common/messages.js';
-import type { Problem } from '../../../platform/problem/common/problem.js';
+import {
+  problem,
+  ProblemKind,
+  RunState,
+  type Problem,
+} from '../../../platform/problem/common/problem.js';
 import type { AnswerSummary } from '../../chat/common/answerAssembler.js';
 import type { ChainWaiter, ChatAdmission } from '../../chat/common/chatAdmission.js';
 import type { ChatRequest, IChatSink } from '../../chat/common/chatRequest.js';
 import type { ChatRunner } from '../../chat/common/chatRunner.js';
 import type { Route } from '../../routing/common/chainRouter.js';
+import type { SuspectGuard } from '../../suspects/common/suspectGuard.js';
 import type { ServiceCaller } from '../../services/common/serviceCaller.js';
 import {
   RunOutcomeKind,
@@ -28,6 +34,7 @@
    * @param admission - Gives chains.
    * @param runner - Runs attempts.
    * @param seals - Asks gates.
+   * @param guard - Knows the requests that kill endpoints.
    */
   constructor(
     private readonly request: ChatRequest,
@@ -35,9 +42,14 @@
     private readonly admission: ChatAdmission,
     private readonly runner: ChatRunner,
     private readonly seals: ServiceCaller,
+    private readonly guard: SuspectGuard,
   ) {}
 
   prepare(): Promise<Result<PreparedChain, Problem>> {
+    if (this.guard.isQuarantined(this.request.fingerprint)) {
+      const detail = 'endpoints died while they ran this request; it is not run again';
+      return Promise.resolve(Err(problem(ProblemKind.Quarantined, RunState.NotRun, detail)));
+    }
     return new Promise((resolve) => {
       const waiter: ChainWaiter = {
         request: this.request,
--- a/src/entry/suspects/common/suspectGuard.ts
+++ b/src/entry/suspects/common/suspectGuard.ts
@@ -48,6 +48,16 @@
     private readonly logger: ILogger,
   ) {}
 
+  /**
+   * Tells whether a request must not run, without waiting.
+   *
+   * @param fingerprint - The request.
+   * @returns True if it is quarantined.
+   */
+  isQuarantined(fingerprint: string): boolean {
+    return this.suspects.verdict(fingerprint) === Verdict.Quarantined;
+  }
+
   /**
    * Lets a request run now or later, or refuses it.
    *
--- a/src/standin/common/historyEvent.ts
+++ b/src/standin/common/historyEvent.ts
@@ -6,8 +6,6 @@
   CallRun = 'call-run',
   /** An engine took or refused an order. */
   Order = 'order',
-  /** An endpoint took new work. */
-  WorkTaken = 'work-taken',
 }
 
 /** One recorded event. */
@@ -18,6 +16,8 @@
   /** Sequence of an engine, or the idempotency key of a call. */
   readonly subject: string;
   readonly step?: number;
+  /** Positions that the step ran. */
+  readonly positions?: number;
   readonly from?: number;
   readonly to?: number;
   readonly term?: number;
--- a/src/standin/node/engineServer.ts
+++ b/src/standin/node/engineServer.ts
@@ -2,6 +2,7 @@
 import Fastify, { type FastifyInstance } from 'fastify';
 import { request } from 'undici';
 import type { AcceleratorKind, LayerRange } from '../../platform/model/common/model.js';
+import { tokenize } from '../common/fakeModel.js';
 import { EngineCore, type StepReply, type StepRequest } from '../common/engineCore.js';
 import { HistoryKind } from '../common/historyEvent.js';
 import type { HistoryWriter } from './history.js';
@@ -151,6 +152,7 @@
         kind: HistoryKind.LayersRun,
         subject: req.sequence,
         step: req.step,
+        positions: req.data.length + tokenize(req.prompt ?? '').length,
         ...this.core.range,
       });
     }
