Test rule changes, suspicions and ejections; split the chat runner

Change: rule changes race under the scheduler with store faults; session types and the entry's limits have files of their own.

--- a/src/entry/node/entryProgram.ts
+++ b/src/entry/node/entryProgram.ts
@@ -57,6 +57,21 @@
   type PreparedRun,
   type SubmissionIdentity,
 } from '../submission/common/submissionFlow.js';
+import {
+  balancerGraceMs,
+  claimLimitMs,
+  drainPollMs,
+  ejection,
+  ejectionTest,
+  healthIntervalMs,
+  maxEpochs,
+  maxInlineClaims,
+  maxRefusals,
+  notReadyStallMs,
+  patienceMs,
+  placeIntervalMs,
+  sweepIntervalMs,
+} from './entryLimits.js';
 
 /** Service object of the platform. */
 interface ServiceRecord {
@@ -72,45 +87,6 @@
   readonly store: HttpObjectStore;
 }
 
-/** Interval of the search for stalls and passed deadlines, in milliseconds. */
-const sweepIntervalMs = 100;
-
-/** Interval of the search for ejections that are over, in milliseconds. */
-const healthIntervalMs = 1_000;
-
-/** Limits of ejections. */
-const ejection = { ejectMs: 10_000, maxEjectMs: 300_000, maxEjectedShare: 0.34 };
-
-/** Test that finds failing endpoints. */
-const ejectionTest = { baseRate: 0.02, minFailures: 5, criticalValue: 8, horizon: 5 };
-
-/** Interval of placement steps, in milliseconds. */
-const placeIntervalMs = 500;
-
-/** Interval at which a drain checks whether the work is finished, in milliseconds. */
-const drainPollMs = 20;
-
-/** Time that the balancer is given to notice a drain, in milliseconds. */
-const balancerGraceMs = 1_000;
-
-/** Most epochs of one answer. */
-const maxEpochs = 6;
-
-/** Most refusals by full or leaving endpoints before a request is given up. */
-const maxRefusals = 16;
-
-/** Stall limit while an engine of the chain does not answer its agent, in milliseconds. */
-const notReadyStallMs = 500;
-
-/** Time that a request waits for a model that no chain serves, in milliseconds. */
-const patienceMs = 5_000;
-
-/** Most claims in a shard's head object; keeps it near 100 KB. */
-const maxInlineClaims = 256;
-
-/** Time after which a claim is given up, in milliseconds. */
-const claimLimitMs = 3_000;
-
 function digest(text: string): string {
   return createHash('sha256').update(text).digest('hex');
 }
--- a/src/entry/services/common/serviceCaller.ts
+++ b/src/entry/services/common/serviceCaller.ts
@@ -21,7 +21,7 @@
   RunState,
   type Problem,
 } from '../../../platform/problem/common/problem.js';
-import type { EndpointOutcome } from '../../chat/common/chatRunner.js';
+import type { EndpointOutcome } from '../../chat/common/chatSession.js';
 import { isUsable, loadOf, type EndpointView } from '../../fleet/common/endpointView.js';
 import type { FleetChange, IFleet } from '../../fleet/common/fleet.js';
 import { RunOutcomeKind, type RunOutcome } from '../../submission/common/submissionFlow.js';
--- a/src/platform/objects/test/common/faultyStore.ts
+++ b/src/platform/objects/test/common/faultyStore.ts
@@ -39,6 +39,11 @@
     private readonly faults: readonly StoreFault[],
   ) {}
 
+  /** Ends all faults, so that a check can read what is stored. */
+  heal(): void {
+    this.calls = this.faults.length;
+  }
+
   async get<T>(
     kind: ObjectKind,
     name: string,
