Share a quarantine before its caller is told

The entry that saw the second crash refused its caller at once and told nobody, since only waiting suspects led it to share; the caller asked another entry, whose record still had one crash. Ruled out: crash ids and merges; the logs show both crashes at entry-1 and one at entry-2.

--- a/src/entry/suspects/common/suspectGuard.ts
+++ b/src/entry/suspects/common/suspectGuard.ts
@@ -31,7 +31,11 @@
 
   private sharing = false;
 
-  private shareAgain = false;
+  /** True if something changed while suspicions were being shared. */
+  private askedMeanwhile = false;
+
+  /** True while suspicions changed here that the other entries have not been told. */
+  private unshared = false;
 
   /**
    * @param suspects - Suspicions of this entry.
@@ -89,6 +93,7 @@
    */
   crashed(crash: string, fingerprint: string): void {
     this.suspects.recordCrash(crash, [fingerprint], this.clock.wallMs());
+    this.unshared = true;
     const verdict = this.suspects.verdict(fingerprint);
     this.logger.log(LogLevel.Warn, 'crash-suspect', { crash, fingerprint, verdict });
   }
@@ -100,8 +105,8 @@
    */
   clear(fingerprint: string): void {
     this.suspects.clear(fingerprint);
+    this.unshared = true;
     this.release(fingerprint);
-    void this.pump(true);
   }
 
   /**
@@ -124,23 +129,29 @@
     void this.pump();
   }
 
-  /** Shares suspicions and decides about the waiting requests. */
-  private async pump(mustShare = false): Promise<void> {
-    this.decide([]);
+  /**
+   * Shares suspicions and decides about the waiting requests. A caller hears of a quarantine only
+   * after the other entries can know of it, since it may ask them next.
+   */
+  private async pump(): Promise<void> {
     if (this.sharing) {
-      this.shareAgain ||= mustShare || this.waiting.length > 0;
+      this.askedMeanwhile = true;
       return;
     }
+    this.askedMeanwhile = false;
+    if (!this.unshared) {
+      this.decide([]);
+    }
     const wanted = this.wanted();
-    if (wanted.length === 0 && !mustShare) {
+    if (wanted.length === 0 && !this.unshared) {
       return;
     }
     this.sharing = true;
+    this.unshared = false;
     this.decide(await this.shareWithin(wanted));
     this.sharing = false;
-    if (this.shareAgain) {
-      this.shareAgain = false;
-      void this.pump(true);
+    if (this.unshared || this.askedMeanwhile) {
+      void this.pump();
     } else if (this.wanted().length > 0) {
       this.timers.after(retryMs, () => void this.pump());
     }
