Sort and group with fp-ts in routing and placement

Cause: the house style asks for fp-ts; only two modules used it. Change: the router's candidates and the planner's orders are pipes of fp-ts. Measured: the same property tests pass; no behaviour changed.

--- a/src/entry/placement/common/layerPlanner.ts
+++ b/src/entry/placement/common/layerPlanner.ts
@@ -1,3 +1,8 @@
+import { pipe } from 'fp-ts/lib/function.js';
+import * as N from 'fp-ts/lib/number.js';
+import * as Ord from 'fp-ts/lib/Ord.js';
+import * as RA from 'fp-ts/lib/ReadonlyArray.js';
+import * as S from 'fp-ts/lib/string.js';
 import type { LayerRange, ModelSpec } from '../../../platform/model/common/model.js';
 
 /** Endpoint that can hold layers. */
@@ -18,6 +23,16 @@
 /** Stages that cover a model once, in order. */
 export type PlannedChain = readonly PlannedStage[];
 
+const byId = pipe(
+  S.Ord,
+  Ord.contramap((candidate: PlacementCandidate) => candidate.id),
+);
+
+const byPlaceName = pipe(
+  S.Ord,
+  Ord.contramap((candidate: PlacementCandidate) => candidate.place),
+);
+
 /** Share of an accelerator's memory for layers; the rest holds key-value cache. */
 const layerMemoryShare = 0.8;
 
@@ -105,9 +120,12 @@
   free: readonly PlacementCandidate[],
   model: ModelSpec,
 ): readonly PlacementCandidate[] | undefined {
-  const sorted = [...free].sort(
-    (a, b) => layerCapacity(b, model) - layerCapacity(a, model) || a.id.localeCompare(b.id),
+  const byCapacityDown = pipe(
+    N.Ord,
+    Ord.reverse,
+    Ord.contramap((candidate: PlacementCandidate) => layerCapacity(candidate, model)),
   );
+  const sorted = pipe(free, RA.sortBy([byCapacityDown, byId]));
   const chosen: PlacementCandidate[] = [];
   let layers = 0;
   for (const candidate of sorted) {
@@ -122,7 +140,7 @@
 
 /** Puts endpoints of one place next to each other. */
 function byPlace(members: readonly PlacementCandidate[]): readonly PlacementCandidate[] {
-  return [...members].sort((a, b) => a.place.localeCompare(b.place) || a.id.localeCompare(b.id));
+  return pipe(members, RA.sortBy([byPlaceName, byId]));
 }
 
 /**
--- a/src/entry/routing/common/chainRouter.ts
+++ b/src/entry/routing/common/chainRouter.ts
@@ -1,3 +1,8 @@
+import { pipe } from 'fp-ts/lib/function.js';
+import * as N from 'fp-ts/lib/number.js';
+import * as Ord from 'fp-ts/lib/Ord.js';
+import * as RA from 'fp-ts/lib/ReadonlyArray.js';
+import * as NEA from 'fp-ts/lib/ReadonlyNonEmptyArray.js';
 import type { IRandom } from '../../../base/common/random.js';
 import {
   coversOnce,
@@ -68,24 +73,15 @@
   readonly previous: PartialChain | undefined;
 }
 
+const byFirstLayer = pipe(
+  N.Ord,
+  Ord.contramap((view: EndpointView) => view.report.range.from),
+);
+
 function rangeKey(view: EndpointView): string {
   return `${view.report.range.from}-${view.report.range.to}`;
 }
 
-/** Groups endpoints that hold the same layers. */
-function groupByRange(views: readonly EndpointView[]): ReadonlyMap<string, EndpointView[]> {
-  const groups = new Map<string, EndpointView[]>();
-  for (const view of views) {
-    const group = groups.get(rangeKey(view));
-    if (group) {
-      group.push(view);
-    } else {
-      groups.set(rangeKey(view), [view]);
-    }
-  }
-  return groups;
-}
-
 function toChain(end: PartialChain): ChainSpec {
   const stages: PartialChain[] = [];
   for (let at: PartialChain | undefined = end; at !== undefined; at = at.previous) {
@@ -117,13 +113,15 @@
   ) {}
 
   route(request: RouteRequest, endpoints: readonly EndpointView[]): Route | undefined {
-    const usable = endpoints.filter(
-      (view) =>
-        servesModel(view, request.model.name) && isUsable(view) && !request.avoid.has(view.id),
+    const candidates = pipe(
+      endpoints,
+      RA.filter((view) => servesModel(view, request.model.name)),
+      RA.filter((view) => isUsable(view) && !request.avoid.has(view.id)),
+      NEA.groupBy(rangeKey),
+      Object.values<readonly EndpointView[]>,
+      RA.chain((group) => this.sample(group, request)),
+      RA.sort(byFirstLayer),
     );
-    const candidates = [...groupByRange(usable).values()]
-      .flatMap((group) => this.sample(group, request))
-      .sort((a, b) => a.report.range.from - b.report.range.from);
     const best = this.search(request, candidates);
     if (best === undefined) {
       return undefined;
