--- a/src/bench/test/common/chainHistory.test.ts
+++ b/src/bench/test/common/chainHistory.test.ts
@@ -2,6 +2,7 @@
 import { expect } from 'chai';
 import fc, { type Scheduler } from 'fast-check';
 import type { AnswerSummary } from '../../../entry/chat/common/answerAssembler.js';
+import type { ChatUsage } from '../../../entry/chat/common/chatSession.js';
 import type { ChatRequest } from '../../../entry/chat/common/chatRequest.js';
 import { AcceleratorKind } from '../../../platform/model/common/model.js';
 import type { Problem } from '../../../platform/problem/common/problem.js';
@@ -58,8 +59,11 @@
   readonly answers: readonly Answer[];
   readonly history: readonly HistoryEvent[];
   readonly deaths: number;
+  readonly usages: readonly ChatUsage[];
 }> {
   const world = new ChainWorld(scheduler);
+  const usages: ChatUsage[] = [];
+  world.runner.onDidUse((usage) => usages.push(usage));
   const answers = plan.prompts.map((prompt, index): Answer => {
     const answer: Answer = { prompt, text: '', summary: undefined, problem: undefined };
     world.runner.open(requestOf(prompt, index), {
@@ -97,7 +101,7 @@
       await Promise.resolve();
     }
   }
-  return { answers, history: world.history, deaths: world.deaths };
+  return { answers, history: world.history, deaths: world.deaths, usages };
 }
 
 function faultOf(played: Awaited<ReturnType<typeof play>>): string | undefined {
@@ -105,6 +109,13 @@
   if (layers.faults.length > 0) {
     return JSON.stringify(layers.faults[0]);
   }
+  // Every stage costs 1 for 1,000 layer-tokens in this world, whether or not it died meanwhile.
+  const mispriced = played.usages.find(
+    ({ micros, layerTokens }) => Math.abs(micros * 1_000 - layerTokens) > 1e-6,
+  );
+  if (mispriced) {
+    return `priced ${mispriced.micros} for ${mispriced.layerTokens} layer-tokens`;
+  }
   for (const { prompt, text, summary, problem } of played.answers) {
     if (prompt.includes(crashPrompt)) {
       continue;
--- a/src/bench/test/common/chainWorld.ts
+++ b/src/bench/test/common/chainWorld.ts
@@ -276,7 +276,8 @@
   }
 
   private views(): readonly EndpointView[] {
-    return [...this.agents.values()].map(({ id, incarnation, range, alive }) => ({
+    const living = [...this.agents.values()].filter((agent) => agent.alive);
+    return living.map(({ id, incarnation, range, alive }) => ({
       id,
       incarnation,
       address: id,
--- a/src/entry/chat/common/chatRunner.ts
+++ b/src/entry/chat/common/chatRunner.ts
@@ -203,6 +203,7 @@
       firstStep: 0,
       refusals: 0,
       collecting: undefined,
+      stagePrices: [],
       layerTokens: 0,
       micros: 0,
       mayHaveRun: false,
@@ -225,6 +226,7 @@
     }
     session.epoch += 1;
     session.route = route;
+    session.stagePrices = this.pricesOf(session.request, route);
     session.progressMs = this.clock.monotonicMs();
     session.firstStep = session.assembler.tokens.length;
     session.assembler.beginEpoch();
@@ -233,6 +235,15 @@
     }
   }
 
+  /** Looks the prices up while the endpoints are known; one may be gone when its work is counted. */
+  private pricesOf(request: ChatRequest, route: Route): readonly number[] {
+    const views = this.fleet.endpoints();
+    return route.chain.map(({ incarnation }) => {
+      const view = views.find((one) => one.incarnation === incarnation);
+      return view === undefined ? 0 : request.prices[view.report.accelerator];
+    });
+  }
+
   private sendStart(session: Session, route: Route): boolean {
     return this.fleet.send(route.chain[0].incarnation, {
       kind: MessageKind.Start,
@@ -301,15 +312,11 @@
   private countToken(session: Session, token: TokenMessage): void {
     const { request, route } = session;
     const positions = token.step === session.firstStep ? request.prompt.length + token.step : 1;
-    for (const stage of route?.chain ?? []) {
-      const view = this.fleet.endpoints().find((one) => one.incarnation === stage.incarnation);
-      const price = view === undefined ? 0 : request.prices[view.report.accelerator];
+    (route?.chain ?? []).forEach((stage, index) => {
       const layerTokens = (stage.range.to - stage.range.from) * positions;
-      Object.assign(session, {
-        layerTokens: session.layerTokens + layerTokens,
-        micros: session.micros + (layerTokens * price) / 1_000,
-      });
-    }
+      session.layerTokens += layerTokens;
+      session.micros += (layerTokens * (session.stagePrices[index] ?? 0)) / 1_000;
+    });
   }
 
   private receiveFailure(message: AttemptFailedMessage): void {
--- a/src/entry/chat/common/chatSession.ts
+++ b/src/entry/chat/common/chatSession.ts
@@ -60,6 +60,8 @@
   refusals: number;
   /** For an attempt that was started elsewhere: what its gate said. */
   collecting: SealOutcome | undefined;
+  /** Price of 1,000 layer-tokens at each stage of the current chain, in micro-units. */
+  stagePrices: readonly number[];
   /** Work counted so far. */
   layerTokens: number;
   micros: number;
