--- a/src/bench/node/caller.ts
+++ b/src/bench/node/caller.ts
@@ -1,6 +1,6 @@
-import { createHash } from 'node:crypto';
 import { performance } from 'node:perf_hooks';
 import { Agent, request } from 'undici';
+import { sha256Hex } from '../../base/common/digest.js';
 import { messageOf } from '../../base/common/errors.js';
 import { RunState, type Problem } from '../../platform/problem/common/problem.js';
 import { referenceAnswer } from '../../standin/common/fakeModel.js';
@@ -104,9 +104,25 @@
   }
 }
 
+/** Result of a call that ends now, before anything else is known of it. */
+function endedCall(startedMs: number, end: CallEnd): CallResult {
+  return {
+    end,
+    run: undefined,
+    status: 0,
+    detail: '',
+    startedMs,
+    endedMs: performance.now(),
+    firstTokenMs: undefined,
+    gapsMs: [],
+    tokens: 0,
+    retryAfter: undefined,
+  };
+}
+
 function isWhole(call: ChatCall, reader: StreamReader): boolean {
   const expected = referenceAnswer(call.layers, `user: ${call.content}`, call.maxTokens);
-  const sha256 = createHash('sha256').update(reader.text).digest('hex');
+  const sha256 = sha256Hex(reader.text);
   return (
     reader.text === expected &&
     reader.check?.sha256 === sha256 &&
@@ -124,16 +140,10 @@
   const startedMs = performance.now();
   const reader = new StreamReader();
   const finish = (end: CallEnd, extra: Partial<CallResult> = {}): CallResult => ({
-    end,
-    run: undefined,
-    status: 0,
-    detail: '',
-    startedMs,
-    endedMs: performance.now(),
+    ...endedCall(startedMs, end),
     firstTokenMs: reader.firstMs === undefined ? undefined : reader.firstMs - startedMs,
     gapsMs: reader.gapsMs,
     tokens: reader.tokens,
-    retryAfter: undefined,
     ...extra,
   });
   try {
@@ -207,16 +217,7 @@
 export async function callService(call: ServiceCallSpec): Promise<CallResult> {
   const startedMs = performance.now();
   const finish = (end: CallEnd, extra: Partial<CallResult> = {}): CallResult => ({
-    end,
-    run: undefined,
-    status: 0,
-    detail: '',
-    startedMs,
-    endedMs: performance.now(),
-    firstTokenMs: undefined,
-    gapsMs: [],
-    tokens: 0,
-    retryAfter: undefined,
+    ...endedCall(startedMs, end),
     ...extra,
   });
   try {
--- a/src/bench/node/fleet.ts
+++ b/src/bench/node/fleet.ts
@@ -1,7 +1,9 @@
 import { readFileSync } from 'node:fs';
 import { join } from 'node:path';
 import { request } from 'undici';
+import { sha256Hex } from '../../base/common/digest.js';
 import { sleep } from '../../base/node/systemClock.js';
+import { hashKey } from '../../entry/http/common/callerDirectory.js';
 import {
   InstanceRole,
   InstanceState,
@@ -12,7 +14,6 @@
 import { HttpObjectStore } from '../../platform/objects/node/httpObjectStore.js';
 import type { RuleManifest } from '../../platform/rules/common/ruleStore.js';
 import type { HistoryEvent } from '../../standin/common/historyEvent.js';
-import { hashKey } from './keys.js';
 import { ProcessGroup, type RunningProcess } from './processes.js';
 import { Shaper } from './shaper.js';
 
@@ -377,7 +378,7 @@
       const record = { name, keyHashes: [hashKey(keyOf(name))] };
       await this.store.put(ObjectKind.Organisations, name, record, absentVersion);
     }
-    const chunk = hashKey(this.spec.rules);
+    const chunk = sha256Hex(this.spec.rules);
     await this.store.put(ObjectKind.RuleChunks, chunk, { text: this.spec.rules }, absentVersion);
     const manifest = { revision: 1, chunks: [chunk], changes: [] };
     await this.store.put(ObjectKind.RuleManifest, 'rules', manifest, absentVersion);
--- a/src/entry/http/common/callerDirectory.ts
+++ b/src/entry/http/common/callerDirectory.ts
@@ -1,4 +1,4 @@
-import { createHash } from 'node:crypto';
+import { sha256Hex } from '../../../base/common/digest.js';
 
 /** Organisation object of the platform. */
 export interface OrganisationRecord {
@@ -14,7 +14,7 @@
  * @returns Its SHA-256 as hexadecimal digits.
  */
 export function hashKey(key: string): string {
-  return createHash('sha256').update(key).digest('hex');
+  return sha256Hex(key);
 }
 
 /**
--- a/src/entry/http/node/chatRoutes.ts
+++ b/src/entry/http/node/chatRoutes.ts
@@ -1,5 +1,6 @@
-import { createHash, randomUUID } from 'node:crypto';
+import { randomUUID } from 'node:crypto';
 import type { FastifyInstance, FastifyReply, FastifyRequest } from 'fastify';
+import { sha256Hex } from '../../../base/common/digest.js';
 import {
   problem,
   ProblemKind,
@@ -61,10 +62,6 @@
   return body.messages.map((message) => `${message.role}: ${message.content}`).join('\n');
 }
 
-function digest(text: string): string {
-  return createHash('sha256').update(text).digest('hex');
-}
-
 /** Writes an answer to its caller, streamed or whole. */
 class AnswerWriter {
   private text = '';
@@ -204,7 +201,7 @@
     priority: terms(model.name).priority,
     revision,
     prices,
-    fingerprint: digest(`${model.name}\n${prompt}`),
+    fingerprint: sha256Hex(`${model.name}\n${prompt}`),
     deadlineMs,
   };
   reply.header('x-request-id', request.id);
@@ -221,7 +218,7 @@
   let cancel: () => void = () => undefined;
   const writer = new AnswerWriter(reply, request, body.stream ?? false, () => cancel());
   if (idempotencyKey !== undefined) {
-    const asked = digest(`${request.model.name}\n${request.maxTokens}\n${request.prompt}`);
+    const asked = sha256Hex(`${request.model.name}\n${request.maxTokens}\n${request.prompt}`);
     const onToken = (text: string) => writer.token(text);
     void parts.startSubmission(request, idempotencyKey, asked, onToken).then((result) => {
       if (result.isOk()) {
--- a/src/entry/node/entryProgram.ts
+++ b/src/entry/node/entryProgram.ts
@@ -1,5 +1,6 @@
-import { createHash, randomUUID } from 'node:crypto';
+import { randomUUID } from 'node:crypto';
 import Fastify, { type FastifyInstance } from 'fastify';
+import { sha256Hex } from '../../base/common/digest.js';
 import { LogLevel, type ILogger } from '../../base/common/logger.js';
 import { SeededRandom, type IRandom } from '../../base/common/random.js';
 import type { IMetrics } from '../../base/node/metrics.js';
@@ -87,10 +88,6 @@
   readonly store: HttpObjectStore;
 }
 
-function digest(text: string): string {
-  return createHash('sha256').update(text).digest('hex');
-}
-
 function createRouter(settings: EntrySettings, random: IRandom): IChainRouter {
   switch (settings.routing) {
     case RoutingPolicy.Random:
@@ -162,9 +159,9 @@
   constructor(private readonly parts: EntryParts) {
     const { settings, clock, store } = parts;
     this.logger = new DecisionLog(parts.logger);
-    const random = new SeededRandom(Number.parseInt(digest(this.incarnation).slice(0, 8), 16));
+    const random = new SeededRandom(Number.parseInt(sha256Hex(this.incarnation).slice(0, 8), 16));
     this.pool = this.createPool();
-    this.ruleStore = new RuleStore(store, digest);
+    this.ruleStore = new RuleStore(store, sha256Hex);
     const known = () => this.pool.highestRevision;
     this.rules = new RuleFeed(this.ruleStore, store, known, this.logger);
     this.models = new ObjectCache(store, ObjectKind.Models);
@@ -429,7 +426,7 @@
       this.guard,
     );
     const identity = {
-      key: digest(`${request.organisation}\n${key}`).slice(0, 32),
+      key: sha256Hex(`${request.organisation}\n${key}`).slice(0, 32),
       request: asked,
       id: request.id,
     };
@@ -443,7 +440,7 @@
   ) => {
     const run = new ServiceSubmission(request, this.caller);
     const identity = {
-      key: digest(`${request.organisation}\n${request.service}\n${key}`).slice(0, 32),
+      key: sha256Hex(`${request.organisation}\n${request.service}\n${key}`).slice(0, 32),
       request: asked,
       id: request.id,
     };
--- a/src/entry/routing/common/baselineRouters.ts
+++ b/src/entry/routing/common/baselineRouters.ts
@@ -1,7 +1,7 @@
 import type { IRandom } from '../../../base/common/random.js';
 import type { ChainSpec } from '../../../platform/model/common/model.js';
-import { isUsable, servesModel, type EndpointView } from '../../fleet/common/endpointView.js';
-import type { IChainRouter, Route, RouteRequest } from './chainRouter.js';
+import type { EndpointView } from '../../fleet/common/endpointView.js';
+import { mayServe, type IChainRouter, type Route, type RouteRequest } from './chainRouter.js';
 
 /** Picks one of the endpoints that can follow a boundary. */
 type Pick = (options: readonly EndpointView[]) => EndpointView;
@@ -12,10 +12,7 @@
   endpoints: readonly EndpointView[],
   pick: Pick,
 ): Route | undefined {
-  const usable = endpoints.filter(
-    (view) =>
-      servesModel(view, request.model.name) && isUsable(view) && !request.avoid.has(view.id),
-  );
+  const usable = endpoints.filter((view) => mayServe(view, request));
   const chain: ChainSpec[number][] = [];
   let boundary = 0;
   while (boundary < request.model.layers) {
--- a/src/entry/routing/common/chainRouter.ts
+++ b/src/entry/routing/common/chainRouter.ts
@@ -78,6 +78,17 @@
   Ord.contramap((view: EndpointView) => view.report.range.from),
 );
 
+/**
+ * Tells whether an endpoint may serve a part of a request.
+ *
+ * @param view - The endpoint.
+ * @param request - The request.
+ * @returns True if it holds layers of the model, is usable and need not be avoided.
+ */
+export function mayServe(view: EndpointView, request: RouteRequest): boolean {
+  return servesModel(view, request.model.name) && isUsable(view) && !request.avoid.has(view.id);
+}
+
 function rangeKey(view: EndpointView): string {
   return `${view.report.range.from}-${view.report.range.to}`;
 }
@@ -115,8 +126,7 @@
   route(request: RouteRequest, endpoints: readonly EndpointView[]): Route | undefined {
     const candidates = pipe(
       endpoints,
-      RA.filter((view) => servesModel(view, request.model.name)),
-      RA.filter((view) => isUsable(view) && !request.avoid.has(view.id)),
+      RA.filter((view) => mayServe(view, request)),
       NEA.groupBy(rangeKey),
       Object.values<readonly EndpointView[]>,
       RA.chain((group) => this.sample(group, request)),
--- a/src/entry/suspects/common/suspectGuard.ts
+++ b/src/entry/suspects/common/suspectGuard.ts
@@ -39,14 +39,14 @@
 
   /**
    * @param suspects - Suspicions of this entry.
-   * @param sharing - Shares them with the other entries.
+   * @param suspectSharing - Shares them with the other entries.
    * @param clock - Source of time.
    * @param timers - For limits.
    * @param logger - Receives crashes and verdicts.
    */
   constructor(
     private readonly suspects: CrashSuspects,
-    private readonly sharingStore: ISuspectSharing,
+    private readonly suspectSharing: ISuspectSharing,
     private readonly clock: IClock,
     private readonly timers: ITimers,
     private readonly logger: ILogger,
@@ -165,7 +165,7 @@
   private shareWithin(wanted: readonly string[]): Promise<readonly string[]> {
     return new Promise((resolve) => {
       const cancel = this.timers.after(shareLimitMs, () => resolve(wanted));
-      void this.sharingStore.share(wanted).then((granted) => {
+      void this.suspectSharing.share(wanted).then((granted) => {
         cancel();
         resolve(granted);
       });
