Rename the platform layer to services and move ejection there

Cause: the adapter for the prepared machines takes the folder platform/, and one word must mean one thing. The gateway to come needs the ejection of failing endpoints that stood in entry. Change: src/platform is src/services, src/entry/ejection is src/services/ejection; no behaviour.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -2,8 +2,18 @@
 import prettier from 'eslint-config-prettier';
 
 /** Layers from the lowest up; each may import only from itself and the layers before it. */
-const layers = ['base', 'platform', 'standin', 'agent', 'entry', 'admin', 'bench', 'bin'];
-const programs = ['standin', 'agent', 'entry', 'admin'];
+const layers = [
+  'base',
+  'services',
+  'standin',
+  'agent',
+  'entry',
+  'gateway',
+  'admin',
+  'bench',
+  'bin',
+];
+const programs = ['standin', 'agent', 'entry', 'gateway', 'admin'];
 
 const zones = [
   ...layers.map((layer, index) => ({
@@ -58,7 +68,7 @@
     },
   },
   {
-    files: ['src/platform/program/**', 'src/platform/settings/node/**', 'src/bin/**'],
+    files: ['src/services/program/**', 'src/services/settings/node/**', 'src/bin/**'],
     rules: { 'n/no-process-exit': 'off', 'n/no-sync': 'off' },
   },
   {
--- a/src/admin/node/adminClient.ts
+++ b/src/admin/node/adminClient.ts
@@ -1,7 +1,7 @@
 import { Err, Ok, type Result } from 'ts-results-es';
 import { request } from 'undici';
 import { IbissparError, messageOf } from '../../base/common/errors.js';
-import type { Problem } from '../../platform/problem/common/problem.js';
+import type { Problem } from '../../services/problem/common/problem.js';
 
 /** The administration API refused a call or could not be reached. */
 export class AdminError extends IbissparError {
--- a/src/admin/node/adminCommands.ts
+++ b/src/admin/node/adminCommands.ts
@@ -1,6 +1,6 @@
 import { randomUUID } from 'node:crypto';
 import { readFile } from 'node:fs/promises';
-import { RunState } from '../../platform/problem/common/problem.js';
+import { RunState } from '../../services/problem/common/problem.js';
 import { diffLines, formatDiff } from '../common/lineDiff.js';
 import { formatCsv, formatTable, type Cell } from '../common/table.js';
 import type { AdminClient, AdminError } from './adminClient.js';
--- a/src/agent/calls/common/callRunner.ts
+++ b/src/agent/calls/common/callRunner.ts
@@ -11,8 +11,8 @@
   type LinkMessage,
   type SealMessage,
   type ServiceAnswer,
-} from '../../../platform/link/common/messages.js';
-import { RunState } from '../../../platform/problem/common/problem.js';
+} from '../../../services/link/common/messages.js';
+import { RunState } from '../../../services/problem/common/problem.js';
 import { AdmitOutcome, type AttemptGate } from '../../gate/common/attemptGate.js';
 
 /** A call to the plain service failed before a whole answer arrived. */
--- a/src/agent/gate/common/attemptGate.ts
+++ b/src/agent/gate/common/attemptGate.ts
@@ -1,4 +1,4 @@
-import { SealOutcome } from '../../../platform/link/common/messages.js';
+import { SealOutcome } from '../../../services/link/common/messages.js';
 
 /** What the gate says of an attempt that wants to run. */
 export enum AdmitOutcome {
--- a/src/agent/gate/test/common/attemptGate.test.ts
+++ b/src/agent/gate/test/common/attemptGate.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
-import { SealOutcome } from '../../../../platform/link/common/messages.js';
+import { SealOutcome } from '../../../../services/link/common/messages.js';
 import { AdmitOutcome, AttemptGate } from '../../common/attemptGate.js';
 
 const retention = { answerMs: 1_000, outcomeMs: 1_000_000 };
--- a/src/agent/node/agentProgram.ts
+++ b/src/agent/node/agentProgram.ts
@@ -2,9 +2,9 @@
 import { sleep, type SystemClock } from '../../base/node/systemClock.js';
 import { LogLevel, type ILogger } from '../../base/common/logger.js';
 import type { IMetrics } from '../../base/node/metrics.js';
-import { InstanceRole } from '../../platform/instances/common/instance.js';
-import { LinkServer } from '../../platform/link/node/linkServer.js';
-import type { Link } from '../../platform/link/node/link.js';
+import { InstanceRole } from '../../services/instances/common/instance.js';
+import { LinkServer } from '../../services/link/node/linkServer.js';
+import type { Link } from '../../services/link/node/link.js';
 import {
   linkVersion,
   MessageKind,
@@ -15,12 +15,12 @@
   type LinkMessage,
   type OrderMessage,
   type SealMessage,
-} from '../../platform/link/common/messages.js';
-import { AcceleratorKind } from '../../platform/model/common/model.js';
-import type { HttpObjectStore } from '../../platform/objects/node/httpObjectStore.js';
-import type { AgentSettings } from '../../platform/settings/common/settings.js';
-import { UsageCounters, UsageSide } from '../../platform/usage/common/usage.js';
-import { UsageWriter } from '../../platform/usage/node/usageWriter.js';
+} from '../../services/link/common/messages.js';
+import { AcceleratorKind } from '../../services/model/common/model.js';
+import type { HttpObjectStore } from '../../services/objects/node/httpObjectStore.js';
+import type { AgentSettings } from '../../services/settings/common/settings.js';
+import { UsageCounters, UsageSide } from '../../services/usage/common/usage.js';
+import { UsageWriter } from '../../services/usage/node/usageWriter.js';
 import { CallRunner } from '../calls/common/callRunner.js';
 import { AttemptGate } from '../gate/common/attemptGate.js';
 import { OrderGate } from '../order/common/orderGate.js';
--- a/src/agent/node/httpPlainService.ts
+++ b/src/agent/node/httpPlainService.ts
@@ -1,8 +1,8 @@
 import { Err, Ok, type Result } from 'ts-results-es';
 import { Agent, request } from 'undici';
 import { messageOf } from '../../base/common/errors.js';
-import type { CallMessage, Header, ServiceAnswer } from '../../platform/link/common/messages.js';
-import { RunState } from '../../platform/problem/common/problem.js';
+import type { CallMessage, Header, ServiceAnswer } from '../../services/link/common/messages.js';
+import { RunState } from '../../services/problem/common/problem.js';
 import { ServiceCallError, type IPlainService } from '../calls/common/callRunner.js';
 
 /** Headers that belong to one connection and are not passed on. */
--- a/src/agent/node/httpStageEngine.ts
+++ b/src/agent/node/httpStageEngine.ts
@@ -2,8 +2,8 @@
 import { Agent, request } from 'undici';
 import { messageOf } from '../../base/common/errors.js';
 import { Emitter } from '../../base/common/event.js';
-import type { OrderMessage } from '../../platform/link/common/messages.js';
-import type { AcceleratorKind, LayerRange } from '../../platform/model/common/model.js';
+import type { OrderMessage } from '../../services/link/common/messages.js';
+import type { AcceleratorKind, LayerRange } from '../../services/model/common/model.js';
 import {
   EngineError,
   type EngineOutput,
--- a/src/agent/node/platformReads.ts
+++ b/src/agent/node/platformReads.ts
@@ -1,6 +1,6 @@
-import type { ModelSpec } from '../../platform/model/common/model.js';
-import type { LeaseRecord } from '../../platform/lease/common/lease.js';
-import { ObjectKind, type IObjectStore } from '../../platform/objects/common/objects.js';
+import type { ModelSpec } from '../../services/model/common/model.js';
+import type { LeaseRecord } from '../../services/lease/common/lease.js';
+import { ObjectKind, type IObjectStore } from '../../services/objects/common/objects.js';
 import type { ITermSource } from '../order/common/orderGate.js';
 
 /** Reads the newest lease term of a region from the platform. */
--- a/src/agent/node/stageLinks.ts
+++ b/src/agent/node/stageLinks.ts
@@ -1,12 +1,12 @@
 import { Emitter } from '../../base/common/event.js';
-import { connect } from '../../platform/link/node/connect.js';
-import type { Link, LinkTiming } from '../../platform/link/node/link.js';
+import { connect } from '../../services/link/node/connect.js';
+import type { Link, LinkTiming } from '../../services/link/node/link.js';
 import type {
   HeartbeatMessage,
   HelloMessage,
   LinkMessage,
-} from '../../platform/link/common/messages.js';
-import type { StageSpec } from '../../platform/model/common/model.js';
+} from '../../services/link/common/messages.js';
+import type { StageSpec } from '../../services/model/common/model.js';
 import type { IStageLinks } from '../stage/common/stageContracts.js';
 
 /** What the links of an agent say of it. */
--- a/src/agent/order/common/orderGate.ts
+++ b/src/agent/order/common/orderGate.ts
@@ -1,4 +1,4 @@
-import type { OrderMessage } from '../../../platform/link/common/messages.js';
+import type { OrderMessage } from '../../../services/link/common/messages.js';
 
 /** Where an agent learns the newest lease term from, independent of any order. */
 export interface ITermSource {
--- a/src/agent/order/test/common/orderGate.test.ts
+++ b/src/agent/order/test/common/orderGate.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import { MessageKind, type OrderMessage } from '../../../../platform/link/common/messages.js';
+import { MessageKind, type OrderMessage } from '../../../../services/link/common/messages.js';
 import { OrderGate } from '../../common/orderGate.js';
 
 function order(term: number): OrderMessage {
--- a/src/agent/stage/common/stageContracts.ts
+++ b/src/agent/stage/common/stageContracts.ts
@@ -1,7 +1,7 @@
 import type { Result } from 'ts-results-es';
 import { IbissparError } from '../../../base/common/errors.js';
-import type { LinkMessage } from '../../../platform/link/common/messages.js';
-import type { LayerRange, StageSpec } from '../../../platform/model/common/model.js';
+import type { LinkMessage } from '../../../services/link/common/messages.js';
+import type { LayerRange, StageSpec } from '../../../services/model/common/model.js';
 
 /** The engine beside the agent failed or refused a step. */
 export class EngineError extends IbissparError {
--- a/src/agent/stage/common/stageRunner.ts
+++ b/src/agent/stage/common/stageRunner.ts
@@ -10,9 +10,9 @@
   type StartMessage,
   type StepMessage,
   type TokenMessage,
-} from '../../../platform/link/common/messages.js';
-import type { AcceleratorKind } from '../../../platform/model/common/model.js';
-import { RunState } from '../../../platform/problem/common/problem.js';
+} from '../../../services/link/common/messages.js';
+import type { AcceleratorKind } from '../../../services/model/common/model.js';
+import { RunState } from '../../../services/problem/common/problem.js';
 import { AdmitOutcome, type AttemptGate } from '../../gate/common/attemptGate.js';
 import type { EngineOutput, IStageEngine, IStageLinks } from './stageContracts.js';
 import { StepDecision, StepSequencer, type ArrivedStep } from './stepSequencer.js';
--- a/src/agent/stage/test/common/stageRunner.test.ts
+++ b/src/agent/stage/test/common/stageRunner.test.ts
@@ -7,9 +7,9 @@
   type AttemptSpec,
   type LinkMessage,
   type Prices,
-} from '../../../../platform/link/common/messages.js';
-import { AcceleratorKind } from '../../../../platform/model/common/model.js';
-import { RunState } from '../../../../platform/problem/common/problem.js';
+} from '../../../../services/link/common/messages.js';
+import { AcceleratorKind } from '../../../../services/model/common/model.js';
+import { RunState } from '../../../../services/problem/common/problem.js';
 import { AttemptGate } from '../../../gate/common/attemptGate.js';
 import type { EngineStep, IStageEngine } from '../../common/stageContracts.js';
 import { StageRunner } from '../../common/stageRunner.js';
--- a/src/bench/faults/common/checkers.ts
+++ b/src/bench/faults/common/checkers.ts
@@ -1,4 +1,4 @@
-import { RunState } from '../../../platform/problem/common/problem.js';
+import { RunState } from '../../../services/problem/common/problem.js';
 import { HistoryKind, type HistoryEvent } from '../../../standin/common/historyEvent.js';
 import { checkLayers, runsByKey } from '../../common/promises.js';
 import {
--- a/src/bench/faults/common/records.ts
+++ b/src/bench/faults/common/records.ts
@@ -1,4 +1,4 @@
-import type { RunState } from '../../../platform/problem/common/problem.js';
+import type { RunState } from '../../../services/problem/common/problem.js';
 
 /** Kinds of calls in the workload. */
 export enum CallKind {
--- a/src/bench/faults/node/faultDriver.ts
+++ b/src/bench/faults/node/faultDriver.ts
@@ -1,6 +1,6 @@
 import type { SeededRandom } from '../../../base/common/random.js';
 import { sleep } from '../../../base/node/systemClock.js';
-import { InstanceState } from '../../../platform/instances/common/instance.js';
+import { InstanceState } from '../../../services/instances/common/instance.js';
 import type { Fleet, FleetEndpoint } from '../../node/fleet.js';
 import { CallEnd, FaultKind, type FaultRecord } from '../common/records.js';
 import type { Operators } from './operators.js';
--- a/src/bench/faults/node/faultRun.ts
+++ b/src/bench/faults/node/faultRun.ts
@@ -2,7 +2,7 @@
 import { join } from 'node:path';
 import { SeededRandom } from '../../../base/common/random.js';
 import { sleep } from '../../../base/node/systemClock.js';
-import { AcceleratorKind } from '../../../platform/model/common/model.js';
+import { AcceleratorKind } from '../../../services/model/common/model.js';
 import { Fleet, type EngineSpec, type FleetSpec } from '../../node/fleet.js';
 import { demoRules } from '../../node/demo.js';
 import { checkPromises } from '../common/checkers.js';
--- a/src/bench/faults/node/workload.ts
+++ b/src/bench/faults/node/workload.ts
@@ -1,6 +1,6 @@
 import { SeededRandom } from '../../../base/common/random.js';
 import { sleep } from '../../../base/node/systemClock.js';
-import { RunState } from '../../../platform/problem/common/problem.js';
+import { RunState } from '../../../services/problem/common/problem.js';
 import { callService, chat, type CallResult } from '../../node/caller.js';
 import type { Fleet, FleetModel } from '../../node/fleet.js';
 import { CallEnd, CallKind, type CallRecord } from '../common/records.js';
--- a/src/bench/measure/common/ejectionComparison.ts
+++ b/src/bench/measure/common/ejectionComparison.ts
@@ -4,7 +4,7 @@
   SequentialTest,
   type IFailureDetector,
   type SequentialTestOptions,
-} from '../../../entry/ejection/common/failureDetector.js';
+} from '../../../services/ejection/common/failureDetector.js';
 import { quantile, round } from './statistics.js';
 
 /** Failure rate of healthy endpoints on the traces. */
--- a/src/bench/measure/node/costsBench.ts
+++ b/src/bench/measure/node/costsBench.ts
@@ -1,6 +1,6 @@
 import { sleep } from '../../../base/node/systemClock.js';
 import type { CostLine } from '../../../entry/costs/common/costReport.js';
-import { AcceleratorKind } from '../../../platform/model/common/model.js';
+import { AcceleratorKind } from '../../../services/model/common/model.js';
 import { HistoryKind } from '../../../standin/common/historyEvent.js';
 import { Fleet, type FleetSpec } from '../../node/fleet.js';
 import { round } from '../common/statistics.js';
--- a/src/bench/measure/node/fakeAgents.ts
+++ b/src/bench/measure/node/fakeAgents.ts
@@ -1,11 +1,11 @@
-import { InstanceRole, InstanceState } from '../../../platform/instances/common/instance.js';
+import { InstanceRole, InstanceState } from '../../../services/instances/common/instance.js';
 import {
   linkVersion,
   MessageKind,
   type EndpointReport,
-} from '../../../platform/link/common/messages.js';
-import { LinkServer } from '../../../platform/link/node/linkServer.js';
-import { AcceleratorKind } from '../../../platform/model/common/model.js';
+} from '../../../services/link/common/messages.js';
+import { LinkServer } from '../../../services/link/node/linkServer.js';
+import { AcceleratorKind } from '../../../services/model/common/model.js';
 import type { Fleet } from '../../node/fleet.js';
 
 const timing = { heartbeatMs: 500, deadlineMs: 1_500 };
--- a/src/bench/measure/node/recoveryBench.ts
+++ b/src/bench/measure/node/recoveryBench.ts
@@ -1,6 +1,6 @@
 import { performance } from 'node:perf_hooks';
 import { sleep } from '../../../base/node/systemClock.js';
-import { AcceleratorKind } from '../../../platform/model/common/model.js';
+import { AcceleratorKind } from '../../../services/model/common/model.js';
 import { CallEnd } from '../../faults/common/records.js';
 import { callService, chat } from '../../node/caller.js';
 import { demoRules } from '../../node/demo.js';
--- a/src/bench/measure/node/routingBench.ts
+++ b/src/bench/measure/node/routingBench.ts
@@ -1,7 +1,7 @@
 import { performance } from 'node:perf_hooks';
 import { request } from 'undici';
-import { AcceleratorKind } from '../../../platform/model/common/model.js';
-import { RoutingPolicy } from '../../../platform/settings/common/settings.js';
+import { AcceleratorKind } from '../../../services/model/common/model.js';
+import { RoutingPolicy } from '../../../services/settings/common/settings.js';
 import { chat } from '../../node/caller.js';
 import { demoRules } from '../../node/demo.js';
 import { Fleet, type EngineSpec, type FleetSpec } from '../../node/fleet.js';
--- a/src/bench/measure/node/scaleBench.ts
+++ b/src/bench/measure/node/scaleBench.ts
@@ -10,8 +10,8 @@
 import { planPlacement } from '../../../entry/placement/common/layerPlanner.js';
 import { FastestChainRouter } from '../../../entry/routing/common/chainRouter.js';
 import { FairQueue } from '../../../entry/shares/common/fairQueue.js';
-import { AcceleratorKind } from '../../../platform/model/common/model.js';
-import { parseRules } from '../../../platform/rules/common/parseRules.js';
+import { AcceleratorKind } from '../../../services/model/common/model.js';
+import { parseRules } from '../../../services/rules/common/parseRules.js';
 import { round } from '../common/statistics.js';
 
 const size = {
--- a/src/bench/measure/node/sharesBench.ts
+++ b/src/bench/measure/node/sharesBench.ts
@@ -1,8 +1,8 @@
 import { performance } from 'node:perf_hooks';
 import { sleep } from '../../../base/node/systemClock.js';
 import { waterFilling } from '../../../entry/shares/common/waterFilling.js';
-import { AcceleratorKind } from '../../../platform/model/common/model.js';
-import { QueueingPolicy } from '../../../platform/settings/common/settings.js';
+import { AcceleratorKind } from '../../../services/model/common/model.js';
+import { QueueingPolicy } from '../../../services/settings/common/settings.js';
 import { CallEnd } from '../../faults/common/records.js';
 import type { CallResult } from '../../node/caller.js';
 import { Fleet, type FleetSpec } from '../../node/fleet.js';
--- a/src/bench/measure/node/slopesBench.ts
+++ b/src/bench/measure/node/slopesBench.ts
@@ -1,7 +1,7 @@
 import { mkdirSync, writeFileSync } from 'node:fs';
 import { performance } from 'node:perf_hooks';
 import { sleep } from '../../../base/node/systemClock.js';
-import { AcceleratorKind } from '../../../platform/model/common/model.js';
+import { AcceleratorKind } from '../../../services/model/common/model.js';
 import { demoRules } from '../../node/demo.js';
 import { Fleet, type FleetSpec } from '../../node/fleet.js';
 import { fitLine, round, type Line } from '../common/statistics.js';
--- a/src/bench/node/caller.ts
+++ b/src/bench/node/caller.ts
@@ -2,7 +2,7 @@
 import { Agent, request } from 'undici';
 import { sha256Hex } from '../../base/common/digest.js';
 import { messageOf } from '../../base/common/errors.js';
-import { RunState, type Problem } from '../../platform/problem/common/problem.js';
+import { RunState, type Problem } from '../../services/problem/common/problem.js';
 import { referenceAnswer } from '../../standin/common/fakeModel.js';
 import { CallEnd } from '../faults/common/records.js';
 import { keyOf } from './fleet.js';
--- a/src/bench/node/demo.ts
+++ b/src/bench/node/demo.ts
@@ -1,6 +1,6 @@
 import { performance } from 'node:perf_hooks';
 import { sleep } from '../../base/node/systemClock.js';
-import { AcceleratorKind } from '../../platform/model/common/model.js';
+import { AcceleratorKind } from '../../services/model/common/model.js';
 import { checkLayers, ranTwice } from '../common/promises.js';
 import { CallEnd } from '../faults/common/records.js';
 import { callService, chat, type CallResult } from './caller.js';
--- a/src/bench/node/fleet.ts
+++ b/src/bench/node/fleet.ts
@@ -8,11 +8,11 @@
   InstanceRole,
   InstanceState,
   type InstanceRecord,
-} from '../../platform/instances/common/instance.js';
-import type { AcceleratorKind } from '../../platform/model/common/model.js';
-import { absentVersion, ObjectKind } from '../../platform/objects/common/objects.js';
-import { HttpObjectStore } from '../../platform/objects/node/httpObjectStore.js';
-import type { RuleManifest } from '../../platform/rules/common/ruleStore.js';
+} from '../../services/instances/common/instance.js';
+import type { AcceleratorKind } from '../../services/model/common/model.js';
+import { absentVersion, ObjectKind } from '../../services/objects/common/objects.js';
+import { HttpObjectStore } from '../../services/objects/node/httpObjectStore.js';
+import type { RuleManifest } from '../../services/rules/common/ruleStore.js';
 import type { HistoryEvent } from '../../standin/common/historyEvent.js';
 import { ProcessGroup, type RunningProcess } from './processes.js';
 import { Shaper } from './shaper.js';
--- a/src/bench/test/common/chainWorld.ts
+++ b/src/bench/test/common/chainWorld.ts
@@ -25,9 +25,9 @@
 import { PrefixDirectory } from '../../../entry/routing/common/prefixDirectory.js';
 import { CrashSuspects } from '../../../entry/suspects/common/crashSuspects.js';
 import { SuspectGuard } from '../../../entry/suspects/common/suspectGuard.js';
-import { MessageKind, type LinkMessage } from '../../../platform/link/common/messages.js';
-import { Agreement } from '../../../platform/rules/common/agreement.js';
-import { AcceleratorKind, type LayerRange } from '../../../platform/model/common/model.js';
+import { MessageKind, type LinkMessage } from '../../../services/link/common/messages.js';
+import { Agreement } from '../../../services/rules/common/agreement.js';
+import { AcceleratorKind, type LayerRange } from '../../../services/model/common/model.js';
 import { EngineCore } from '../../../standin/common/engineCore.js';
 import { HistoryKind, type HistoryEvent } from '../../../standin/common/historyEvent.js';
 
--- a/src/bench/test/common/submissionHistory.test.ts
+++ b/src/bench/test/common/submissionHistory.test.ts
@@ -12,8 +12,8 @@
   type PreparedRun,
   type RunOutcome,
 } from '../../../entry/submission/common/submissionFlow.js';
-import type { Claim, ClaimTarget } from '../../../platform/claims/common/claim.js';
-import { ClaimLedger } from '../../../platform/claims/common/claimLedger.js';
+import type { Claim, ClaimTarget } from '../../../services/claims/common/claim.js';
+import { ClaimLedger } from '../../../services/claims/common/claimLedger.js';
 import {
   FailureReason,
   MessageKind,
@@ -21,14 +21,14 @@
   type CallMessage,
   type LinkMessage,
   type ServiceAnswer,
-} from '../../../platform/link/common/messages.js';
-import { FaultyStore, StoreFault } from '../../../platform/objects/test/common/faultyStore.js';
+} from '../../../services/link/common/messages.js';
+import { FaultyStore, StoreFault } from '../../../services/objects/test/common/faultyStore.js';
 import {
   problem,
   ProblemKind,
   RunState,
   type Problem,
-} from '../../../platform/problem/common/problem.js';
+} from '../../../services/problem/common/problem.js';
 
 const silent: ILogger = { log: () => undefined };
 
--- a/src/bench/test/node/silentLink.test.ts
+++ b/src/bench/test/node/silentLink.test.ts
@@ -1,14 +1,14 @@
 import { expect } from 'chai';
-import { InstanceRole } from '../../../platform/instances/common/instance.js';
+import { InstanceRole } from '../../../services/instances/common/instance.js';
 import {
   linkVersion,
   MessageKind,
   type HeartbeatMessage,
   type HelloMessage,
-} from '../../../platform/link/common/messages.js';
-import { connect } from '../../../platform/link/node/connect.js';
-import { LinkEnd, type Link } from '../../../platform/link/node/link.js';
-import { LinkServer } from '../../../platform/link/node/linkServer.js';
+} from '../../../services/link/common/messages.js';
+import { connect } from '../../../services/link/node/connect.js';
+import { LinkEnd, type Link } from '../../../services/link/node/link.js';
+import { LinkServer } from '../../../services/link/node/linkServer.js';
 import { Shaper } from '../../node/shaper.js';
 
 const timing = { heartbeatMs: 20, deadlineMs: 120 };
--- a/src/bin/ibisspar-agent.ts
+++ b/src/bin/ibisspar-agent.ts
@@ -1,7 +1,7 @@
 import { AgentProgram } from '../agent/node/agentProgram.js';
-import { runProgram } from '../platform/program/node/runProgram.js';
-import { agentSchema } from '../platform/settings/common/settings.js';
-import { loadSettings } from '../platform/settings/node/loadSettings.js';
+import { runProgram } from '../services/program/node/runProgram.js';
+import { agentSchema } from '../services/settings/common/settings.js';
+import { loadSettings } from '../services/settings/node/loadSettings.js';
 
 runProgram(
   'ibisspar-agent',
--- a/src/bin/ibisspar-entry.ts
+++ b/src/bin/ibisspar-entry.ts
@@ -1,6 +1,6 @@
-import { runProgram } from '../platform/program/node/runProgram.js';
-import { entrySchema } from '../platform/settings/common/settings.js';
-import { loadSettings } from '../platform/settings/node/loadSettings.js';
+import { runProgram } from '../services/program/node/runProgram.js';
+import { entrySchema } from '../services/settings/common/settings.js';
+import { loadSettings } from '../services/settings/node/loadSettings.js';
 import { EntryProgram } from '../entry/node/entryProgram.js';
 
 runProgram(
--- a/src/bin/ibisspar-standin.ts
+++ b/src/bin/ibisspar-standin.ts
@@ -1,5 +1,5 @@
 import { cac } from 'cac';
-import type { AcceleratorKind } from '../platform/model/common/model.js';
+import type { AcceleratorKind } from '../services/model/common/model.js';
 import { EngineServer } from '../standin/node/engineServer.js';
 import { HistoryWriter } from '../standin/node/history.js';
 import { PlatformServer } from '../standin/node/platformServer.js';
--- a/src/entry/chat/common/answerAssembler.ts
+++ b/src/entry/chat/common/answerAssembler.ts
@@ -1,5 +1,5 @@
 import { createHash } from 'node:crypto';
-import type { TokenMessage } from '../../../platform/link/common/messages.js';
+import type { TokenMessage } from '../../../services/link/common/messages.js';
 
 /** Count and digest of a whole answer, so that the caller can check it. */
 export interface AnswerSummary {
--- a/src/entry/chat/common/chatAdmission.ts
+++ b/src/entry/chat/common/chatAdmission.ts
@@ -5,8 +5,8 @@
   ProblemKind,
   RunState,
   type Problem,
-} from '../../../platform/problem/common/problem.js';
-import type { Agreement } from '../../../platform/rules/common/agreement.js';
+} from '../../../services/problem/common/problem.js';
+import type { Agreement } from '../../../services/rules/common/agreement.js';
 import { chainSlots, servesModel } from '../../fleet/common/endpointView.js';
 import type { IFleet } from '../../fleet/common/fleet.js';
 import type { IChainRouter, Route } from '../../routing/common/chainRouter.js';
--- a/src/entry/chat/common/chatRequest.ts
+++ b/src/entry/chat/common/chatRequest.ts
@@ -1,6 +1,6 @@
-import type { Prices } from '../../../platform/link/common/messages.js';
-import type { ModelSpec } from '../../../platform/model/common/model.js';
-import type { Problem } from '../../../platform/problem/common/problem.js';
+import type { Prices } from '../../../services/link/common/messages.js';
+import type { ModelSpec } from '../../../services/model/common/model.js';
+import type { Problem } from '../../../services/problem/common/problem.js';
 import type { AnswerSummary } from './answerAssembler.js';
 
 /** A chat request after its checks. */
--- a/src/entry/chat/common/chatRunner.ts
+++ b/src/entry/chat/common/chatRunner.ts
@@ -10,14 +10,14 @@
   type AttemptSpec,
   type LinkMessage,
   type TokenMessage,
-} from '../../../platform/link/common/messages.js';
-import type { StageSpec } from '../../../platform/model/common/model.js';
+} from '../../../services/link/common/messages.js';
+import type { StageSpec } from '../../../services/model/common/model.js';
 import {
   problem,
   ProblemKind,
   RunState,
   type Problem,
-} from '../../../platform/problem/common/problem.js';
+} from '../../../services/problem/common/problem.js';
 import type { FleetChange, FleetLoss, IFleet } from '../../fleet/common/fleet.js';
 import type { Route } from '../../routing/common/chainRouter.js';
 import type { SuspectGuard } from '../../suspects/common/suspectGuard.js';
--- a/src/entry/chat/common/chatSession.ts
+++ b/src/entry/chat/common/chatSession.ts
@@ -1,5 +1,5 @@
-import type { FailureReason, SealOutcome } from '../../../platform/link/common/messages.js';
-import type { RunState } from '../../../platform/problem/common/problem.js';
+import type { FailureReason, SealOutcome } from '../../../services/link/common/messages.js';
+import type { RunState } from '../../../services/problem/common/problem.js';
 import type { Route } from '../../routing/common/chainRouter.js';
 import type { SuspectWaiter } from '../../suspects/common/suspectGuard.js';
 import type { AnswerAssembler } from './answerAssembler.js';
--- a/src/entry/costs/common/costReport.ts
+++ b/src/entry/costs/common/costReport.ts
@@ -10,7 +10,7 @@
   type UsageAmounts,
   type UsageRecord,
   type UsageRow,
-} from '../../../platform/usage/common/usage.js';
+} from '../../../services/usage/common/usage.js';
 
 /** Line of the cost record: one organisation's work on one subject under one revision. */
 export interface CostLine {
--- a/src/entry/costs/test/common/costReport.test.ts
+++ b/src/entry/costs/test/common/costReport.test.ts
@@ -4,7 +4,7 @@
   UsageCounters,
   UsageSide,
   type UsageRecord,
-} from '../../../../platform/usage/common/usage.js';
+} from '../../../../services/usage/common/usage.js';
 import { costReport } from '../../common/costReport.js';
 
 function recordOf(
--- a/src/entry/fleet/common/endpointView.ts
+++ b/src/entry/fleet/common/endpointView.ts
@@ -1,5 +1,5 @@
-import type { EndpointReport } from '../../../platform/link/common/messages.js';
-import type { LayerRange } from '../../../platform/model/common/model.js';
+import type { EndpointReport } from '../../../services/link/common/messages.js';
+import type { LayerRange } from '../../../services/model/common/model.js';
 
 /** What an entry knows of an endpoint; may be out of date at any time. */
 export interface EndpointView {
--- a/src/entry/fleet/common/fleet.ts
+++ b/src/entry/fleet/common/fleet.ts
@@ -1,5 +1,5 @@
 import type { Event } from '../../../base/common/event.js';
-import type { LinkMessage } from '../../../platform/link/common/messages.js';
+import type { LinkMessage } from '../../../services/link/common/messages.js';
 import type { EndpointView } from './endpointView.js';
 
 /** A message from an agent. */
--- a/src/entry/fleet/node/agentPool.ts
+++ b/src/entry/fleet/node/agentPool.ts
@@ -5,16 +5,16 @@
   InstanceState,
   type IInstanceList,
   type InstanceRecord,
-} from '../../../platform/instances/common/instance.js';
+} from '../../../services/instances/common/instance.js';
 import {
   MessageKind,
   type EndpointReport,
   type HeartbeatMessage,
   type HelloMessage,
   type LinkMessage,
-} from '../../../platform/link/common/messages.js';
-import { connect } from '../../../platform/link/node/connect.js';
-import { LinkEnd, type Link, type LinkTiming } from '../../../platform/link/node/link.js';
+} from '../../../services/link/common/messages.js';
+import { connect } from '../../../services/link/node/connect.js';
+import { LinkEnd, type Link, type LinkTiming } from '../../../services/link/node/link.js';
 import type { EndpointView } from '../common/endpointView.js';
 import type { FleetChange, FleetLoss, FleetMessage, IFleet } from '../common/fleet.js';
 
--- a/src/entry/http/node/adminRoutes.ts
+++ b/src/entry/http/node/adminRoutes.ts
@@ -1,11 +1,11 @@
 import type { FastifyInstance, FastifyReply, FastifyRequest } from 'fastify';
-import { problem, ProblemKind, RunState } from '../../../platform/problem/common/problem.js';
+import { problem, ProblemKind, RunState } from '../../../services/problem/common/problem.js';
 import {
   RulesConflictError,
   RulesInvalidError,
   type RuleFile,
   type RuleStore,
-} from '../../../platform/rules/common/ruleStore.js';
+} from '../../../services/rules/common/ruleStore.js';
 import type { EndpointView } from '../../fleet/common/endpointView.js';
 import { bearerKey, hashKey } from '../common/callerDirectory.js';
 import type { DecisionLog } from '../common/decisionLog.js';
--- a/src/entry/http/node/chatRoutes.ts
+++ b/src/entry/http/node/chatRoutes.ts
@@ -6,7 +6,7 @@
   ProblemKind,
   RunState,
   type Problem,
-} from '../../../platform/problem/common/problem.js';
+} from '../../../services/problem/common/problem.js';
 import type { AnswerSummary } from '../../chat/common/answerAssembler.js';
 import type { ChatRequest } from '../../chat/common/chatRequest.js';
 import type { ChatRunner } from '../../chat/common/chatRunner.js';
--- a/src/entry/http/node/entryContext.ts
+++ b/src/entry/http/node/entryContext.ts
@@ -1,15 +1,15 @@
 import type { FastifyRequest } from 'fastify';
 import { Err, Ok, type Result } from 'ts-results-es';
 import type { IClock } from '../../../base/common/clock.js';
-import type { Prices } from '../../../platform/link/common/messages.js';
+import type { Prices } from '../../../services/link/common/messages.js';
 import {
   problem,
   ProblemKind,
   RunState,
   type Problem,
-} from '../../../platform/problem/common/problem.js';
-import type { Terms } from '../../../platform/rules/common/agreement.js';
-import type { RuleFile } from '../../../platform/rules/common/ruleStore.js';
+} from '../../../services/problem/common/problem.js';
+import type { Terms } from '../../../services/rules/common/agreement.js';
+import type { RuleFile } from '../../../services/rules/common/ruleStore.js';
 import type { AnswerSummary } from '../../chat/common/answerAssembler.js';
 import type { ChatRequest } from '../../chat/common/chatRequest.js';
 import type { CallerDirectory } from '../common/callerDirectory.js';
--- a/src/entry/http/node/problemReply.ts
+++ b/src/entry/http/node/problemReply.ts
@@ -5,7 +5,7 @@
   RunState,
   type FieldError,
   type Problem,
-} from '../../../platform/problem/common/problem.js';
+} from '../../../services/problem/common/problem.js';
 
 /**
  * Answers with problem details.
--- a/src/entry/http/node/serviceRoutes.ts
+++ b/src/entry/http/node/serviceRoutes.ts
@@ -1,13 +1,13 @@
 import { createHash, randomUUID } from 'node:crypto';
 import type { FastifyInstance, FastifyReply, FastifyRequest } from 'fastify';
 import type { Result } from 'ts-results-es';
-import type { Header, ServiceAnswer } from '../../../platform/link/common/messages.js';
+import type { Header, ServiceAnswer } from '../../../services/link/common/messages.js';
 import {
   problem,
   ProblemKind,
   RunState,
   type Problem,
-} from '../../../platform/problem/common/problem.js';
+} from '../../../services/problem/common/problem.js';
 import type { ServiceCaller, ServiceRequest } from '../../services/common/serviceCaller.js';
 import type { RequestGuard } from './entryContext.js';
 import { sendProblem } from './problemReply.js';
--- a/src/entry/node/entryProgram.ts
+++ b/src/entry/node/entryProgram.ts
@@ -5,32 +5,32 @@
 import { SeededRandom, type IRandom } from '../../base/common/random.js';
 import type { IMetrics } from '../../base/node/metrics.js';
 import { sleep, type SystemClock } from '../../base/node/systemClock.js';
-import { ClaimLedger } from '../../platform/claims/common/claimLedger.js';
-import { InstanceRole } from '../../platform/instances/common/instance.js';
-import { PlatformInstanceList } from '../../platform/instances/node/platformInstanceList.js';
-import { LeaseCandidate } from '../../platform/lease/common/lease.js';
+import { ClaimLedger } from '../../services/claims/common/claimLedger.js';
+import { InstanceRole } from '../../services/instances/common/instance.js';
+import { PlatformInstanceList } from '../../services/instances/node/platformInstanceList.js';
+import { LeaseCandidate } from '../../services/lease/common/lease.js';
 import {
   linkVersion,
   MessageKind,
   type HeartbeatMessage,
   type HelloMessage,
-} from '../../platform/link/common/messages.js';
-import { ObjectKind } from '../../platform/objects/common/objects.js';
-import type { HttpObjectStore } from '../../platform/objects/node/httpObjectStore.js';
-import { ObjectCache } from '../../platform/objects/node/objectCache.js';
-import { RuleStore } from '../../platform/rules/common/ruleStore.js';
+} from '../../services/link/common/messages.js';
+import { ObjectKind } from '../../services/objects/common/objects.js';
+import type { HttpObjectStore } from '../../services/objects/node/httpObjectStore.js';
+import { ObjectCache } from '../../services/objects/node/objectCache.js';
+import { RuleStore } from '../../services/rules/common/ruleStore.js';
 import {
   QueueingPolicy,
   RoutingPolicy,
   type EntrySettings,
-} from '../../platform/settings/common/settings.js';
-import { UsageCounters, UsageSide, type UsageRecord } from '../../platform/usage/common/usage.js';
-import { UsageWriter } from '../../platform/usage/node/usageWriter.js';
+} from '../../services/settings/common/settings.js';
+import { UsageCounters, UsageSide, type UsageRecord } from '../../services/usage/common/usage.js';
+import { UsageWriter } from '../../services/usage/node/usageWriter.js';
 import { ChatAdmission } from '../chat/common/chatAdmission.js';
 import { ChatRunner } from '../chat/common/chatRunner.js';
 import { costReport } from '../costs/common/costReport.js';
-import { EndpointHealth } from '../ejection/common/endpointHealth.js';
-import { SequentialTest } from '../ejection/common/failureDetector.js';
+import { EndpointHealth } from '../../services/ejection/common/endpointHealth.js';
+import { SequentialTest } from '../../services/ejection/common/failureDetector.js';
 import { sameWork } from '../fleet/common/endpointView.js';
 import { AgentPool } from '../fleet/node/agentPool.js';
 import { CallerDirectory, type OrganisationRecord } from '../http/common/callerDirectory.js';
--- a/src/entry/placement/common/layerPlanner.ts
+++ b/src/entry/placement/common/layerPlanner.ts
@@ -3,7 +3,7 @@
 import * as Ord from 'fp-ts/lib/Ord.js';
 import * as RA from 'fp-ts/lib/ReadonlyArray.js';
 import * as S from 'fp-ts/lib/string.js';
-import type { LayerRange, ModelSpec } from '../../../platform/model/common/model.js';
+import type { LayerRange, ModelSpec } from '../../../services/model/common/model.js';
 
 /** Endpoint that can hold layers. */
 export interface PlacementCandidate {
--- a/src/entry/placement/node/placer.ts
+++ b/src/entry/placement/node/placer.ts
@@ -1,13 +1,13 @@
 import { LogLevel, type ILogger } from '../../../base/common/logger.js';
-import type { LeaseCandidate } from '../../../platform/lease/common/lease.js';
-import { MessageKind } from '../../../platform/link/common/messages.js';
-import { formatRange, type ModelSpec } from '../../../platform/model/common/model.js';
+import type { LeaseCandidate } from '../../../services/lease/common/lease.js';
+import { MessageKind } from '../../../services/link/common/messages.js';
+import { formatRange, type ModelSpec } from '../../../services/model/common/model.js';
 import {
   absentVersion,
   ObjectKind,
   type IObjectStore,
   type StoredObject,
-} from '../../../platform/objects/common/objects.js';
+} from '../../../services/objects/common/objects.js';
 import { sameRange, type EndpointView } from '../../fleet/common/endpointView.js';
 import type { IFleet } from '../../fleet/common/fleet.js';
 import {
--- a/src/entry/placement/test/common/layerPlanner.test.ts
+++ b/src/entry/placement/test/common/layerPlanner.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
-import { coversOnce } from '../../../../platform/model/common/model.js';
+import { coversOnce } from '../../../../services/model/common/model.js';
 import {
   layerCapacity,
   planPlacement,
--- a/src/entry/routing/common/baselineRouters.ts
+++ b/src/entry/routing/common/baselineRouters.ts
@@ -1,5 +1,5 @@
 import type { IRandom } from '../../../base/common/random.js';
-import type { ChainSpec } from '../../../platform/model/common/model.js';
+import type { ChainSpec } from '../../../services/model/common/model.js';
 import type { EndpointView } from '../../fleet/common/endpointView.js';
 import { mayServe, type IChainRouter, type Route, type RouteRequest } from './chainRouter.js';
 
--- a/src/entry/routing/common/chainRouter.ts
+++ b/src/entry/routing/common/chainRouter.ts
@@ -8,7 +8,7 @@
   coversOnce,
   type ChainSpec,
   type ModelSpec,
-} from '../../../platform/model/common/model.js';
+} from '../../../services/model/common/model.js';
 import {
   isUsable,
   loadOf,
--- a/src/entry/routing/test/common/chainRouter.test.ts
+++ b/src/entry/routing/test/common/chainRouter.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
 import { SeededRandom } from '../../../../base/common/random.js';
-import { AcceleratorKind, coversOnce } from '../../../../platform/model/common/model.js';
+import { AcceleratorKind, coversOnce } from '../../../../services/model/common/model.js';
 import type { EndpointView } from '../../../fleet/common/endpointView.js';
 import { FastestChainRouter, type RouteRequest } from '../../common/chainRouter.js';
 
--- a/src/entry/rules/node/ruleFeed.ts
+++ b/src/entry/rules/node/ruleFeed.ts
@@ -1,9 +1,9 @@
 import { Emitter } from '../../../base/common/event.js';
 import { LogLevel, type ILogger } from '../../../base/common/logger.js';
 import { sleep } from '../../../base/node/systemClock.js';
-import { ObjectKind, type IObjectStore } from '../../../platform/objects/common/objects.js';
-import { Agreement } from '../../../platform/rules/common/agreement.js';
-import type { RuleFile, RuleStore } from '../../../platform/rules/common/ruleStore.js';
+import { ObjectKind, type IObjectStore } from '../../../services/objects/common/objects.js';
+import { Agreement } from '../../../services/rules/common/agreement.js';
+import type { RuleFile, RuleStore } from '../../../services/rules/common/ruleStore.js';
 
 /** Longest wait of one watch call, in milliseconds; bounds how long a silent watch goes unseen. */
 const watchWaitMs = 3_000;
--- a/src/entry/services/common/serviceCaller.ts
+++ b/src/entry/services/common/serviceCaller.ts
@@ -4,7 +4,7 @@
 import { MultiMap } from '../../../base/common/multiMap.js';
 import type { IRandom } from '../../../base/common/random.js';
 import { LogLevel, type ILogger } from '../../../base/common/logger.js';
-import type { ClaimTarget } from '../../../platform/claims/common/claim.js';
+import type { ClaimTarget } from '../../../services/claims/common/claim.js';
 import {
   FailureReason,
   MessageKind,
@@ -14,13 +14,13 @@
   type Header,
   type LinkMessage,
   type ServiceAnswer,
-} from '../../../platform/link/common/messages.js';
+} from '../../../services/link/common/messages.js';
 import {
   problem,
   ProblemKind,
   RunState,
   type Problem,
-} from '../../../platform/problem/common/problem.js';
+} from '../../../services/problem/common/problem.js';
 import type { EndpointOutcome } from '../../chat/common/chatSession.js';
 import { isUsable, loadOf, type EndpointView } from '../../fleet/common/endpointView.js';
 import type { FleetChange, IFleet } from '../../fleet/common/fleet.js';
--- a/src/entry/shares/common/slotLimits.ts
+++ b/src/entry/shares/common/slotLimits.ts
@@ -1,4 +1,4 @@
-import type { Terms } from '../../../platform/rules/common/agreement.js';
+import type { Terms } from '../../../services/rules/common/agreement.js';
 
 /** Organisation whose share others must leave free. */
 export interface Reservation {
--- a/src/entry/submission/common/chatSubmission.ts
+++ b/src/entry/submission/common/chatSubmission.ts
@@ -1,12 +1,12 @@
 import { Err, Ok, type Result } from 'ts-results-es';
-import type { Claim, ClaimTarget } from '../../../platform/claims/common/claim.js';
-import type { SealOutcome } from '../../../platform/link/common/messages.js';
+import type { Claim, ClaimTarget } from '../../../services/claims/common/claim.js';
+import type { SealOutcome } from '../../../services/link/common/messages.js';
 import {
   problem,
   ProblemKind,
   RunState,
   type Problem,
-} from '../../../platform/problem/common/problem.js';
+} from '../../../services/problem/common/problem.js';
 import type { AnswerSummary } from '../../chat/common/answerAssembler.js';
 import type { ChainWaiter, ChatAdmission } from '../../chat/common/chatAdmission.js';
 import type { ChatRequest, IChatSink } from '../../chat/common/chatRequest.js';
--- a/src/entry/submission/common/serviceSubmission.ts
+++ b/src/entry/submission/common/serviceSubmission.ts
@@ -1,7 +1,7 @@
 import { Err, Ok, type Result } from 'ts-results-es';
-import type { Claim, ClaimTarget } from '../../../platform/claims/common/claim.js';
-import type { SealOutcome, ServiceAnswer } from '../../../platform/link/common/messages.js';
-import { RunState, type Problem } from '../../../platform/problem/common/problem.js';
+import type { Claim, ClaimTarget } from '../../../services/claims/common/claim.js';
+import type { SealOutcome, ServiceAnswer } from '../../../services/link/common/messages.js';
+import { RunState, type Problem } from '../../../services/problem/common/problem.js';
 import type { EndpointView } from '../../fleet/common/endpointView.js';
 import type { ServiceCaller, ServiceRequest } from '../../services/common/serviceCaller.js';
 import type { ISubmissionRunner, PreparedRun, RunOutcome } from './submissionFlow.js';
--- a/src/entry/submission/common/submissionFlow.ts
+++ b/src/entry/submission/common/submissionFlow.ts
@@ -6,19 +6,19 @@
   ClaimState,
   type Claim,
   type ClaimTarget,
-} from '../../../platform/claims/common/claim.js';
+} from '../../../services/claims/common/claim.js';
 import type {
   ClaimLedger,
   ClaimOutcome,
   ClaimsUnavailableError,
-} from '../../../platform/claims/common/claimLedger.js';
-import { FailureReason, SealOutcome } from '../../../platform/link/common/messages.js';
+} from '../../../services/claims/common/claimLedger.js';
+import { FailureReason, SealOutcome } from '../../../services/link/common/messages.js';
 import {
   problem,
   ProblemKind,
   RunState,
   type Problem,
-} from '../../../platform/problem/common/problem.js';
+} from '../../../services/problem/common/problem.js';
 
 /** What became of one attempt. */
 export enum RunOutcomeKind {
--- a/src/entry/suspects/common/suspectStore.ts
+++ b/src/entry/suspects/common/suspectStore.ts
@@ -3,7 +3,7 @@
   absentVersion,
   ObjectKind,
   type IObjectStore,
-} from '../../../platform/objects/common/objects.js';
+} from '../../../services/objects/common/objects.js';
 import type { CrashSuspects, SuspectRecord } from './crashSuspects.js';
 
 /** Object that all entries share. */
--- a/src/standin/common/engineCore.ts
+++ b/src/standin/common/engineCore.ts
@@ -1,4 +1,4 @@
-import type { LayerRange } from '../../platform/model/common/model.js';
+import type { LayerRange } from '../../services/model/common/model.js';
 import { chooseToken, emptyCache, runLayers, tokenize, type CacheState } from './fakeModel.js';
 
 /** Step that an engine is asked to run. */
--- a/src/standin/node/engineServer.ts
+++ b/src/standin/node/engineServer.ts
@@ -1,7 +1,7 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import Fastify, { type FastifyInstance } from 'fastify';
 import { request } from 'undici';
-import type { AcceleratorKind, LayerRange } from '../../platform/model/common/model.js';
+import type { AcceleratorKind, LayerRange } from '../../services/model/common/model.js';
 import { tokenize } from '../common/fakeModel.js';
 import { EngineCore, type StepReply, type StepRequest } from '../common/engineCore.js';
 import { HistoryKind } from '../common/historyEvent.js';
--- a/src/standin/node/platformServer.ts
+++ b/src/standin/node/platformServer.ts
@@ -1,7 +1,7 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import Fastify, { type FastifyInstance } from 'fastify';
 import { SeededRandom } from '../../base/common/random.js';
-import type { InstanceRecord } from '../../platform/instances/common/instance.js';
+import type { InstanceRecord } from '../../services/instances/common/instance.js';
 import { ObjectTable } from '../common/objectTable.js';
 
 /** Faults that the platform stand-in injects until `untilMs`. */
