--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,10 +1,11 @@
 import { build } from 'esbuild';
 
-const programs = ['entry', 'agent', 'admin', 'standin', 'bench'];
+const programs = ['entry', 'agent', 'gateway', 'admin', 'standin', 'bench'];
+const outdir = process.argv[2] ?? 'build';
 
 await build({
   entryPoints: programs.map((name) => `src/bin/ibisspar-${name}.ts`),
-  outdir: 'build',
+  outdir,
   outExtension: { '.js': '.mjs' },
   bundle: true,
   platform: 'node',
--- a/src/base/node/consolaLogger.ts
+++ b/src/base/node/consolaLogger.ts
@@ -15,10 +15,12 @@
   /**
    * @param level - Least severe level that is written.
    * @param common - Fields added to every line, such as the instance.
+   * @param write - Takes each line, with its line break.
    */
   constructor(
     level: LogLevel,
     private readonly common: LogFields,
+    write: (line: string) => void = (line) => process.stdout.write(line),
   ) {
     this.consola = createConsola({
       level: consolaLevels[level],
@@ -27,7 +29,7 @@
         {
           log: (entry) => {
             const line = `time=${entry.date.toISOString()} level=${entry.type} ${entry.args.join(' ')}`;
-            process.stdout.write(`${line}\n`);
+            write(`${line}\n`);
           },
         },
       ],
--- /dev/null
+++ b/src/gateway/config/common/routeTable.ts
@@ -0,0 +1,94 @@
+import type { IRandom } from '../../../base/common/random.js';
+import type { ConfigSnapshot, Route } from './configSnapshot.js';
+
+/** Outcome of looking a request up in a configuration. */
+export enum Verdict {
+  Allowed = 'allowed',
+  NoRoute = 'no-route',
+  UnknownKey = 'unknown-key',
+}
+
+/** Where a request may go, or why it may not. */
+export type RouteDecision =
+  | { readonly verdict: Verdict.NoRoute | Verdict.UnknownKey }
+  | {
+      readonly verdict: Verdict.Allowed;
+      readonly route: Route;
+      readonly service: string;
+      /** Organisation that holds the request's key, if it carries one. */
+      readonly organisation: string | undefined;
+    };
+
+/** Request line and key, as far as routing reads them. */
+export interface RouteRequest {
+  readonly host: string;
+  /** Path with its query, as sent. */
+  readonly target: string;
+  readonly apiKey: string | undefined;
+}
+
+/**
+ * Strips the port from a Host header and lowers its case.
+ *
+ * @param host - Value of the header.
+ * @returns The host name.
+ */
+export function hostName(host: string): string {
+  return host.replace(/:\d+$/, '').toLowerCase();
+}
+
+function pathOf(target: string): string {
+  const query = target.indexOf('?');
+  return query < 0 ? target : target.slice(0, query);
+}
+
+/** Routes of one configuration, indexed by host and by descending prefix length. */
+export class RouteTable {
+  private readonly byHost = new Map<string, Route[]>();
+
+  /** @param config - The configuration that decides. */
+  constructor(readonly config: ConfigSnapshot) {
+    for (const route of config.routes) {
+      const host = hostName(route.host);
+      this.byHost.set(host, [...(this.byHost.get(host) ?? []), route]);
+    }
+    for (const routes of this.byHost.values()) {
+      routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
+    }
+  }
+
+  /**
+   * Finds the route, the service and the organisation of a request.
+   *
+   * @param req - Request line and key.
+   * @param random - Draws among the weighted services of a split route.
+   * @returns Where it may go.
+   */
+  decide(req: RouteRequest, random: IRandom): RouteDecision {
+    const path = pathOf(req.target);
+    const route = this.byHost
+      .get(hostName(req.host))
+      ?.find(({ pathPrefix }) => path.startsWith(pathPrefix));
+    if (route === undefined) {
+      return { verdict: Verdict.NoRoute };
+    }
+    const keys = this.config.organisationByKey;
+    const organisation = req.apiKey === undefined ? undefined : keys?.get(req.apiKey);
+    if (keys !== undefined && organisation === undefined && !route.isPublic) {
+      return { verdict: Verdict.UnknownKey };
+    }
+    return { verdict: Verdict.Allowed, route, service: pickTarget(route, random), organisation };
+  }
+}
+
+function pickTarget(route: Route, random: IRandom): string {
+  const total = route.targets.reduce((sum, target) => sum + target.weight, 0);
+  let drawn = random.float() * total;
+  for (const target of route.targets) {
+    drawn -= target.weight;
+    if (drawn < 0) {
+      return target.service;
+    }
+  }
+  return route.targets[route.targets.length - 1].service;
+}
--- /dev/null
+++ b/src/gateway/node/gatewayProgram.ts
@@ -0,0 +1,498 @@
+import { createServer, type Server } from 'node:http';
+import type { SystemClock } from '../../base/node/systemClock.js';
+import { sleep } from '../../base/node/systemClock.js';
+import { LogLevel, type ILogger } from '../../base/common/logger.js';
+import type { IRandom } from '../../base/common/random.js';
+import { LeaseCandidate } from '../../services/lease/common/lease.js';
+import { EndpointHealth } from '../../services/ejection/common/endpointHealth.js';
+import { SequentialTest } from '../../services/ejection/common/failureDetector.js';
+import {
+  absentVersion,
+  ObjectKind,
+  type IObjectStore,
+} from '../../services/objects/common/objects.js';
+import type { GatewaySettings } from '../../services/settings/common/settings.js';
+import { ModelAdmission } from '../admission/common/modelAdmission.js';
+import { ConfigHolder } from '../config/common/configHolder.js';
+import type { ConfigSnapshot } from '../config/common/configSnapshot.js';
+import { incarnationOf, type Endpoint } from '../directory/common/endpoint.js';
+import { EndpointDirectory } from '../directory/common/endpointDirectory.js';
+import type { IFeedSource } from '../feeds/common/feedSource.js';
+import { StoreFeed } from '../feeds/node/storeFeed.js';
+import type { CallerConnection } from '../http/node/callerConnection.js';
+import { Ingress } from '../http/node/ingress.js';
+import type { PeerMessage } from '../peers/common/peerMessage.js';
+import { PeerExchange, type PeerAddress } from '../peers/node/peerExchange.js';
+import { PlacementLoop } from '../placement/node/placementLoop.js';
+import type { CallerRequest } from '../relay/common/callerRequest.js';
+import type { IDialect } from '../relay/common/dialect.js';
+import type { IEndpointControl } from '../relay/common/endpointControl.js';
+import { EndpointSender } from '../relay/node/endpointSender.js';
+import { PlainRelay } from '../relay/node/plainRelay.js';
+import type { RelayContext } from '../relay/node/relayContext.js';
+import { StallMonitor } from '../relay/node/stallMonitor.js';
+import { StreamRelay } from '../relay/node/streamRelay.js';
+import { RetryBudget } from '../retries/common/retryBudget.js';
+import { PathFinder } from '../routing/common/pathFinder.js';
+import { PlainRouter } from '../routing/common/plainRouter.js';
+import { RoomLedger } from '../routing/common/roomLedger.js';
+import { EndpointProber } from './endpointProber.js';
+import type { GatewayMetrics } from './gatewayMetrics.js';
+
+/** What a gateway needs of the system that it runs on. */
+export interface GatewayPorts {
+  readonly store: IObjectStore;
+  readonly configFeed: IFeedSource<ConfigSnapshot>;
+  readonly endpointFeed: IFeedSource<Endpoint>;
+  readonly peerFeed: IFeedSource<PeerAddress>;
+  readonly control: IEndpointControl;
+  readonly dialect: IDialect;
+}
+
+/** What a gateway is given by its main. */
+export interface GatewayParts {
+  readonly settings: GatewaySettings;
+  readonly ports: GatewayPorts;
+  readonly clock: SystemClock;
+  readonly logger: ILogger;
+  readonly metrics: GatewayMetrics;
+  readonly random: IRandom;
+}
+
+/** Pause between steps for the lease, as a share of its duration. */
+const leaseStepShare = 1 / 3;
+
+/** Pause between sweeps of the directory, in milliseconds. */
+const sweepMs = 300;
+
+/** Pause before the gateway's own entry is written again after a failure, in milliseconds. */
+const registerRetryMs = 1_000;
+
+/** Time for which a suspicion that a peer told of holds, in milliseconds. */
+const peerSuspicionMs = 600;
+
+/** Connections to one endpoint; the rest of its bound is for the other gateways. */
+const connectionsPerEndpoint = 64;
+
+/** Gateways that are assumed to share a budget while none has been heard of. */
+const assumedGateways = 5;
+
+/** Time after SIGTERM for which callers may still be sent here, in milliseconds. */
+const balancerLagMs = 2_500;
+
+/** Time before the end of the grace at which what is left is broken off, in milliseconds. */
+const lastMomentMs = 500;
+
+/** Failure rate that a sound plain endpoint may show; lookups fail one time in seven there. */
+const baseFailureRate = 0.15;
+
+interface Relay {
+  start(): void;
+  cancel(): void;
+}
+
+/** Serves callers, and places layers while it holds the lease. */
+export class GatewayProgram {
+  private readonly config: ConfigHolder;
+
+  private readonly directory: EndpointDirectory;
+
+  private readonly ledger: RoomLedger;
+
+  private readonly sender = new EndpointSender(connectionsPerEndpoint);
+
+  private readonly ingress: Ingress;
+
+  private readonly peers: PeerExchange;
+
+  private readonly lease: LeaseCandidate;
+
+  private readonly placement: PlacementLoop;
+
+  private readonly prober: EndpointProber;
+
+  private readonly stalls: StallMonitor;
+
+  private readonly health: EndpointHealth;
+
+  private readonly plainRouter: PlainRouter;
+
+  private readonly ejected = new Set<string>();
+
+  private readonly admissions = new Map<string, ModelAdmission>();
+
+  private readonly budgets = new Map<string, RetryBudget>();
+
+  private readonly feeds: readonly StoreFeed<unknown>[];
+
+  private readonly context: RelayContext;
+
+  private readonly abort = new AbortController();
+
+  private readyServer: Server | undefined;
+
+  private metricsServer: Server | undefined;
+
+  private isDraining = false;
+
+  /** @param parts - Settings, ports and what is shared. */
+  constructor(private readonly parts: GatewayParts) {
+    const { settings, ports, clock, logger, metrics } = parts;
+    this.config = new ConfigHolder(logger);
+    this.directory = new EndpointDirectory(clock, logger);
+    this.ledger = new RoomLedger(clock);
+    this.context = {
+      clock,
+      logger,
+      metrics,
+      dialect: ports.dialect,
+      sender: this.sender,
+      directory: this.directory,
+      ledger: this.ledger,
+      budgetOf: (service) => this.budgetOf(service),
+    };
+    this.lease = new LeaseCandidate(
+      {
+        name: 'placement',
+        candidate: `${settings.instance}@${clock.wallMs()}`,
+        durationMs: settings.leaseMs,
+      },
+      ports.store,
+      clock,
+    );
+    this.placement = new PlacementLoop(
+      this.lease,
+      this.config,
+      this.directory,
+      ports.control,
+      clock,
+      logger,
+    );
+    this.prober = new EndpointProber(this.directory, ports.control, clock);
+    this.stalls = new StallMonitor(ports.control, this.context);
+    this.health = this.createHealth();
+    this.plainRouter = new PlainRouter(
+      settings.place,
+      this.directory,
+      this.ledger,
+      (incarnation) => this.ejected.has(incarnation),
+      clock,
+    );
+    const { instance, host, peerPort: port } = settings;
+    this.peers = new PeerExchange(
+      { instance, host, port },
+      () => this.composeMessage(),
+      (message) => this.receiveMessage(message),
+      clock,
+      logger,
+    );
+    this.feeds = this.createFeeds();
+    this.ingress = new Ingress(
+      this.config,
+      ports.dialect,
+      parts.random,
+      (req, caller) => this.startRelay(req, caller),
+      clock,
+      logger,
+    );
+    this.config.onDidChange(({ config: { version } }) => metrics.configVersion.set(version));
+    this.directory.onDidRemove((endpoint) => this.forget(endpoint));
+  }
+
+  /** Port that callers connect to. */
+  get callerPort(): number {
+    return this.ingress.port;
+  }
+
+  /** Starts to serve. */
+  async start(): Promise<void> {
+    const { settings, logger } = this.parts;
+    const [host, port] = splitAddress(settings.callerAddress);
+    const [readyHost, readyPort] = splitAddress(settings.readyAddress);
+    this.feeds.forEach((feed) => feed.start());
+    await this.ingress.listen(host, port);
+    this.readyServer = createServer((req, res) => {
+      res.writeHead(req.url === '/readyz' && this.isReady ? 200 : 503).end();
+    }).listen(readyPort, readyHost);
+    this.metricsServer = createServer((_req, res) => {
+      this.parts.metrics.inFlight.set(this.ingress.inFlight);
+      this.parts.metrics.registry.metrics().then(
+        (text) => res.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' }).end(text),
+        () => res.writeHead(500).end(),
+      );
+    }).listen(settings.metricsPort, settings.host);
+    this.peers.start();
+    this.placement.start();
+    this.prober.start();
+    this.repeat(sweepMs, () => {
+      this.directory.sweep();
+      this.health.sweep();
+    });
+    void this.register();
+    void this.keepLease();
+    logger.log(LogLevel.Info, 'started', {
+      place: settings.place,
+      callers: settings.callerAddress,
+      store: settings.storeAddress,
+    });
+  }
+
+  /** Takes callers' connections off this gateway and finishes what runs, within the grace. */
+  async drain(): Promise<void> {
+    const { clock, settings, logger } = this.parts;
+    const startedMs = clock.monotonicMs();
+    this.isDraining = true;
+    this.ingress.drain();
+    logger.log(LogLevel.Info, 'draining', { inFlight: this.ingress.inFlight });
+    const lastMs = startedMs + settings.drainMs - lastMomentMs;
+    await sleep(Math.min(balancerLagMs, settings.drainMs / 2));
+    void this.lease.release();
+    while (this.ingress.inFlight > 0 && clock.monotonicMs() < lastMs) {
+      await sleep(50);
+    }
+    this.ingress.closeIdle();
+    while (this.ingress.inFlight > 0 && clock.monotonicMs() < lastMs) {
+      await sleep(50);
+    }
+    logger.log(LogLevel.Info, 'drained', {
+      cut: this.ingress.inFlight,
+      tookMs: Math.round(clock.monotonicMs() - startedMs),
+    });
+  }
+
+  /** Releases everything. */
+  async close(): Promise<void> {
+    this.abort.abort();
+    this.ingress.close();
+    this.readyServer?.close();
+    this.metricsServer?.close();
+    this.feeds.forEach((feed) => feed.close());
+    this.peers.close();
+    this.placement.close();
+    this.prober.close();
+    this.stalls.close();
+    this.admissions.forEach((admission) => admission.close());
+    this.directory.close();
+    this.config.close();
+    await this.sender.close();
+  }
+
+  private get isReady(): boolean {
+    return (
+      !this.isDraining &&
+      this.config.current !== undefined &&
+      this.feeds.every((feed) => feed.hasListed)
+    );
+  }
+
+  private createFeeds(): readonly StoreFeed<unknown>[] {
+    const { ports, logger } = this.parts;
+    const { directory, config, peers } = this;
+    const none = () => undefined;
+    return [
+      new StoreFeed<ConfigSnapshot>(
+        'config',
+        ports.configFeed,
+        {
+          onItem: (snapshot) => config.offer(snapshot),
+          onRemoved: none,
+          onListed: none,
+          onRegained: none,
+        },
+        logger,
+      ),
+      new StoreFeed<Endpoint>(
+        'endpoints',
+        ports.endpointFeed,
+        {
+          onItem: (endpoint) => directory.update(endpoint),
+          onRemoved: (id) => directory.remove(id),
+          onListed: (ids) => directory.retainOnly(ids),
+          onRegained: () => directory.storeReturned(),
+        },
+        logger,
+      ),
+      new StoreFeed<PeerAddress>(
+        'gateways',
+        ports.peerFeed,
+        {
+          onItem: (peer) => peers.add(peer),
+          onRemoved: (instance) => peers.remove(instance),
+          onListed: none,
+          onRegained: none,
+        },
+        logger,
+      ),
+    ];
+  }
+
+  private createHealth(): EndpointHealth {
+    const health = new EndpointHealth(
+      { ejectMs: 2_000, maxEjectMs: 8_000, maxEjectedShare: 0.5 },
+      () =>
+        new SequentialTest({
+          baseRate: baseFailureRate,
+          minFailures: 4,
+          criticalValue: 3,
+          horizon: 6,
+        }),
+      (incarnation) => this.siblings(incarnation),
+      this.parts.clock,
+      this.parts.logger,
+    );
+    health.onDidChange(({ endpoint, ejected }) => {
+      if (ejected) {
+        this.ejected.add(endpoint);
+      } else {
+        this.ejected.delete(endpoint);
+      }
+    });
+    return health;
+  }
+
+  private siblings(incarnation: string): readonly string[] {
+    for (const service of this.config.current?.config.services.keys() ?? []) {
+      const all = this.directory.ofService(service).map(incarnationOf);
+      if (all.includes(incarnation)) {
+        return all;
+      }
+    }
+    return [incarnation];
+  }
+
+  private startRelay(req: CallerRequest, caller: CallerConnection): () => void {
+    const service = this.config.current?.config.services.get(req.service);
+    this.budgetOf(req.service).countRequest();
+    let relay: Relay;
+    if (service?.engine) {
+      const admission = this.admissionOf(req.service);
+      const stream = new StreamRelay(
+        req,
+        caller,
+        admission,
+        service.engine.usualOutputTokens,
+        this.context,
+        (over) => this.stalls.remove(over),
+      );
+      this.stalls.add(stream);
+      relay = stream;
+    } else {
+      relay = new PlainRelay(req, caller, this.plainRouter, this.health, this.context, () => {});
+    }
+    relay.start();
+    return () => relay.cancel();
+  }
+
+  private admissionOf(service: string): ModelAdmission {
+    const known = this.admissions.get(service);
+    const engine = this.config.current?.config.services.get(service)?.engine;
+    if (known || engine === undefined) {
+      return known ?? this.emptyAdmission();
+    }
+    const finder = new PathFinder(engine, (address) => this.ledger.loadAt(address));
+    const created = new ModelAdmission(
+      finder,
+      () => this.directory.usable(service),
+      this.ledger,
+      this.parts.clock,
+    );
+    this.admissions.set(service, created);
+    return created;
+  }
+
+  private emptyAdmission(): ModelAdmission {
+    throw new Error('the service has no engine');
+  }
+
+  private budgetOf(service: string): RetryBudget {
+    const known = this.budgets.get(service);
+    if (known) {
+      return known;
+    }
+    const { retryRatio: ratio, retrySlack: slack, retryWindowMs: windowMs } = this.parts.settings;
+    const created = new RetryBudget(
+      { ratio, slack, windowMs },
+      () => Math.max(assumedGateways, this.peers.aliveCount),
+      this.parts.clock,
+    );
+    this.budgets.set(service, created);
+    return created;
+  }
+
+  private composeMessage(): PeerMessage {
+    return {
+      sender: this.parts.settings.instance,
+      configVersion: this.config.current?.config.version ?? 0,
+      loads: this.ledger.ownLoads(),
+      suspects: this.directory.silent(),
+    };
+  }
+
+  private receiveMessage({ sender, loads, suspects }: PeerMessage): void {
+    this.ledger.updatePeer(sender, loads);
+    for (const address of suspects) {
+      this.directory.suspect(address, `told by ${sender}`, peerSuspicionMs, false);
+    }
+    this.admissions.forEach((admission) => admission.pump());
+  }
+
+  private forget(endpoint: Endpoint): void {
+    this.sender.forget(endpoint.address);
+    this.plainRouter.forget(endpoint);
+    this.health.forget(incarnationOf(endpoint));
+    this.ejected.delete(incarnationOf(endpoint));
+  }
+
+  /** Writes this gateway's own entry, from which its peers learn its address. */
+  private async register(): Promise<void> {
+    const { settings, ports, logger } = this.parts;
+    const { instance, host, peerPort: port } = settings;
+    const entry = { host, port };
+    while (!this.abort.signal.aborted) {
+      const stored = await ports.store.get<PeerAddress>(ObjectKind.Gateways, instance);
+      if (stored.isOk()) {
+        const isSame = stored.value?.value.host === host && stored.value.value.port === port;
+        const version = stored.value?.version ?? absentVersion;
+        if (
+          isSame ||
+          (await ports.store.put(ObjectKind.Gateways, instance, entry, version)).isOk()
+        ) {
+          logger.log(LogLevel.Info, 'registered', { host, port });
+          return;
+        }
+      }
+      await sleep(registerRetryMs, this.abort.signal);
+    }
+  }
+
+  private async keepLease(): Promise<void> {
+    const stepMs = this.parts.settings.leaseMs * leaseStepShare;
+    let held: number | undefined;
+    while (!this.abort.signal.aborted && !this.isDraining) {
+      await this.lease.step();
+      const term = this.lease.term();
+      if (term !== held) {
+        this.parts.logger.log(LogLevel.Info, term === undefined ? 'lease-lost' : 'lease-held', {
+          term: term ?? held,
+        });
+        held = term;
+      }
+      await sleep(stepMs, this.abort.signal);
+    }
+  }
+
+  private repeat(everyMs: number, action: () => void): void {
+    const cancel = this.parts.clock.after(everyMs, () => {
+      action();
+      if (!this.abort.signal.aborted) {
+        this.repeat(everyMs, action);
+      }
+    });
+    this.abort.signal.addEventListener('abort', cancel, { once: true });
+  }
+}
+
+function splitAddress(address: string): [string, number] {
+  const at = address.lastIndexOf(':');
+  return [address.slice(0, at), Number(address.slice(at + 1))];
+}
--- /dev/null
+++ b/src/gateway/peers/common/peerMessage.ts
@@ -0,0 +1,64 @@
+import * as v from 'valibot';
+import type { EndpointLoad } from '../../routing/common/roomLedger.js';
+
+/** What a gateway tells its peers several times a second. */
+export interface PeerMessage {
+  /** Instance of the sender. */
+  readonly sender: string;
+  /** Version of the configuration in force there. */
+  readonly configVersion: number;
+  readonly loads: ReadonlyMap<string, EndpointLoad>;
+  /** Addresses that the sender passes over because they were silent. */
+  readonly suspects: readonly string[];
+}
+
+const amount = v.pipe(v.number(), v.minValue(0));
+
+const messageSchema = v.tuple([
+  v.string(),
+  v.number(),
+  v.array(v.tuple([v.string(), amount, amount, amount, amount])),
+  v.array(v.string()),
+]);
+
+/**
+ * Turns a message into plain arrays, which take the fewest bytes.
+ *
+ * @param message - The message.
+ * @returns Arrays of strings and numbers.
+ */
+export function toWire(message: PeerMessage): unknown {
+  const loads = [...message.loads].map(([address, load]) => [
+    address,
+    Math.round(load.tokenLayers),
+    load.requests,
+    load.heads,
+    Math.round(load.readMs),
+  ]);
+  return [message.sender, message.configVersion, loads, message.suspects];
+}
+
+/**
+ * Reads a message.
+ *
+ * @param wire - What a peer sent.
+ * @returns The message, or undefined if it isn't one.
+ */
+export function fromWire(wire: unknown): PeerMessage | undefined {
+  const parsed = v.safeParse(messageSchema, wire);
+  if (!parsed.success) {
+    return undefined;
+  }
+  const [sender, configVersion, loads, suspects] = parsed.output;
+  return {
+    sender,
+    configVersion,
+    suspects,
+    loads: new Map(
+      loads.map(([address, tokenLayers, requests, heads, readMs]) => [
+        address,
+        { tokenLayers, requests, heads, readMs },
+      ]),
+    ),
+  };
+}
--- /dev/null
+++ b/src/gateway/placement/common/rangePlanner.ts
@@ -0,0 +1,212 @@
+import type { EngineProfile } from '../../config/common/configSnapshot.js';
+import type { LayerRange } from '../../directory/common/endpoint.js';
+
+/** Endpoint as placement sees it. */
+export interface PlacedEndpoint {
+  readonly address: string;
+  readonly place: string;
+  readonly memoryMb: number;
+  /** Factor on the time of a token step; the slowest kind serves as spares. */
+  readonly stepFactor: number;
+  /** Layers that it holds or was ordered to hold. */
+  readonly layers: LayerRange | undefined;
+}
+
+/** Layers that an endpoint should take. */
+export interface Assignment {
+  readonly address: string;
+  readonly layers: LayerRange;
+}
+
+/** Memory that a chain needs beyond its weights, as a share of them, for requests. */
+const chainHeadroom = 0.1;
+
+/** Share of a card's memory that weights may take; the rest holds requests. */
+const maxWeightShare = 0.9;
+
+/** Share of a spare card's memory that weights take, so that it has room for many requests. */
+const spareWeightShare = 0.65;
+
+/** Weight of a spare holder when holders of a layer are counted. */
+const spareWeight = 0.35;
+
+function size(range: LayerRange): number {
+  return range.to - range.from;
+}
+
+function sum(values: readonly number[]): number {
+  return values.reduce((total, value) => total + value, 0);
+}
+
+/**
+ * Assigns layers to endpoints that hold none.
+ *
+ * The cards of a place, but for those of the slowest kind, form chains that lie wholly within the
+ * place: activations of a prompt would fill the links between places. Each part of a chain gets
+ * layers in proportion to its memory, so that all parts have room for the same requests. The
+ * slowest cards are spares that hold a few layers each, where the fewest others do.
+ */
+export class RangePlanner {
+  /** @param engine - Behaviour of the engines. */
+  constructor(private readonly engine: EngineProfile) {}
+
+  /**
+   * Plans the next assignments.
+   *
+   * @param endpoints - Endpoints that take new work; ranges that they hold are kept.
+   * @returns Ranges for endpoints without any, chains before spares.
+   */
+  plan(endpoints: readonly PlacedEndpoint[]): readonly Assignment[] {
+    const places = [...new Set(endpoints.map(({ place }) => place))].sort();
+    const groups = this.groupPlaces(places, endpoints);
+    const plans = groups.map((group) => this.planGroup(group));
+    return [...plans.flatMap(({ chains }) => chains), ...plans.flatMap(({ spares }) => spares)];
+  }
+
+  /** Places that can't hold a chain of their own plan together. */
+  private groupPlaces(
+    places: readonly string[],
+    endpoints: readonly PlacedEndpoint[],
+  ): readonly (readonly PlacedEndpoint[])[] {
+    const needMb = this.engine.layerCount * this.engine.layerMb * (1 + chainHeadroom);
+    const whole: PlacedEndpoint[][] = [];
+    const rest: PlacedEndpoint[] = [];
+    for (const place of places) {
+      const there = endpoints.filter((endpoint) => endpoint.place === place);
+      if (sum(there.map(({ memoryMb }) => memoryMb)) >= needMb) {
+        whole.push(there);
+      } else {
+        rest.push(...there);
+      }
+    }
+    return rest.length > 0 ? [...whole, rest] : whole;
+  }
+
+  private planGroup(endpoints: readonly PlacedEndpoint[]): {
+    readonly chains: readonly Assignment[];
+    readonly spares: readonly Assignment[];
+  } {
+    const { engine } = this;
+    const needMb = engine.layerCount * engine.layerMb * (1 + chainHeadroom);
+    const slowest = Math.max(...[...engine.cards.values()].map(({ stepFactor }) => stepFactor));
+    const fast = endpoints.filter(({ stepFactor }) => stepFactor < slowest);
+    const fastMb = sum(fast.map(({ memoryMb }) => memoryMb));
+    const core = fastMb >= needMb ? fast : endpoints;
+    const spareCards = endpoints.filter((endpoint) => !core.includes(endpoint));
+    const held: Assignment[] = endpoints.flatMap(({ address, layers }) =>
+      layers ? [{ address, layers }] : [],
+    );
+    const isFresh = core.every(({ layers }) => layers === undefined);
+    const chains = isFresh ? this.freshChains(core, needMb) : this.fill(core, held, core);
+    const spares = this.fill(spareCards, [...held, ...chains], core);
+    return { chains, spares };
+  }
+
+  /** Splits cards into chains of like memory and the layers of each chain by memory. */
+  private freshChains(cards: readonly PlacedEndpoint[], needMb: number): readonly Assignment[] {
+    const total = sum(cards.map(({ memoryMb }) => memoryMb));
+    const count = Math.max(1, Math.floor(total / needMb));
+    const chains = Array.from({ length: count }, () => ({
+      memoryMb: 0,
+      cards: [] as PlacedEndpoint[],
+    }));
+    const sorted = [...cards].sort(
+      (a, b) => b.memoryMb - a.memoryMb || a.address.localeCompare(b.address),
+    );
+    for (const card of sorted) {
+      const smallest = chains.reduce((best, chain) =>
+        chain.memoryMb < best.memoryMb ? chain : best,
+      );
+      smallest.cards.push(card);
+      smallest.memoryMb += card.memoryMb;
+    }
+    return chains.flatMap((chain) => this.splitChain(chain.cards));
+  }
+
+  private splitChain(cards: readonly PlacedEndpoint[]): readonly Assignment[] {
+    const { layerCount } = this.engine;
+    let memoryLeft = sum(cards.map(({ memoryMb }) => memoryMb));
+    let from = 0;
+    const assignments: Assignment[] = [];
+    for (const { address, memoryMb } of cards) {
+      const share = Math.round(((layerCount - from) * memoryMb) / memoryLeft);
+      const count = Math.min(share, this.maxLayers(memoryMb, 1), layerCount - from);
+      if (count > 0) {
+        assignments.push({ address, layers: { from, to: from + count } });
+      }
+      from += count;
+      memoryLeft -= memoryMb;
+    }
+    return assignments;
+  }
+
+  /** Gives each empty card the layers that the fewest others hold. */
+  private fill(
+    cards: readonly PlacedEndpoint[],
+    held: readonly Assignment[],
+    core: readonly PlacedEndpoint[],
+  ): readonly Assignment[] {
+    const coreAddresses = new Set(core.map(({ address }) => address));
+    const cover = new Array<number>(this.engine.layerCount).fill(0);
+    const count = ({ address, layers }: Assignment) => {
+      for (let layer = layers.from; layer < layers.to; layer += 1) {
+        cover[layer] += coreAddresses.has(address) ? 1 : spareWeight;
+      }
+    };
+    held.forEach(count);
+    const empty = cards
+      .filter(({ layers }) => layers === undefined)
+      .sort((a, b) => b.memoryMb - a.memoryMb || a.address.localeCompare(b.address));
+    return empty.flatMap(({ address, memoryMb }) => {
+      const isCore = coreAddresses.has(address);
+      const layers = this.leastCovered(cover, memoryMb, isCore);
+      if (size(layers) === 0) {
+        return [];
+      }
+      const assignment = { address, layers };
+      count(assignment);
+      return [assignment];
+    });
+  }
+
+  private leastCovered(cover: readonly number[], memoryMb: number, isCore: boolean): LayerRange {
+    const usual = this.maxLayers(memoryMb, spareWeightShare);
+    const most = this.maxLayers(memoryMb, 1);
+    if (isCore) {
+      const gap = longestRun(cover, (holders) => holders < 1);
+      if (size(gap) > 0) {
+        return { from: gap.from, to: Math.min(gap.to, gap.from + most) };
+      }
+    }
+    const length = Math.min(usual, cover.length);
+    let best: LayerRange = { from: 0, to: length };
+    let bestCover = Number.POSITIVE_INFINITY;
+    for (let from = 0; from + length <= cover.length; from += 1) {
+      // Reciprocals keep well covered layers from hiding uncovered ones of the same window.
+      const covered = sum(cover.slice(from, from + length).map((holders) => 1 / (holders + 0.1)));
+      if (-covered < bestCover - 1e-9) {
+        best = { from, to: from + length };
+        bestCover = -covered;
+      }
+    }
+    return best;
+  }
+
+  private maxLayers(memoryMb: number, share: number): number {
+    return Math.floor((memoryMb * Math.min(share, maxWeightShare)) / this.engine.layerMb);
+  }
+}
+
+function longestRun(cover: readonly number[], matches: (holders: number) => boolean): LayerRange {
+  let best: LayerRange = { from: 0, to: 0 };
+  let from = 0;
+  for (let layer = 0; layer <= cover.length; layer += 1) {
+    if (layer === cover.length || !matches(cover[layer])) {
+      if (layer - from > size(best)) {
+        best = { from, to: layer };
+      }
+      from = layer + 1;
+    }
+  }
+  return best;
+}
--- /dev/null
+++ b/src/gateway/relay/node/relayContext.ts
@@ -0,0 +1,21 @@
+import type { IClock, ITimers } from '../../../base/common/clock.js';
+import type { ILogger } from '../../../base/common/logger.js';
+import type { EndpointDirectory } from '../../directory/common/endpointDirectory.js';
+import type { RetryBudget } from '../../retries/common/retryBudget.js';
+import type { RoomLedger } from '../../routing/common/roomLedger.js';
+import type { IDialect } from '../common/dialect.js';
+import type { EndpointSender } from './endpointSender.js';
+import type { GatewayMetrics } from '../../node/gatewayMetrics.js';
+
+/** What the relays of a gateway share. */
+export interface RelayContext {
+  readonly clock: IClock & ITimers;
+  readonly logger: ILogger;
+  readonly metrics: GatewayMetrics;
+  readonly dialect: IDialect;
+  readonly sender: EndpointSender;
+  readonly directory: EndpointDirectory;
+  readonly ledger: RoomLedger;
+  /** Budget of repeated sends of a service. */
+  readonly budgetOf: (service: string) => RetryBudget;
+}
--- /dev/null
+++ b/src/gateway/relay/node/streamRelay.ts
@@ -0,0 +1,560 @@
+import { LogLevel } from '../../../base/common/logger.js';
+import type { CancelTimer } from '../../../base/common/clock.js';
+import {
+  RefusalReason,
+  type IAdmissionTicket,
+  type ModelAdmission,
+} from '../../admission/common/modelAdmission.js';
+import { RouteKind } from '../../config/common/configSnapshot.js';
+import { incarnationOf } from '../../directory/common/endpoint.js';
+import type { LayerPath } from '../../routing/common/pathFinder.js';
+import {
+  deadlineOf,
+  RefusalStatus,
+  type CallerRequest,
+  type ICallerSink,
+} from '../common/callerRequest.js';
+import type { AnswerFacts } from '../common/dialect.js';
+import { EventSplitter } from '../common/eventSplitter.js';
+import type { AnswerHead, IAnswerSink, IExchange } from './endpointSender.js';
+import type { RelayContext } from './relayContext.js';
+
+/**
+ * Share of the expected answer that is reserved beside the prompt. Streams grow while they run, so
+ * at any moment they hold about half of it.
+ */
+const reservedAnswerShare = 0.7;
+
+/** Longest wait for room; callers leave after two seconds without an event. */
+const maxWaitMs = 1_200;
+
+/** Longest wait for a path on which a broken stream goes on; callers leave after two seconds. */
+const maxResumeWaitMs = 1_500;
+
+/** Sends of one request at the most, whatever the route allows for endpoints that run it. */
+const maxSends = 4;
+
+/** Time left below which a request isn't sent once more, in milliseconds. */
+const minRemainingMs = 300;
+
+/** Time for which an endpoint that was short of memory is passed over, in milliseconds. */
+const fullMs = 400;
+
+/** Wait after which a refusal for want of an endpoint means that the endpoint is dead, in ms. */
+const deadRefusalMs = 1_200;
+
+/** Where a stream stands. */
+enum Phase {
+  Waiting,
+  Sent,
+  Streaming,
+  Over,
+}
+
+/** Why a run ended without a complete answer. */
+enum Break {
+  /** No byte of the request reached the endpoint. */
+  NotSent = 'not-sent',
+  /** The endpoint says that it didn't run the request. */
+  NotRun = 'not-run',
+  /** The answer broke off, or wasn't the endpoint's own. */
+  Cut = 'cut',
+  /** An endpoint of the path is silent. */
+  Dead = 'dead',
+}
+
+/** Relays one stream: waits for room, sends, passes events on, and goes on elsewhere if it must. */
+export class StreamRelay {
+  private phase = Phase.Waiting;
+
+  private ticket: IAdmissionTicket | undefined;
+
+  private path: LayerPath | undefined;
+
+  private exchange: IExchange | undefined;
+
+  private splitter = new EventSplitter();
+
+  private hasBegun = false;
+
+  private lastEventId: string | undefined;
+
+  private events = 0;
+
+  private sends = 0;
+
+  /** Sends that endpoints may have run. */
+  private runs = 0;
+
+  private isReading = false;
+
+  private sentAtMs = 0;
+
+  private lastEventAtMs = 0;
+
+  private firstEventMs: number | undefined;
+
+  private longestPauseMs = 0;
+
+  private readonly excluded = new Set<string>();
+
+  private readonly cancelDeadline: CancelTimer;
+
+  /**
+   * @param req - The request.
+   * @param caller - Receives the answer.
+   * @param admission - Gives paths.
+   * @param usualOutputTokens - Mean length of answers.
+   * @param context - What relays share.
+   * @param onOver - Called once when the relay has ended.
+   */
+  constructor(
+    private readonly req: CallerRequest,
+    private readonly caller: ICallerSink,
+    private readonly admission: ModelAdmission,
+    private readonly usualOutputTokens: number,
+    private readonly context: RelayContext,
+    private readonly onOver: (relay: StreamRelay) => void,
+  ) {
+    this.lastEventId = req.facts.lastEventId;
+    const { clock } = context;
+    const leftMs = Math.max(0, deadlineOf(req) - clock.monotonicMs());
+    this.cancelDeadline = clock.after(leftMs, () => this.expire());
+  }
+
+  /** Id of the request. */
+  get requestId(): string {
+    return this.req.facts.requestId ?? '';
+  }
+
+  /** Address of the first endpoint while the request is at one. */
+  get headAddress(): string | undefined {
+    return this.phase === Phase.Sent || this.phase === Phase.Streaming
+      ? this.path?.parts[0].endpoint.address
+      : undefined;
+  }
+
+  private get isOver(): boolean {
+    return this.phase === Phase.Over;
+  }
+
+  /** Time without an event beyond what was expected, in milliseconds. */
+  silentMs(): number {
+    const now = this.context.clock.monotonicMs();
+    if (this.phase === Phase.Sent) {
+      return now - this.sentAtMs - (this.path?.firstEventMs ?? 0);
+    }
+    return this.phase === Phase.Streaming ? now - this.lastEventAtMs : 0;
+  }
+
+  /** Whether the path includes an endpoint. */
+  uses(address: string): boolean {
+    return this.path?.parts.some(({ endpoint }) => endpoint.address === address) ?? false;
+  }
+
+  /** Starts to wait for room. */
+  start(): void {
+    void this.seekPath(false);
+  }
+
+  /** The caller left: gives everything up. */
+  cancel(): void {
+    if (this.phase !== Phase.Over) {
+      this.log('stream-cancelled', { events: this.events });
+      this.finish('cancelled', 0);
+    }
+  }
+
+  /**
+   * Looks for a path around an endpoint that fell silent.
+   *
+   * @param address - The endpoint at fault.
+   * @returns The path with room reserved, or undefined if there is none.
+   */
+  detour(address: string): LayerPath | undefined {
+    const head = this.path?.parts[0];
+    if (head === undefined || head.endpoint.address === address) {
+      return undefined;
+    }
+    this.excluded.add(address);
+    return this.admission.detour({
+      ...this.pathRequest(),
+      head: { address: head.endpoint.address, to: head.to },
+    });
+  }
+
+  /**
+   * Takes note that the endpoints moved the request to another path.
+   *
+   * @param path - The new path; room is reserved on it.
+   */
+  adopt(path: LayerPath): void {
+    if (this.phase === Phase.Over) {
+      this.context.ledger.release(path.reservations);
+      return;
+    }
+    this.releasePath();
+    this.path = path;
+    this.isReading = true;
+    this.lastEventAtMs = this.context.clock.monotonicMs();
+    this.log('stream-repathed', { path: describe(path), events: this.events });
+  }
+
+  /** Breaks the run off because an endpoint of its path is silent, and goes on elsewhere. */
+  abandonRun(address: string): void {
+    if (this.phase !== Phase.Sent && this.phase !== Phase.Streaming) {
+      return;
+    }
+    this.excluded.add(address);
+    this.exchange?.abort();
+    this.broken(Break.Dead, `silent ${address}`);
+  }
+
+  private pathRequest(): {
+    promptTokens: number;
+    reservedTokens: number;
+    excluded: ReadonlySet<string>;
+  } {
+    const { promptTokens, maxOutputTokens, expectedOutputTokens } = this.req.facts;
+    const expected = Math.min(
+      maxOutputTokens || Number.POSITIVE_INFINITY,
+      expectedOutputTokens ?? this.usualOutputTokens,
+    );
+    return {
+      promptTokens,
+      reservedTokens: promptTokens + reservedAnswerShare * expected,
+      excluded: this.excluded,
+    };
+  }
+
+  private async seekPath(isResumed: boolean): Promise<void> {
+    this.phase = Phase.Waiting;
+    const { clock } = this.context;
+    const leftMs = deadlineOf(this.req) - clock.monotonicMs();
+    this.ticket = this.admission.request({
+      ...this.pathRequest(),
+      arrivedMs: this.req.arrivedMs,
+      objectiveMs: this.req.route.objectiveMs,
+      maxWaitMs: Math.min(leftMs, isResumed ? maxResumeWaitMs : maxWaitMs),
+      isResumed,
+    });
+    const outcome = await this.ticket.outcome;
+    this.ticket = undefined;
+    if (outcome.isErr()) {
+      const { reason, retryAfterMs } = outcome.error;
+      if (!this.isOver && reason !== RefusalReason.Cancelled) {
+        this.context.metrics.refusals.inc({ reason });
+        this.giveUp(reason, retryAfterMs);
+      }
+      return;
+    }
+    if (this.isOver) {
+      this.context.ledger.release(outcome.value.reservations);
+      this.admission.pump();
+      return;
+    }
+    this.send(outcome.value);
+  }
+
+  private send(path: LayerPath): void {
+    const { clock, dialect, sender } = this.context;
+    const head = path.parts[0].endpoint;
+    const nowMs = clock.monotonicMs();
+    this.path = path;
+    this.isReading = true;
+    this.phase = Phase.Sent;
+    this.sentAtMs = nowMs;
+    this.sends += 1;
+    this.splitter = new EventSplitter();
+    this.log('stream-sent', {
+      path: describe(path),
+      send: this.sends,
+      waitedMs: Math.round(nowMs - this.req.arrivedMs),
+      expectedMs: Math.round(path.firstEventMs),
+      resumeAt: this.lastEventId,
+    });
+    const headers = dialect.endpointHeaders(this.req.rawHeaders, {
+      remainingMs: deadlineOf(this.req) - nowMs,
+      endpointId: head.id,
+      organisation: this.req.organisation,
+      path,
+      lastEventId: this.lastEventId,
+    });
+    const { method, target, body } = this.req;
+    const run = new StreamRun(this.sends, this);
+    this.exchange = sender.send(head.address, { method, target, headers, body }, run);
+  }
+
+  /** @internal Answer head of the run with the given number. */
+  onHead(send: number, head: AnswerHead): AnswerKind {
+    if (send !== this.sends || this.phase !== Phase.Sent) {
+      return AnswerKind.Ignored;
+    }
+    const facts = this.context.dialect.readAnswer(head.status, head.headers);
+    if (facts.requestId !== undefined && facts.requestId !== this.requestId) {
+      this.exchange?.abort();
+      this.broken(Break.Cut, 'answer to another request');
+      return AnswerKind.Ignored;
+    }
+    if (facts.didNotRun) {
+      return AnswerKind.NotRun;
+    }
+    if (head.status >= 300) {
+      return AnswerKind.Failure;
+    }
+    if (!facts.hasReceipt || facts.isEncoded) {
+      this.exchange?.abort();
+      this.broken(Break.Cut, 'answer without receipt');
+      return AnswerKind.Ignored;
+    }
+    this.runs += 1;
+    this.phase = Phase.Streaming;
+    this.lastEventAtMs = this.context.clock.monotonicMs();
+    if (!this.hasBegun) {
+      this.hasBegun = true;
+      this.caller.begin(head.status, this.context.dialect.callerHeaders(head.rawHeaders));
+    }
+    return AnswerKind.Events;
+  }
+
+  /** @internal Bytes of a stream. */
+  onEvents(chunk: Buffer): boolean {
+    const batch = this.splitter.push(chunk);
+    if (batch === undefined || this.phase !== Phase.Streaming) {
+      return true;
+    }
+    const nowMs = this.context.clock.monotonicMs();
+    if (this.firstEventMs === undefined) {
+      this.firstEventMs = nowMs - this.req.arrivedMs;
+      this.context.metrics.latency.observe({ kind: RouteKind.Stream }, this.firstEventMs);
+    } else {
+      this.longestPauseMs = Math.max(this.longestPauseMs, nowMs - this.lastEventAtMs);
+    }
+    if (this.isReading && this.path) {
+      this.isReading = false;
+      this.context.ledger.finishReading(this.path.reservations);
+    }
+    this.lastEventAtMs = nowMs;
+    this.lastEventId = batch.lastId ?? this.lastEventId;
+    this.events += batch.count;
+    if (this.caller.write(batch.bytes)) {
+      return true;
+    }
+    this.caller.whenDrained(() => this.exchange?.resume());
+    return false;
+  }
+
+  /** @internal The stream ended as complete. */
+  onComplete(): void {
+    if (this.phase !== Phase.Streaming) {
+      return;
+    }
+    if (this.splitter.partial.length > 0) {
+      this.broken(Break.Cut, 'ended within an event');
+      return;
+    }
+    this.path?.parts.forEach(({ endpoint }) => this.context.directory.clear(endpoint.address));
+    this.caller.end();
+    this.finish('complete', 200);
+  }
+
+  /** @internal A whole answer that isn't a stream. */
+  onWhole(kind: AnswerKind, head: AnswerHead, body: Buffer): void {
+    if (this.phase !== Phase.Sent) {
+      return;
+    }
+    const facts = this.context.dialect.readAnswer(head.status, head.headers);
+    if (kind === AnswerKind.NotRun) {
+      this.notRun(facts, head.status);
+      return;
+    }
+    this.runs += 1;
+    if (this.hasBegun || (head.status >= 500 && this.mayRepeat())) {
+      this.broken(Break.Cut, `status ${head.status}`);
+      return;
+    }
+    this.caller.answer(head.status, this.context.dialect.callerHeaders(head.rawHeaders), body);
+    this.finish('endpoint-failure', head.status);
+  }
+
+  /** @internal The exchange failed. */
+  onFailure(send: number, reason: string, wasSent: boolean): void {
+    if (send !== this.sends || this.phase === Phase.Over || this.phase === Phase.Waiting) {
+      return;
+    }
+    const head = this.path?.parts[0].endpoint;
+    if (head) {
+      this.context.directory.suspect(head.address, reason);
+      this.excluded.add(head.address);
+    }
+    if (wasSent && this.phase === Phase.Sent) {
+      this.runs += 1;
+    }
+    this.broken(wasSent ? Break.Cut : Break.NotSent, reason);
+  }
+
+  private notRun(facts: AnswerFacts, status: number): void {
+    const address = facts.faultAddress ?? this.headAddress;
+    if (address !== undefined) {
+      const waitedMs = this.context.clock.monotonicMs() - this.sentAtMs;
+      const isDead = waitedMs > deadRefusalMs;
+      this.context.directory.suspect(
+        address,
+        isDead ? 'silent on a path' : `refused with ${status}`,
+        isDead ? undefined : fullMs,
+      );
+      this.excluded.add(address);
+    }
+    this.broken(Break.NotRun, `status ${status} by ${address ?? 'unknown'}`);
+  }
+
+  private mayRepeat(): boolean {
+    return this.req.route.isResumable && this.runs < Math.max(2, this.req.route.maxAttempts);
+  }
+
+  /** Decides what follows a run without a complete answer. */
+  private broken(why: Break, reason: string): void {
+    this.releasePath();
+    this.exchange = undefined;
+    const { clock, budgetOf, metrics } = this.context;
+    const leftMs = deadlineOf(this.req) - clock.monotonicMs();
+    const isSafe =
+      why === Break.NotSent ||
+      why === Break.NotRun ||
+      (this.req.route.isResumable && (why === Break.Dead || this.mayRepeat()));
+    const hasBudget = why === Break.NotSent || budgetOf(this.req.service).take();
+    const goesOn = isSafe && hasBudget && this.sends < maxSends && leftMs > minRemainingMs;
+    this.log('run-broken', { why, reason, events: this.events, goesOn, sends: this.sends });
+    if (goesOn && !this.caller.isGone) {
+      metrics.repeats.inc({ reason: why });
+      void this.seekPath(this.hasBegun || this.runs > 0);
+      return;
+    }
+    this.giveUp(why, 1_000, reason);
+  }
+
+  private giveUp(reason: string, retryAfterMs: number, detail = reason): void {
+    if (this.hasBegun) {
+      this.caller.breakOff();
+      this.finish(`broken: ${reason}`, 0);
+      return;
+    }
+    const hasRun = this.runs > 0;
+    const status = hasRun ? RefusalStatus.BadGateway : RefusalStatus.Unavailable;
+    this.caller.refuse({ status, detail, ...(hasRun ? {} : { retryAfterMs }) });
+    this.finish(`refused: ${reason}`, status);
+  }
+
+  private expire(): void {
+    if (this.phase === Phase.Over) {
+      return;
+    }
+    if (this.hasBegun) {
+      this.caller.breakOff();
+    } else {
+      const isWaiting = this.phase === Phase.Waiting && this.runs === 0;
+      this.caller.refuse({
+        status: isWaiting ? RefusalStatus.Unavailable : RefusalStatus.Timeout,
+        detail: 'no complete answer in time',
+      });
+    }
+    this.finish('timeout', RefusalStatus.Timeout);
+  }
+
+  private finish(outcome: string, status: number): void {
+    this.phase = Phase.Over;
+    this.cancelDeadline();
+    this.ticket?.cancel();
+    this.exchange?.abort();
+    this.exchange = undefined;
+    this.releasePath();
+    const { metrics, clock } = this.context;
+    metrics.answers.inc({ kind: RouteKind.Stream, status, source: outcome.split(':')[0] });
+    metrics.pause.observe(this.longestPauseMs);
+    this.log('stream-over', {
+      outcome,
+      status,
+      events: this.events,
+      sends: this.sends,
+      firstEventMs: this.firstEventMs && Math.round(this.firstEventMs),
+      longestPauseMs: Math.round(this.longestPauseMs),
+      totalMs: Math.round(clock.monotonicMs() - this.req.arrivedMs),
+    });
+    this.onOver(this);
+    this.admission.pump();
+  }
+
+  private releasePath(): void {
+    if (this.path) {
+      if (this.isReading) {
+        this.context.ledger.finishReading(this.path.reservations);
+        this.isReading = false;
+      }
+      this.context.ledger.release(this.path.reservations);
+      this.path = undefined;
+    }
+  }
+
+  private log(event: string, fields: Record<string, string | number | boolean | undefined>): void {
+    this.context.logger.log(LogLevel.Info, event, { request: this.requestId, ...fields });
+  }
+}
+
+/** What an answer's head makes of its body. */
+export enum AnswerKind {
+  Ignored,
+  Events,
+  NotRun,
+  Failure,
+}
+
+/** Sink of one send; later sends of the same relay ignore it. */
+class StreamRun implements IAnswerSink {
+  private kind = AnswerKind.Ignored;
+
+  private head: AnswerHead | undefined;
+
+  private readonly chunks: Buffer[] = [];
+
+  constructor(
+    private readonly send: number,
+    private readonly relay: StreamRelay,
+  ) {}
+
+  onHead(head: AnswerHead): void {
+    this.head = head;
+    this.kind = this.relay.onHead(this.send, head);
+  }
+
+  onData(chunk: Buffer): boolean {
+    if (this.kind === AnswerKind.Events) {
+      return this.relay.onEvents(chunk);
+    }
+    this.chunks.push(chunk);
+    return true;
+  }
+
+  onEnd(): void {
+    if (this.kind === AnswerKind.Events) {
+      this.relay.onComplete();
+    } else if (this.kind !== AnswerKind.Ignored && this.head) {
+      this.relay.onWhole(this.kind, this.head, Buffer.concat(this.chunks));
+    }
+  }
+
+  onError(reason: string, wasSent: boolean): void {
+    this.relay.onFailure(this.send, reason, wasSent);
+  }
+}
+
+/**
+ * Describes a path for a log line.
+ *
+ * @param path - The path.
+ * @returns Incarnations with their layers.
+ */
+function describe(path: LayerPath): string {
+  return path.parts
+    .map(({ endpoint, from, to }) => `${incarnationOf(endpoint)}:${from}-${to}`)
+    .join(',');
+}
--- /dev/null
+++ b/src/gateway/routing/common/pathFinder.ts
@@ -0,0 +1,271 @@
+import type { EngineProfile } from '../../config/common/configSnapshot.js';
+import type { Endpoint, LayerRange } from '../../directory/common/endpoint.js';
+import type { EndpointLoad, Reservation } from './roomLedger.js';
+
+/** Layers that one endpoint of a path runs. */
+export interface PathPart extends LayerRange {
+  readonly endpoint: Endpoint;
+}
+
+/** A path that runs every layer once and in order. */
+export interface LayerPath {
+  readonly parts: readonly PathPart[];
+  /** Room to reserve while a request is on the path. */
+  readonly reservations: readonly Reservation[];
+  /** Expected time to the first event, in milliseconds. */
+  readonly firstEventMs: number;
+}
+
+/** What a path is wanted for. */
+export interface PathRequest {
+  /** Tokens that are read before the first event. */
+  readonly promptTokens: number;
+  /** Tokens of cache to reserve: the prompt and the expected answer. */
+  readonly reservedTokens: number;
+  /** Endpoints that must not be part of the path. */
+  readonly excluded?: ReadonlySet<string>;
+  /** First endpoint that the path must have, when a running request is moved. */
+  readonly head?: { readonly address: string; readonly to: number };
+}
+
+/** Endpoint with what routing knows of it. */
+interface Candidate {
+  readonly endpoint: Endpoint;
+  readonly from: number;
+  readonly to: number;
+  readonly freeTokenLayers: number;
+  readonly headFree: boolean;
+  readonly stepMsPerLayer: number;
+  readonly readMsPerLayer: number;
+  readonly waitMs: number;
+}
+
+interface Edge {
+  readonly candidate: Candidate;
+  readonly to: number;
+  readonly cost: number;
+  readonly previous: Node | undefined;
+}
+
+interface Node {
+  readonly cost: number;
+  readonly via: Edge | undefined;
+}
+
+/** Share of an endpoint's cache memory that is planned for; the rest absorbs long answers. */
+const plannedShare = 0.97;
+
+/** Cost of one more endpoint on a path, in milliseconds: a hop and half a pass that is running. */
+const partMs = 2;
+
+/** Steps by which pace enters the choice beside the first event; about an answer's events. */
+const weighedSteps = 30;
+
+/** Cost of taking all the room that an endpoint has left, in milliseconds. */
+const pressureMs = 150;
+
+/** Cost of a hop to another place, in milliseconds; activations of a prompt fill the pipe. */
+const crossingMs = 400;
+
+const millisecondsPerSecond = 1_000;
+
+/**
+ * Cache memory of an endpoint.
+ *
+ * @param engine - Behaviour of the engines.
+ * @param endpoint - The endpoint.
+ * @param layerCount - Layers that it holds.
+ * @returns Room in tokens times layers, 0 for an unknown card.
+ */
+export function cacheTokenLayers(
+  engine: EngineProfile,
+  endpoint: Endpoint,
+  layerCount: number,
+): number {
+  const card = engine.cards.get(endpoint.card ?? '');
+  if (card === undefined) {
+    return 0;
+  }
+  const freeBytes = (card.memoryMb - layerCount * engine.layerMb) * 1e6;
+  return Math.max(0, freeBytes / (engine.cacheBytesPerToken / engine.layerCount));
+}
+
+/** Finds paths over endpoints that hold parts of a model. */
+export class PathFinder {
+  /**
+   * @param engine - Behaviour of the engines.
+   * @param loadAt - Reservations at an address.
+   */
+  constructor(
+    private readonly engine: EngineProfile,
+    private readonly loadAt: (address: string) => EndpointLoad,
+  ) {}
+
+  /**
+   * Finds the cheapest path with room, within one place if there is one.
+   *
+   * @param endpoints - Endpoints that take new work.
+   * @param req - What the path is for.
+   * @returns The path, or undefined if none has room.
+   */
+  find(endpoints: readonly Endpoint[], req: PathRequest): LayerPath | undefined {
+    const candidates = endpoints.flatMap((endpoint) => this.candidate(endpoint, req));
+    const places = new Set(candidates.map(({ endpoint }) => endpoint.place));
+    let best: { readonly cost: number; readonly edges: readonly Edge[] } | undefined;
+    for (const place of places) {
+      const found = this.search(
+        candidates.filter(({ endpoint }) => endpoint.place === place),
+        req,
+      );
+      if (found && (best === undefined || found.cost < best.cost)) {
+        best = found;
+      }
+    }
+    if (best === undefined && places.size > 1) {
+      best = this.search(candidates, req);
+    }
+    return best && this.toPath(best.edges, req);
+  }
+
+  private candidate(endpoint: Endpoint, req: PathRequest): readonly Candidate[] {
+    const { engine } = this;
+    const card = engine.cards.get(endpoint.card ?? '');
+    const { layers } = endpoint;
+    if (card === undefined || layers === undefined || req.excluded?.has(endpoint.address)) {
+      return [];
+    }
+    const load = this.loadAt(endpoint.address);
+    const room = plannedShare * cacheTokenLayers(engine, endpoint, layers.to - layers.from);
+    const stepMs = (engine.stepMs + engine.stepMsPerWriter * load.requests) * card.stepFactor;
+    const pairMs = (engine.pairMsPerMillion * req.promptTokens * req.promptTokens) / 2e6;
+    const readMs =
+      ((req.promptTokens * millisecondsPerSecond) / engine.readTokensPerSecond + pairMs) *
+      card.readFactor;
+    return [
+      {
+        endpoint,
+        from: layers.from,
+        to: layers.to,
+        freeTokenLayers: room - load.tokenLayers,
+        headFree: load.heads < endpoint.slots,
+        stepMsPerLayer: stepMs / engine.layerCount,
+        readMsPerLayer: readMs / engine.layerCount,
+        waitMs: load.readMs,
+      },
+    ];
+  }
+
+  /** Shortest path over layer boundaries; endpoints of the same range compete edge by edge. */
+  private search(
+    candidates: readonly Candidate[],
+    req: PathRequest,
+  ): { readonly cost: number; readonly edges: readonly Edge[] } | undefined {
+    const last = this.engine.layerCount;
+    const boundaries = [
+      ...new Set([0, last, ...candidates.flatMap(({ from, to }) => [from, to])]),
+    ].sort((a, b) => a - b);
+    const nodes = new Map<number, Node>();
+    const start = req.head?.to ?? 0;
+    const head = candidates.find(({ endpoint }) => endpoint.address === req.head?.address);
+    if (req.head && head) {
+      const edge = { candidate: head, to: start, cost: 0, previous: undefined };
+      nodes.set(start, { cost: 0, via: edge });
+    } else if (req.head) {
+      return undefined;
+    } else {
+      nodes.set(0, { cost: 0, via: undefined });
+    }
+    if (!boundaries.includes(start)) {
+      boundaries.push(start);
+      boundaries.sort((a, b) => a - b);
+    }
+    for (const boundary of boundaries) {
+      const node = nodes.get(boundary);
+      if (node && boundary < last) {
+        this.relax(nodes, node, boundary, boundaries, candidates, req);
+      }
+    }
+    const end = nodes.get(last);
+    if (end?.via === undefined) {
+      return undefined;
+    }
+    const edges: Edge[] = [];
+    for (let edge: Edge | undefined = end.via; edge; edge = edge.previous?.via) {
+      edges.unshift(edge);
+    }
+    return { cost: end.cost, edges };
+  }
+
+  private relax(
+    nodes: Map<number, Node>,
+    node: Node,
+    boundary: number,
+    boundaries: readonly number[],
+    candidates: readonly Candidate[],
+    req: PathRequest,
+  ): void {
+    for (const candidate of candidates) {
+      const isUsed =
+        candidate.from > boundary || candidate.to <= boundary || onPath(node, candidate);
+      if (isUsed || (boundary === 0 && !candidate.headFree)) {
+        continue;
+      }
+      for (const to of boundaries) {
+        const need = req.reservedTokens * (to - boundary);
+        if (to <= boundary || to > candidate.to || need > candidate.freeTokenLayers) {
+          continue;
+        }
+        const cost = node.cost + this.edgeCost(candidate, to - boundary, need, node);
+        if (cost < (nodes.get(to)?.cost ?? Number.POSITIVE_INFINITY)) {
+          nodes.set(to, { cost, via: { candidate, to, cost, previous: node } });
+        }
+      }
+    }
+  }
+
+  private edgeCost(candidate: Candidate, layers: number, need: number, node: Node): number {
+    const previous = node.via?.candidate.endpoint;
+    const crosses = previous !== undefined && previous.place !== candidate.endpoint.place;
+    return (
+      partMs +
+      (crosses ? crossingMs : 0) +
+      candidate.waitMs +
+      candidate.readMsPerLayer * layers +
+      candidate.stepMsPerLayer * layers * weighedSteps +
+      (pressureMs * need) / Math.max(1, candidate.freeTokenLayers)
+    );
+  }
+
+  private toPath(edges: readonly Edge[], req: PathRequest): LayerPath {
+    let from = 0;
+    const parts: PathPart[] = [];
+    const reservations: Reservation[] = [];
+    let firstEventMs = 0;
+    const steps = this.engine.stepsPerPass;
+    for (const { candidate, to } of edges) {
+      const count = to - from;
+      const { endpoint } = candidate;
+      const readMs = candidate.readMsPerLayer * count;
+      parts.push({ endpoint, from, to });
+      reservations.push({
+        address: endpoint.address,
+        tokenLayers: req.reservedTokens * count,
+        readMs,
+        isHead: from === 0,
+      });
+      firstEventMs +=
+        partMs + candidate.waitMs + readMs + candidate.stepMsPerLayer * count * steps * 2;
+      from = to;
+    }
+    return { parts, reservations, firstEventMs };
+  }
+}
+
+function onPath(node: Node, candidate: Candidate): boolean {
+  for (let edge = node.via; edge; edge = edge.previous?.via) {
+    if (edge.candidate === candidate) {
+      return true;
+    }
+  }
+  return false;
+}
--- /dev/null
+++ b/src/gateway/routing/common/roomLedger.ts
@@ -0,0 +1,124 @@
+import type { IClock } from '../../../base/common/clock.js';
+
+/** Work that requests put on one endpoint. */
+export interface EndpointLoad {
+  /** Cache memory reserved, in tokens times layers. */
+  tokenLayers: number;
+  /** Requests whose path includes the endpoint. */
+  requests: number;
+  /** Requests that it takes as the first of a path. */
+  heads: number;
+  /** Reading of prompts that hasn't shown a first event yet, in milliseconds. */
+  readMs: number;
+}
+
+/** What a request reserves at one endpoint. */
+export interface Reservation {
+  readonly address: string;
+  readonly tokenLayers: number;
+  readonly readMs: number;
+  readonly isHead: boolean;
+}
+
+/**
+ * Age past which a peer's figures no longer count, in milliseconds; several of its messages were
+ * lost by then, or it stopped.
+ */
+const peerTimeoutMs = 1_000;
+
+function emptyLoad(): EndpointLoad {
+  return { tokenLayers: 0, requests: 0, heads: 0, readMs: 0 };
+}
+
+function addTo(load: EndpointLoad, other: EndpointLoad): void {
+  load.tokenLayers += other.tokenLayers;
+  load.requests += other.requests;
+  load.heads += other.heads;
+  load.readMs += other.readMs;
+}
+
+/** Room taken at the endpoints: exact for this process, as last told for its peers. */
+export class RoomLedger {
+  private readonly own = new Map<string, EndpointLoad>();
+
+  private readonly peers = new Map<
+    string,
+    { readonly atMs: number; readonly loads: ReadonlyMap<string, EndpointLoad> }
+  >();
+
+  /** @param clock - Source of time. */
+  constructor(private readonly clock: IClock) {}
+
+  /**
+   * Reserves room.
+   *
+   * @param parts - What is taken at each endpoint.
+   */
+  reserve(parts: readonly Reservation[]): void {
+    parts.forEach((part) => this.change(part, 1));
+  }
+
+  /**
+   * Gives room back.
+   *
+   * @param parts - What was reserved.
+   */
+  release(parts: readonly Reservation[]): void {
+    parts.forEach((part) => this.change(part, -1));
+  }
+
+  /** Takes note that prompts were read: their reading no longer delays others. */
+  finishReading(parts: readonly Reservation[]): void {
+    for (const { address, readMs } of parts) {
+      const load = this.own.get(address);
+      if (load) {
+        load.readMs = Math.max(0, load.readMs - readMs);
+      }
+    }
+  }
+
+  /**
+   * Replaces what a peer has reserved.
+   *
+   * @param peer - Name of the peer.
+   * @param loads - Its reservations by address.
+   */
+  updatePeer(peer: string, loads: ReadonlyMap<string, EndpointLoad>): void {
+    this.peers.set(peer, { atMs: this.clock.monotonicMs(), loads });
+  }
+
+  /** What this process has reserved, by address. */
+  ownLoads(): ReadonlyMap<string, EndpointLoad> {
+    return this.own;
+  }
+
+  /** Reservations of this process and its peers at one endpoint. */
+  loadAt(address: string): EndpointLoad {
+    const total = emptyLoad();
+    const own = this.own.get(address);
+    if (own) {
+      addTo(total, own);
+    }
+    const nowMs = this.clock.monotonicMs();
+    for (const { atMs, loads } of this.peers.values()) {
+      const load = loads.get(address);
+      if (load && nowMs - atMs <= peerTimeoutMs) {
+        addTo(total, load);
+      }
+    }
+    return total;
+  }
+
+  private change(part: Reservation, sign: 1 | -1): void {
+    const load = this.own.get(part.address) ?? emptyLoad();
+    load.tokenLayers += sign * part.tokenLayers;
+    load.requests += sign;
+    load.heads += part.isHead ? sign : 0;
+    load.readMs = Math.max(0, load.readMs + (sign > 0 ? part.readMs : 0));
+    if (load.requests <= 0) {
+      this.own.delete(part.address);
+    } else {
+      this.own.set(part.address, load);
+    }
+  }
+}
--- a/src/services/objects/common/objects.ts
+++ b/src/services/objects/common/objects.ts
@@ -14,6 +14,7 @@
   Placements = 'placements',
   Quarantine = 'quarantine',
   Usage = 'usage',
+  Gateways = 'gateways',
 }
 
 /** Object as stored by the platform. */
--- a/src/services/settings/common/settings.ts
+++ b/src/services/settings/common/settings.ts
@@ -107,6 +107,39 @@
   ),
 );
 
+const address = v.pipe(v.string(), v.regex(/^[0-9.]+:\d{1,5}$/, 'must be IP:PORT'));
+
+/** Settings of `ibisspar-gateway`. */
+export const gatewaySchema = v.strictObject({
+  instance: name,
+  host: v.pipe(v.string(), v.ip()),
+  place: name,
+  region: name,
+  logLevel: v.optional(v.enum(LogLevel), LogLevel.Info),
+  /** Where callers connect. */
+  callerAddress: address,
+  /** Where the balancer asks whether this gateway takes callers. */
+  readyAddress: address,
+  /** Where peers send their datagrams. */
+  peerPort: port,
+  metricsPort: port,
+  storeAddress: address,
+  storeCallMs: v.optional(milliseconds, 1_000),
+  /** Pause between the store entries of a live endpoint. */
+  storeHeartbeatMs: milliseconds,
+  /** Time from SIGTERM to the end. */
+  drainMs: milliseconds,
+  leaseMs: v.optional(milliseconds, 4_500),
+  retryRatio: v.pipe(v.number(), v.minValue(0)),
+  retryWindowMs: milliseconds,
+  retrySlack: v.pipe(v.number(), v.minValue(0)),
+  /** Silence of an endpoint after which engines cut the work that depends on it. */
+  stallMs: milliseconds,
+});
+
+/** Checked settings of `ibisspar-gateway`. */
+export type GatewaySettings = v.InferOutput<typeof gatewaySchema>;
+
 /** Checked settings of `ibisspar-entry`. */
 export type EntrySettings = v.InferOutput<typeof entrySchema>;
 
