Take no reset for the end of an answer, and send late requests of a stopping gateway away

(2) MIXED: an answer without a length that was reset passed as complete. The event loop's library reports a reset that is polled together with data as an ordinary end, and the HTTP client ends an answer at the end of its connection whatever the framing. Change: each connection is a client of its own, and a socket without a peer at its end was reset; 2.8 s after SIGTERM streams are refused at once, other requests 2 s before the grace ends.

--- a/src/gateway/node/gatewayProgram.ts
+++ b/src/gateway/node/gatewayProgram.ts
@@ -24,7 +24,7 @@
 import type { PeerMessage } from '../peers/common/peerMessage.js';
 import { PeerExchange, type PeerAddress } from '../peers/node/peerExchange.js';
 import { PlacementLoop } from '../placement/node/placementLoop.js';
-import type { CallerRequest } from '../relay/common/callerRequest.js';
+import { RefusalStatus, type CallerRequest } from '../relay/common/callerRequest.js';
 import type { IDialect } from '../relay/common/dialect.js';
 import type { IEndpointControl } from '../relay/common/endpointControl.js';
 import { EndpointSender } from '../relay/node/endpointSender.js';
@@ -81,7 +81,7 @@
 const peerSuspicionMs = 600;
 
 /** Connections to one endpoint; the rest of its bound is for the other gateways. */
-const connectionsPerEndpoint = 64;
+const connectionsPerEndpoint = 128;
 
 /** Gateways that are assumed to share a budget while none has been heard of. */
 const assumedGateways = 5;
@@ -92,6 +92,15 @@
 /** Time before the end of the grace at which what is left is broken off, in milliseconds. */
 const lastMomentMs = 500;
 
+/** Time after SIGTERM for which streams are taken; the rest of the grace is for their end, in ms. */
+const drainStreamsMs = 2_800;
+
+/** Time before the end of the grace until which other requests are taken, in milliseconds. */
+const drainPlainMs = 2_000;
+
+/** When a caller that is sent away from a stopping gateway may try another, in milliseconds. */
+const elsewhereMs = 50;
+
 /** Failure rate that a sound plain endpoint may show; lookups fail one time in seven there. */
 const baseFailureRate = 0.15;
 
@@ -108,7 +117,7 @@
 
   private readonly ledger: RoomLedger;
 
-  private readonly sender = new EndpointSender(connectionsPerEndpoint);
+  private readonly sender: EndpointSender;
 
   private readonly ingress: Ingress;
 
@@ -142,7 +151,8 @@
 
   private metricsServer: Server | undefined;
 
-  private isDraining = false;
+  /** Monotonic time of the order to stop. */
+  private drainStartedMs: number | undefined;
 
   /** @param parts - Settings, ports and what is shared. */
   constructor(private readonly parts: GatewayParts) {
@@ -150,6 +160,7 @@
     this.config = new ConfigHolder(logger);
     this.directory = new EndpointDirectory(clock, logger);
     this.ledger = new RoomLedger(clock);
+    this.sender = new EndpointSender(connectionsPerEndpoint, clock);
     this.context = {
       clock,
       logger,
@@ -250,7 +261,7 @@
   async drain(): Promise<void> {
     const { clock, settings, logger } = this.parts;
     const startedMs = clock.monotonicMs();
-    this.isDraining = true;
+    this.drainStartedMs = startedMs;
     this.ingress.drain();
     logger.log(LogLevel.Info, 'draining', { inFlight: this.ingress.inFlight });
     const lastMs = startedMs + settings.drainMs - lastMomentMs;
@@ -288,7 +299,7 @@
 
   private get isReady(): boolean {
     return (
-      !this.isDraining &&
+      this.drainStartedMs === undefined &&
       this.config.current !== undefined &&
       this.feeds.every((feed) => feed.hasListed)
     );
@@ -374,6 +385,15 @@
 
   private startRelay(req: CallerRequest, caller: CallerConnection): () => void {
     const service = this.config.current?.config.services.get(req.service);
+    if (this.mustSendAway(service?.engine !== undefined)) {
+      this.parts.metrics.refusals.inc({ reason: 'draining' });
+      caller.refuse({
+        status: RefusalStatus.Unavailable,
+        detail: 'this gateway is stopping',
+        retryAfterMs: elsewhereMs,
+      });
+      return () => undefined;
+    }
     this.budgetOf(req.service).countRequest();
     let relay: Relay;
     if (service?.engine) {
@@ -395,6 +415,15 @@
     return () => relay.cancel();
   }
 
+  /** Whether a stopping gateway could no longer finish a request. */
+  private mustSendAway(isStream: boolean): boolean {
+    if (this.drainStartedMs === undefined) {
+      return false;
+    }
+    const takenMs = isStream ? drainStreamsMs : this.parts.settings.drainMs - drainPlainMs;
+    return this.parts.clock.monotonicMs() - this.drainStartedMs > takenMs;
+  }
+
   private admissionOf(service: string): ModelAdmission {
     const known = this.admissions.get(service);
     const engine = this.config.current?.config.services.get(service)?.engine;
@@ -480,7 +509,7 @@
   private async keepLease(): Promise<void> {
     const stepMs = this.parts.settings.leaseMs * leaseStepShare;
     let held: number | undefined;
-    while (!this.abort.signal.aborted && !this.isDraining) {
+    while (!this.abort.signal.aborted && this.drainStartedMs === undefined) {
       await this.lease.step();
       const term = this.lease.term();
       if (term !== held) {
--- a/src/gateway/relay/node/endpointSender.ts
+++ b/src/gateway/relay/node/endpointSender.ts
@@ -1,5 +1,7 @@
-import { Pool, type Dispatcher } from 'undici';
+import type { Socket } from 'node:net';
+import { buildConnector, Client, type Dispatcher } from 'undici';
 import { messageOf } from '../../../base/common/errors.js';
+import type { IClock } from '../../../base/common/clock.js';
 import type { HeaderMap } from '../common/dialect.js';
 
 /** A request as it goes to an endpoint. */
@@ -9,6 +11,8 @@
   /** Names and values by turns. */
   readonly headers: string[];
   readonly body: Buffer | undefined;
+  /** Idle time of a kept connection beyond which a new one is opened instead, in milliseconds. */
+  readonly maxIdleMs: number;
 }
 
 /** Head of an endpoint's answer. */
@@ -39,15 +43,74 @@
 /** Time to open a connection, in milliseconds; a few round trips and one lost packet fit. */
 const connectMs = 600;
 
-/** Idle time after which a connection isn't used again unless the endpoint allows less. */
-const idleMs = 3_000;
+/** Idle time after which a connection is closed unless the endpoint allows less. */
+const idleMs = 4_000;
+
+const openSocket = buildConnector({ timeout: connectMs });
+
+/** A connection to an endpoint that carries one exchange at a time. */
+class Connection {
+  readonly client: Client;
+
+  isBusy = false;
+
+  idleSinceMs = 0;
+
+  /** Whether the endpoint's side has ended, in order or by a reset. */
+  hasEnded = false;
+
+  /** How it ended other than in order. */
+  fault: string | undefined;
+
+  constructor(address: string) {
+    this.client = new Client(`http://${address}`, {
+      pipelining: 1,
+      keepAliveTimeout: idleMs,
+      keepAliveMaxTimeout: idleMs,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      connect: (options, callback) =>
+        openSocket(options, (err, socket) => {
+          if (err) {
+            callback(err, null);
+            return;
+          }
+          this.watch(socket);
+          callback(null, socket);
+        }),
+    });
+  }
+
+  /** Listens before the client does, so that `hasEnded` is known when an answer ends. */
+  private watch(socket: Socket): void {
+    this.hasEnded = false;
+    this.fault = undefined;
+    socket.once('end', () => {
+      this.hasEnded = true;
+      // A reset that is polled together with data is reported as an end, but leaves no peer.
+      if (socket.remoteAddress === undefined) {
+        this.fault = 'connection was reset';
+      }
+    });
+    socket.once('error', (err) => {
+      this.hasEnded = true;
+      this.fault = err.message;
+    });
+  }
+}
 
 class Exchange implements IExchange, Dispatcher.DispatchHandler {
   private controller: Dispatcher.DispatchController | undefined;
 
   private isOver = false;
 
-  constructor(private readonly sink: IAnswerSink) {}
+  private isFramed = false;
+
+  constructor(
+    private readonly sink: IAnswerSink,
+    private readonly connection: Connection,
+    private readonly onOver: () => void,
+  ) {}
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
     this.controller = controller;
@@ -62,7 +125,9 @@
     headers: HeaderMap,
   ): void {
     if (!this.isOver && status >= 200) {
-      const raw = (controller as { rawHeaders?: readonly (Buffer | string)[] }).rawHeaders ?? [];
+      this.isFramed =
+        headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+      const raw = (controller.rawHeaders ?? []) as readonly (Buffer | string)[];
       this.sink.onHead({ status, headers, rawHeaders: raw.map((each) => each.toString('latin1')) });
     }
   }
@@ -74,13 +139,22 @@
   }
 
   onResponseEnd(): void {
-    if (!this.isOver) {
-      this.isOver = true;
+    const { hasEnded, fault } = this.connection;
+    this.onOver();
+    if (this.isOver) {
+      return;
+    }
+    this.isOver = true;
+    // The client takes the end of a connection as the end of its last answer, whatever the framing.
+    if (fault !== undefined || (this.isFramed && hasEnded)) {
+      this.sink.onError(fault ?? 'connection ended within the answer', true);
+    } else {
       this.sink.onEnd();
     }
   }
 
   onResponseError(_controller: Dispatcher.DispatchController | undefined, err: Error): void {
+    this.onOver();
     if (!this.isOver) {
       this.isOver = true;
       this.sink.onError(messageOf(err), this.controller !== undefined);
@@ -93,16 +167,31 @@
 
   abort(): void {
     this.isOver = true;
-    this.controller?.abort(new Error('aborted'));
+    if (this.controller) {
+      this.controller.abort(new Error('aborted'));
+    } else {
+      void this.connection.client.destroy();
+    }
   }
 }
 
-/** Sends requests to endpoints over kept connections. */
+/**
+ * Sends requests to endpoints over kept connections.
+ *
+ * Each connection is a client of its own: only so is it known how the connection ended that an
+ * answer came on, and a reset must not pass as the end of an answer without a length.
+ */
 export class EndpointSender {
-  private readonly pools = new Map<string, Pool>();
+  private readonly connections = new Map<string, Set<Connection>>();
 
-  /** @param maxConnections - Connections to one endpoint. */
-  constructor(private readonly maxConnections: number) {}
+  /**
+   * @param maxConnections - Connections to one endpoint.
+   * @param clock - Source of time.
+   */
+  constructor(
+    private readonly maxConnections: number,
+    private readonly clock: IClock,
+  ) {}
 
   /**
    * Sends a request.
@@ -113,14 +202,24 @@
    * @returns The exchange, to resume or to abort it.
    */
   send(address: string, req: OutboundRequest, sink: IAnswerSink): IExchange {
-    const exchange = new Exchange(sink);
-    this.poolFor(address).dispatch(
+    const open = this.openTo(address);
+    const kept = this.idleConnection(open, req.maxIdleMs);
+    if (kept === undefined && open.size >= this.maxConnections) {
+      queueMicrotask(() => sink.onError('too many connections', false));
+      return { resume: () => undefined, abort: () => undefined };
+    }
+    const connection = kept ?? this.open(address, open);
+    connection.isBusy = true;
+    const exchange = new Exchange(sink, connection, () => {
+      connection.isBusy = false;
+      connection.idleSinceMs = this.clock.monotonicMs();
+    });
+    connection.client.dispatch(
       {
         method: req.method,
         path: req.target,
         headers: req.headers,
         body: req.body,
-        idempotent: false,
       },
       exchange,
     );
@@ -133,33 +232,54 @@
    * @param address - Where it listened.
    */
   forget(address: string): void {
-    const pool = this.pools.get(address);
-    this.pools.delete(address);
-    void pool?.close();
+    const open = this.connections.get(address);
+    this.connections.delete(address);
+    open?.forEach(({ client }) => void client.close());
   }
 
   /** Closes all connections at once. */
   async close(): Promise<void> {
-    const pools = [...this.pools.values()];
-    this.pools.clear();
-    await Promise.all(pools.map((pool) => pool.destroy()));
+    const open = [...this.connections.values()].flatMap((each) => [...each]);
+    this.connections.clear();
+    await Promise.all(open.map(({ client }) => client.destroy()));
   }
 
-  private poolFor(address: string): Pool {
-    const known = this.pools.get(address);
+  private openTo(address: string): Set<Connection> {
+    const known = this.connections.get(address);
     if (known) {
       return known;
     }
-    const created = new Pool(`http://${address}`, {
-      connections: this.maxConnections,
-      pipelining: 1,
-      connect: { timeout: connectMs },
-      keepAliveTimeout: idleMs,
-      keepAliveMaxTimeout: idleMs,
-      headersTimeout: 0,
-      bodyTimeout: 0,
-    });
-    this.pools.set(address, created);
+    const created = new Set<Connection>();
+    this.connections.set(address, created);
     return created;
   }
+
+  /** The connection that was used last; the others may close for want of use. */
+  private idleConnection(open: Set<Connection>, maxIdleMs: number): Connection | undefined {
+    const oldestMs = this.clock.monotonicMs() - maxIdleMs;
+    let newest: Connection | undefined;
+    for (const connection of open) {
+      const isUsable =
+        !connection.isBusy && !connection.client.destroyed && connection.idleSinceMs >= oldestMs;
+      if (isUsable && connection.idleSinceMs >= (newest?.idleSinceMs ?? 0)) {
+        newest = connection;
+      }
+    }
+    return newest;
+  }
+
+  private open(address: string, open: Set<Connection>): Connection {
+    const connection = new Connection(address);
+    open.add(connection);
+    connection.client.on('disconnect', () => {
+      open.delete(connection);
+      if (!connection.client.destroyed) {
+        void connection.client.close();
+      }
+    });
+    connection.client.on('connectionError', () => {
+      open.delete(connection);
+    });
+    return connection;
+  }
 }
--- a/src/gateway/relay/node/plainRelay.ts
+++ b/src/gateway/relay/node/plainRelay.ts
@@ -23,6 +23,15 @@
 /** Time left below which a request isn't sent once more, in milliseconds. */
 const minRemainingMs = 60;
 
+/** Idle time of a kept connection that is used again, in milliseconds. */
+const keptIdleMs = 3_000;
+
+/**
+ * The same for requests that may run only once: a connection that was closed meanwhile would leave
+ * open whether they ran.
+ */
+const submissionIdleMs = 250;
+
 /** When a caller whose request found no endpoint may come back, in milliseconds. */
 const retryAfterMs = 500;
 
@@ -119,7 +128,12 @@
     });
     const { method, target, body } = this.req;
     const sink = new PlainRun(send, this);
-    send.exchange = sender.send(endpoint.address, { method, target, headers, body }, sink);
+    const maxIdleMs = this.isRepeatable ? keptIdleMs : submissionIdleMs;
+    send.exchange = sender.send(
+      endpoint.address,
+      { method, target, headers, body, maxIdleMs },
+      sink,
+    );
     return true;
   }
 
--- a/src/gateway/relay/node/streamRelay.ts
+++ b/src/gateway/relay/node/streamRelay.ts
@@ -37,6 +37,9 @@
 /** Time left below which a request isn't sent once more, in milliseconds. */
 const minRemainingMs = 300;
 
+/** Idle time of a kept connection that is used again, in milliseconds. */
+const keptIdleMs = 3_000;
+
 /** Time for which an endpoint that was short of memory is passed over, in milliseconds. */
 const fullMs = 400;
 
@@ -290,7 +293,11 @@
     });
     const { method, target, body } = this.req;
     const run = new StreamRun(this.sends, this);
-    this.exchange = sender.send(head.address, { method, target, headers, body }, run);
+    this.exchange = sender.send(
+      head.address,
+      { method, target, headers, body, maxIdleMs: keptIdleMs },
+      run,
+    );
   }
 
   /** @internal Answer head of the run with the given number. */
