--- a/src/gateway/node/gatewayProgram.ts
+++ b/src/gateway/node/gatewayProgram.ts
@@ -219,6 +219,11 @@
     this.directory.onDidRemove((endpoint) => this.forget(endpoint));
   }
 
+  /** Ports of the servers for the balancer and for metrics. */
+  get statusPorts(): { readonly ready: number; readonly metrics: number } {
+    return { ready: portOf(this.readyServer), metrics: portOf(this.metricsServer) };
+  }
+
   /** Port that callers connect to. */
   get callerPort(): number {
     return this.ingress.port;
@@ -241,14 +246,14 @@
         () => res.writeHead(500).end(),
       );
     }).listen(settings.metricsPort, settings.host);
-    this.peers.start();
+    const peerPort = await this.peers.start();
     this.placement.start();
     this.prober.start();
     this.repeat(sweepMs, () => {
       this.directory.sweep();
       this.health.sweep();
     });
-    void this.register();
+    void this.register(peerPort);
     void this.keepLease();
     logger.log(LogLevel.Info, 'started', {
       place: settings.place,
@@ -485,9 +490,9 @@
   }
 
   /** Writes this gateway's own entry, from which its peers learn its address. */
-  private async register(): Promise<void> {
+  private async register(port: number): Promise<void> {
     const { settings, ports, logger } = this.parts;
-    const { instance, host, peerPort: port } = settings;
+    const { instance, host } = settings;
     const entry = { host, port };
     while (!this.abort.signal.aborted) {
       const stored = await ports.store.get<PeerAddress>(ObjectKind.Gateways, instance);
@@ -533,6 +538,11 @@
   }
 }
 
+function portOf(server: Server | undefined): number {
+  const address = server?.address();
+  return typeof address === 'object' && address ? address.port : 0;
+}
+
 function splitAddress(address: string): [string, number] {
   const at = address.lastIndexOf(':');
   return [address.slice(0, at), Number(address.slice(at + 1))];
--- a/src/gateway/peers/node/peerExchange.ts
+++ b/src/gateway/peers/node/peerExchange.ts
@@ -53,16 +53,24 @@
     return 1 + this.heardMs.size;
   }
 
-  /** Starts to listen and to send. */
-  start(): void {
+  /**
+   * Starts to listen and to send.
+   *
+   * @returns The port; the one of the settings unless that is 0.
+   */
+  async start(): Promise<number> {
     const socket = createSocket({ type: 'udp4', reuseAddr: false });
     this.socket = socket;
     socket.on('error', (err) => {
       this.logger.log(LogLevel.Warn, 'peer-socket-failed', { reason: err.message });
     });
     socket.on('message', (bytes) => this.onMessage(bytes));
-    socket.bind(this.self.port, this.self.host);
+    await new Promise<void>((resolve) => {
+      socket.once('listening', resolve);
+      socket.bind(this.self.port, this.self.host);
+    });
     this.schedule();
+    return socket.address().port;
   }
 
   /**
