Let requests wait for room when all endpoints are full

Cause: the check for a path that covers the layers still asked for a free slot and for room, so a full system looked like one without a path: requests were refused at once for two seconds.

--- a/src/gateway/admission/common/modelAdmission.ts
+++ b/src/gateway/admission/common/modelAdmission.ts
@@ -204,7 +204,7 @@
   }
 
   private refuseNow(req: AdmissionRequest): AdmissionRefusedError | undefined {
-    if (this.finder.find(this.endpoints(), { ...req, reservedTokens: 0 }) === undefined) {
+    if (this.finder.find(this.endpoints(), { ...req, ignoresRoom: true }) === undefined) {
       return new AdmissionRefusedError(RefusalReason.NoPath, repairMs);
     }
     const now = this.clock.monotonicMs();
--- /dev/null
+++ b/src/gateway/config/test/common/fixtures.ts
@@ -0,0 +1,58 @@
+import {
+  RouteKind,
+  type ConfigSnapshot,
+  type EngineProfile,
+  type Route,
+} from '../../common/configSnapshot.js';
+
+/** A route with usual values. */
+export function routeWith(changes: Partial<Route>): Route {
+  return {
+    name: 'route',
+    host: 'a.example',
+    pathPrefix: '/a/',
+    kind: RouteKind.Safe,
+    timeoutMs: 1_000,
+    objectiveMs: 100,
+    maxPauseMs: undefined,
+    priority: 1,
+    targets: [{ service: 'one', weight: 1 }],
+    maxAttempts: 2,
+    isPublic: false,
+    isResumable: false,
+    ...changes,
+  };
+}
+
+/** A configuration with usual values. */
+export function configWith(changes: Partial<ConfigSnapshot>): ConfigSnapshot {
+  return {
+    version: 1,
+    routes: [routeWith({})],
+    services: new Map(),
+    limits: { headerBytes: 1_000, bodyBytes: 1_000, headerMs: 1_000, idleMs: 1_000 },
+    organisationByKey: new Map([['key', 'org']]),
+    ...changes,
+  };
+}
+
+/** The engines of the first prepared site: 80 layers over three kinds of cards. */
+export const engine: EngineProfile = {
+  layerCount: 80,
+  layerMb: 1_750,
+  cacheBytesPerToken: 1_315_343,
+  stepMs: 1.02,
+  stepMsPerWriter: 0.0102,
+  readTokensPerSecond: 105_000,
+  pairMsPerMillion: 0.309,
+  stepsPerPass: 3,
+  slots: 134,
+  loadMs: 14_000,
+  loadsAtOnce: 5,
+  usualOutputTokens: 203,
+  cards: new Map([
+    ['large', { memoryMb: 72_000, stepFactor: 2.4, readFactor: 3.2 }],
+    ['middle', { memoryMb: 43_200, stepFactor: 5.6, readFactor: 2.7 }],
+    ['small', { memoryMb: 21_600, stepFactor: 16, readFactor: 8.2 }],
+  ]),
+};
--- /dev/null
+++ b/src/gateway/directory/test/common/endpointDirectory.test.ts
@@ -0,0 +1,106 @@
+import { expect } from 'chai';
+import { FakeClock } from '../../../../base/test/common/fakeClock.js';
+import { EndpointState, incarnationOf, type Endpoint } from '../../common/endpoint.js';
+import { EndpointDirectory, lapseGraceMs, suspicionMs } from '../../common/endpointDirectory.js';
+
+function endpointWith(changes: Partial<Endpoint>): Endpoint {
+  return {
+    id: 'e1',
+    startedMs: 10,
+    service: 's',
+    address: '10.0.0.1:80',
+    place: 'a',
+    state: EndpointState.Ready,
+    slots: 4,
+    card: undefined,
+    layers: undefined,
+    ...changes,
+  };
+}
+
+describe('EndpointDirectory', () => {
+  let clock: FakeClock;
+  let directory: EndpointDirectory;
+  let removed: string[];
+
+  beforeEach(() => {
+    clock = new FakeClock();
+    clock.advance(100_000);
+    directory = new EndpointDirectory(clock, { log: () => undefined });
+    removed = [];
+    directory.onDidRemove((endpoint) => removed.push(incarnationOf(endpoint)));
+  });
+
+  it('replaces an incarnation by a later one and never by an earlier one', () => {
+    directory.update(endpointWith({ startedMs: 10 }));
+    directory.update(endpointWith({ startedMs: 20, address: '10.0.0.2:80' }));
+    directory.update(endpointWith({ startedMs: 10 }));
+    expect(removed).to.deep.equal(['e1@10']);
+    expect(directory.usable('s').map(incarnationOf)).to.deep.equal(['e1@20']);
+  });
+
+  it('gives no new work to an endpoint that drains', () => {
+    directory.update(endpointWith({ state: EndpointState.Draining }));
+    expect(directory.usable('s')).to.have.length(0);
+    expect(directory.ofService('s')).to.have.length(1);
+  });
+
+  it('drops a removed endpoint at once while the store is sound', () => {
+    directory.update(endpointWith({}));
+    directory.remove('e1');
+    expect(directory.ofService('s')).to.have.length(0);
+  });
+
+  it('keeps an entry that lapsed with the store until it had time to come back', () => {
+    directory.update(endpointWith({}));
+    directory.storeReturned();
+    directory.retainOnly(new Set());
+    clock.advance(lapseGraceMs - 1);
+    directory.sweep();
+    expect(directory.usable('s')).to.have.length(1);
+    clock.advance(1);
+    directory.sweep();
+    expect(directory.usable('s')).to.have.length(0);
+  });
+
+  it('keeps an entry that came back after it lapsed with the store', () => {
+    directory.update(endpointWith({}));
+    directory.storeReturned();
+    directory.remove('e1');
+    directory.update(endpointWith({}));
+    clock.advance(lapseGraceMs);
+    directory.sweep();
+    expect(directory.usable('s')).to.have.length(1);
+  });
+
+  it('passes a suspect over for a time, but not its next incarnation', () => {
+    directory.update(endpointWith({}));
+    directory.suspect('10.0.0.1:80', 'test');
+    expect(directory.usable('s')).to.have.length(0);
+    directory.update(endpointWith({ startedMs: 20 }));
+    expect(directory.usable('s')).to.have.length(1);
+    directory.suspect('10.0.0.1:80', 'test');
+    clock.advance(suspicionMs);
+    expect(directory.usable('s')).to.have.length(1);
+  });
+
+  it('does not shorten a suspicion, nor tell on what a peer told', () => {
+    directory.update(endpointWith({}));
+    directory.suspect('10.0.0.1:80', 'silent');
+    directory.suspect('10.0.0.1:80', 'told', 100, false);
+    clock.advance(200);
+    expect(directory.usable('s')).to.have.length(0);
+    expect(directory.suspects()).to.deep.equal(['10.0.0.1:80']);
+    directory.clear('10.0.0.1:80');
+    directory.suspect('10.0.0.1:80', 'told', 100, false);
+    expect(directory.suspects()).to.deep.equal([]);
+  });
+
+  it('corrects layers only for the incarnation that reported them', () => {
+    const first = endpointWith({});
+    directory.update(first);
+    directory.update(endpointWith({ startedMs: 20 }));
+    directory.observeLayers(first, { from: 0, to: 4 });
+    expect(directory.atAddress('10.0.0.1:80')?.layers).to.equal(undefined);
+  });
+});
--- /dev/null
+++ b/src/gateway/peers/test/common/peerMessage.test.ts
@@ -0,0 +1,21 @@
+import { expect } from 'chai';
+import { pack, unpack } from 'msgpackr';
+import { fromWire, toWire } from '../../common/peerMessage.js';
+
+describe('a message between gateways', () => {
+  it('survives its encoding', () => {
+    const message = {
+      sender: 'gw-1',
+      configVersion: 4,
+      loads: new Map([['10.0.0.1:80', { tokenLayers: 10, requests: 2, heads: 1, readMs: 3 }]]),
+      suspects: ['10.0.0.2:80'],
+    };
+    expect(fromWire(unpack(pack(toWire(message))))).to.deep.equal(message);
+  });
+
+  it('is refused when it is not one', () => {
+    expect(fromWire(undefined)).to.equal(undefined);
+    expect(fromWire(['gw', 1, [['a', -1, 0, 0, 0]], []])).to.equal(undefined);
+    expect(fromWire({ sender: 'gw' })).to.equal(undefined);
+  });
+});
--- /dev/null
+++ b/src/gateway/placement/test/common/rangePlanner.test.ts
@@ -0,0 +1,121 @@
+import { expect } from 'chai';
+import fc from 'fast-check';
+import { engine } from '../../../config/test/common/fixtures.js';
+import { RangePlanner, type PlacedEndpoint } from '../../common/rangePlanner.js';
+
+const planner = new RangePlanner(engine);
+
+function cards(place: string, kinds: Record<string, number>): PlacedEndpoint[] {
+  return Object.entries(kinds).flatMap(([kind, count]) => {
+    const { memoryMb, stepFactor } = engine.cards.get(kind) ?? { memoryMb: 0, stepFactor: 0 };
+    return Array.from({ length: count }, (_each, index) => ({
+      address: `${place}-${kind}-${index}`,
+      place,
+      memoryMb,
+      stepFactor,
+      layers: undefined,
+    }));
+  });
+}
+
+/** Carries assignments out, as far as `isDone` says. */
+function applyPlan(
+  endpoints: readonly PlacedEndpoint[],
+  isDone: (index: number) => boolean = () => true,
+): PlacedEndpoint[] {
+  const plan = new Map(
+    planner
+      .plan(endpoints)
+      .filter((_each, index) => isDone(index))
+      .map(({ address, layers }) => [address, layers]),
+  );
+  return endpoints.map((each) => ({ ...each, layers: each.layers ?? plan.get(each.address) }));
+}
+
+function holders(endpoints: readonly PlacedEndpoint[], layer: number): number {
+  return endpoints.filter(({ layers }) => layers && layers.from <= layer && layer < layers.to)
+    .length;
+}
+
+function fewestHolders(endpoints: readonly PlacedEndpoint[]): number {
+  return Math.min(...Array.from({ length: 80 }, (_each, layer) => holders(endpoints, layer)));
+}
+
+const firstSite = [
+  ...cards('ragusa', { large: 1, middle: 6, small: 5 }),
+  ...cards('siracusa', { large: 2, middle: 2, small: 5 }),
+  ...cards('catania', { large: 1, middle: 3, small: 8 }),
+];
+
+describe('RangePlanner', () => {
+  it('forms chains within each place of the fast cards alone', () => {
+    const placed = applyPlan(firstSite);
+    for (const place of ['ragusa', 'siracusa', 'catania']) {
+      const fast = placed.filter((each) => each.place === place && each.stepFactor < 16);
+      expect(fewestHolders(fast)).to.be.at.least(1);
+    }
+    expect(fewestHolders(placed.filter(({ place }) => place === 'ragusa'))).to.be.at.least(2);
+  });
+
+  it('gives the parts of a chain like room for requests', () => {
+    const placed = applyPlan(firstSite).filter(
+      ({ place, stepFactor }) => place === 'catania' && stepFactor < 16,
+    );
+    const rooms = placed.map(({ memoryMb, layers }) => {
+      const count = (layers?.to ?? 0) - (layers?.from ?? 0);
+      return (memoryMb - count * engine.layerMb) / count;
+    });
+    expect(Math.max(...rooms) / Math.min(...rooms)).to.be.lessThan(1.5);
+  });
+
+  it('comes to the same plan however the orders are spread over time', () => {
+    const atOnce = applyPlan(firstSite);
+    let inSteps = firstSite;
+    for (let step = 0; step < 20; step += 1) {
+      inSteps = applyPlan(inSteps, (index) => index < 5);
+    }
+    expect(inSteps).to.deep.equal(atOnce);
+  });
+
+  it('never assigns more layers than a card holds, nor moves what is held', () => {
+    const anyCards = fc.record({
+      large: fc.integer({ min: 0, max: 3 }),
+      middle: fc.integer({ min: 0, max: 4 }),
+      small: fc.integer({ min: 0, max: 9 }),
+    });
+    fc.assert(
+      fc.property(anyCards, anyCards, fc.integer({ min: 0, max: 30 }), (one, other, lost) => {
+        const placed = applyPlan([...cards('a', one), ...cards('b', other)]);
+        const emptied = placed.map((each, index) =>
+          index === lost ? { ...each, layers: undefined } : each,
+        );
+        const again = applyPlan(emptied);
+        for (const [index, { layers, memoryMb }] of again.entries()) {
+          if (layers) {
+            expect((layers.to - layers.from) * engine.layerMb).to.be.at.most(memoryMb * 0.95);
+            expect(layers.from).to.be.at.least(0);
+            expect(layers.to).to.be.at.most(80);
+          }
+          if (index !== lost) {
+            expect(layers).to.deep.equal(placed[index].layers);
+          }
+        }
+      }),
+      { seed: 11, numRuns: 200 },
+    );
+  });
+
+  it('gives a card that comes back the layers that are missing', () => {
+    const placed = applyPlan(firstSite);
+    const lost = placed.findIndex(({ address }) => address === 'siracusa-large-1');
+    const emptied = placed.map((each, index) =>
+      index === lost ? { ...each, layers: undefined } : each,
+    );
+    expect(applyPlan(emptied)[lost].layers).to.deep.equal(placed[lost].layers);
+  });
+
+  it('covers all layers by the cards of places that are too small alone', () => {
+    const placed = applyPlan([...cards('a', { large: 1 }), ...cards('b', { large: 1, middle: 1 })]);
+    expect(fewestHolders(placed)).to.be.at.least(1);
+  });
+});
--- a/src/gateway/routing/common/pathFinder.ts
+++ b/src/gateway/routing/common/pathFinder.ts
@@ -26,6 +26,8 @@
   readonly excluded?: ReadonlySet<string>;
   /** First endpoint that the path must have, when a running request is moved. */
   readonly head?: { readonly address: string; readonly to: number };
+  /** Whether a path will do that has no room now. */
+  readonly ignoresRoom?: boolean;
 }
 
 /** Endpoint with what routing knows of it. */
@@ -148,8 +150,8 @@
         from: layers.from,
         to: layers.to,
         roomTokenLayers: room,
-        freeTokenLayers: room - load.tokenLayers,
-        headFree: load.heads < endpoint.slots,
+        freeTokenLayers: req.ignoresRoom ? Number.POSITIVE_INFINITY : room - load.tokenLayers,
+        headFree: req.ignoresRoom === true || load.heads < endpoint.slots,
         stepMsPerLayer: stepMs / engine.layerCount,
         readMsPerLayer: readMs / engine.layerCount,
         waitMs: load.readMs,
@@ -227,7 +229,8 @@
 
   private edgeCost(candidate: Candidate, layers: number, need: number, node: Node): number {
     const previous = node.via?.candidate.endpoint;
-    const used = 1 - (candidate.freeTokenLayers - need) / Math.max(1, candidate.roomTokenLayers);
+    const left = Math.min(candidate.roomTokenLayers, candidate.freeTokenLayers - need);
+    const used = 1 - left / Math.max(1, candidate.roomTokenLayers);
     const crosses = previous !== undefined && previous.place !== candidate.endpoint.place;
     return (
       partMs +
