Mend gaps in layers with spares, and tell peers who leaves and who places

Change: peers tell who leaves and who places layers; a silent placer loses the lease after 1.5 s; spares whose layers others hold move to missing ones, within their memory; refusals back off; streams are moved off an endpoint that leaves 0.9 s after its announcement.

--- a/src/gateway/directory/common/endpointDirectory.ts
+++ b/src/gateway/directory/common/endpointDirectory.ts
@@ -9,8 +9,32 @@
  */
 export const lapseGraceMs = 2_200;
 
-/** Time for which an endpoint at fault is passed over before it is probed, in milliseconds. */
-export const suspicionMs = 2_500;
+/** Time for which a silent endpoint is passed over unless it is probed before, in milliseconds. */
+export const silenceMs = 2_500;
+
+/** Time for which an endpoint that refused work is passed over at first, in milliseconds. */
+export const refusalMs = 400;
+
+/** The longest time for which one that keeps refusing is passed over, in milliseconds. */
+const maxRefusalMs = 1_600;
+
+/** Time for which an endpoint is passed over that isn't the one that was expected, in ms. */
+const misdirectedMs = 10_000;
+
+/** Time for which what a peer told holds, in milliseconds; peers tell it several times a second. */
+const toldMs = 600;
+
+/** Why an endpoint is passed over. */
+export enum Suspicion {
+  /** It doesn't answer, or endpoints before it on a path wait for it. */
+  Silent = 'silent',
+  /** It refused work, for want of room or because it leaves. */
+  Refusing = 'refusing',
+  /** Another endpoint has its address, or it holds other layers. */
+  Misdirected = 'misdirected',
+  /** A peer found it silent or knows that it leaves. */
+  Told = 'told',
+}
 
 interface Known {
   endpoint: Endpoint;
@@ -18,21 +42,27 @@
   lapsesAtMs: number | undefined;
 }
 
-interface Suspicion {
+interface Suspect {
+  readonly kind: Suspicion;
   readonly untilMs: number;
   readonly incarnation: string;
-  /** Whether this process saw the fault itself, rather than a peer. */
-  readonly isFirstHand: boolean;
+  /** How long it is passed over this time, in milliseconds. */
+  readonly forMs: number;
 }
 
 /** Endpoints by incarnation: what the store says, corrected by what this process observed. */
 export class EndpointDirectory {
   private readonly byId = new Map<string, Known>();
 
-  private readonly suspicions = new Map<string, Suspicion>();
+  private readonly suspicions = new Map<string, Suspect>();
 
   private readonly removals = new Emitter<Endpoint>();
 
+  private readonly departures = new Emitter<Endpoint>();
+
+  /** Fires when an endpoint announces that it leaves. */
+  readonly onDidDrain = this.departures.event;
+
   /** Fires when an endpoint is gone, or replaced by another incarnation. */
   readonly onDidRemove = this.removals.event;
 
@@ -80,6 +110,9 @@
         startedMs: endpoint.startedMs,
       });
     }
+    if (before?.state === EndpointState.Ready && endpoint.state === EndpointState.Draining) {
+      this.departures.fire(endpoint);
+    }
   }
 
   /**
@@ -135,25 +168,27 @@
    * Passes an endpoint over for a while.
    *
    * @param address - Where it listens.
+   * @param kind - Why.
    * @param reason - What it did, for the log.
-   * @param forMs - How long, in milliseconds.
-   * @param isFirstHand - Whether this process saw the fault itself, rather than a peer.
    */
-  suspect(address: string, reason: string, forMs = suspicionMs, isFirstHand = true): void {
+  suspect(address: string, kind: Suspicion, reason: string): void {
     const endpoint = this.atAddress(address);
     if (endpoint === undefined) {
       return;
     }
-    const untilMs = this.clock.monotonicMs() + forMs;
+    const nowMs = this.clock.monotonicMs();
     const known = this.suspicions.get(address);
-    if (known && known.untilMs > untilMs) {
+    const forMs = this.durationOf(kind, known, nowMs);
+    const incarnation = incarnationOf(endpoint);
+    if (known && known.untilMs > nowMs + forMs && known.incarnation === incarnation) {
       return;
     }
-    this.suspicions.set(address, { untilMs, incarnation: incarnationOf(endpoint), isFirstHand });
-    if (known === undefined || known.untilMs < this.clock.monotonicMs()) {
+    this.suspicions.set(address, { kind, untilMs: nowMs + forMs, incarnation, forMs });
+    if (known === undefined || known.untilMs < nowMs || known.kind !== kind) {
       this.logger.log(LogLevel.Warn, 'endpoint-suspected', {
         endpoint: endpoint.id,
         address,
+        kind,
         reason,
         forMs,
       });
@@ -173,19 +208,27 @@
 
   /** Whether an endpoint is passed over. */
   isSuspect(endpoint: Endpoint): boolean {
-    const suspicion = this.suspicions.get(endpoint.address);
-    return (
-      suspicion !== undefined &&
-      suspicion.untilMs > this.clock.monotonicMs() &&
-      suspicion.incarnation === incarnationOf(endpoint)
-    );
+    return this.suspicionOf(endpoint) !== undefined;
   }
 
-  /** Addresses that are passed over now for what this process saw itself. */
-  suspects(): readonly string[] {
+  /** Whether an endpoint doesn't answer, as far as this process or a peer knows. */
+  isSilent(endpoint: Endpoint): boolean {
+    const kind = this.suspicionOf(endpoint)?.kind;
+    return kind === Suspicion.Silent || kind === Suspicion.Told;
+  }
+
+  /** Addresses that this process found silent. */
+  silent(): readonly string[] {
     const nowMs = this.clock.monotonicMs();
-    return [...this.suspicions].flatMap(([address, { untilMs, isFirstHand }]) =>
-      untilMs > nowMs && isFirstHand ? [address] : [],
+    return [...this.suspicions].flatMap(([address, { untilMs, kind }]) =>
+      untilMs > nowMs && kind === Suspicion.Silent ? [address] : [],
+    );
+  }
+
+  /** Addresses of endpoints that are about to leave. */
+  leaving(): readonly string[] {
+    return [...this.byId.values()].flatMap(({ endpoint }) =>
+      endpoint.state === EndpointState.Draining ? [endpoint.address] : [],
     );
   }
 
@@ -202,15 +245,6 @@
     }
   }
 
-  /** Addresses that this process found silent and that are to be probed. */
-  silent(): readonly string[] {
-    const nowMs = this.clock.monotonicMs();
-    return this.suspects().filter((address) => {
-      const { untilMs = 0 } = this.suspicions.get(address) ?? {};
-      return untilMs - nowMs > suspicionMs / 5;
-    });
-  }
-
   /** All endpoints of a service that the store lists. */
   ofService(service: string): readonly Endpoint[] {
     return [...this.byId.values()]
@@ -239,6 +273,32 @@
   /** Removes every listener. */
   close(): void {
     this.removals.close();
+    this.departures.close();
+  }
+
+  private suspicionOf(endpoint: Endpoint): Suspect | undefined {
+    const suspect = this.suspicions.get(endpoint.address);
+    return suspect !== undefined &&
+      suspect.untilMs > this.clock.monotonicMs() &&
+      suspect.incarnation === incarnationOf(endpoint)
+      ? suspect
+      : undefined;
+  }
+
+  /** Doubles the time with each refusal that follows the one before closely. */
+  private durationOf(kind: Suspicion, known: Suspect | undefined, nowMs: number): number {
+    switch (kind) {
+      case Suspicion.Silent:
+        return silenceMs;
+      case Suspicion.Misdirected:
+        return misdirectedMs;
+      case Suspicion.Told:
+        return toldMs;
+      default: {
+        const isRepeated = known?.kind === Suspicion.Refusing && known.untilMs > nowMs - silenceMs;
+        return isRepeated ? Math.min(maxRefusalMs, known.forMs * 2) : refusalMs;
+      }
+    }
   }
 
   private drop(endpoint: Endpoint, reason: string): void {
--- a/src/gateway/node/endpointProber.ts
+++ b/src/gateway/node/endpointProber.ts
@@ -1,5 +1,5 @@
 import type { CancelTimer, IClock, ITimers } from '../../base/common/clock.js';
-import type { EndpointDirectory } from '../directory/common/endpointDirectory.js';
+import { Suspicion, type EndpointDirectory } from '../directory/common/endpointDirectory.js';
 import type { IEndpointControl } from '../relay/common/endpointControl.js';
 
 /** Pause between probes of a silent endpoint, in milliseconds. */
@@ -41,7 +41,7 @@
     if (report.isOk()) {
       this.directory.clear(address);
     } else {
-      this.directory.suspect(address, 'no report');
+      this.directory.suspect(address, Suspicion.Silent, 'no report');
     }
   }
 }
--- a/src/gateway/node/gatewayProgram.ts
+++ b/src/gateway/node/gatewayProgram.ts
@@ -1,6 +1,7 @@
 import { createServer, type Server } from 'node:http';
 import type { SystemClock } from '../../base/node/systemClock.js';
 import { sleep } from '../../base/node/systemClock.js';
+import type { CancelTimer } from '../../base/common/clock.js';
 import { LogLevel, type ILogger } from '../../base/common/logger.js';
 import type { IRandom } from '../../base/common/random.js';
 import { LeaseCandidate } from '../../services/lease/common/lease.js';
@@ -16,7 +17,7 @@
 import { ConfigHolder } from '../config/common/configHolder.js';
 import type { ConfigSnapshot } from '../config/common/configSnapshot.js';
 import { incarnationOf, type Endpoint } from '../directory/common/endpoint.js';
-import { EndpointDirectory } from '../directory/common/endpointDirectory.js';
+import { EndpointDirectory, Suspicion } from '../directory/common/endpointDirectory.js';
 import type { IFeedSource } from '../feeds/common/feedSource.js';
 import { StoreFeed, type FeedPace } from '../feeds/node/storeFeed.js';
 import type { CallerConnection } from '../http/node/callerConnection.js';
@@ -60,7 +61,7 @@
 }
 
 /** Pause between steps for the lease, as a share of its duration. */
-const leaseStepShare = 1 / 3;
+const leaseStepShare = 1 / 4;
 
 /** Pause between sweeps of the directory, in milliseconds. */
 const sweepMs = 300;
@@ -77,8 +78,11 @@
 /** Peers change when instances are replaced. */
 const peerPace: FeedPace = { watchWaitMs: 20_000, gatherMs: 500 };
 
-/** Time for which a suspicion that a peer told of holds, in milliseconds. */
-const peerSuspicionMs = 600;
+/** Silence of the gateway that places layers after which another may take the lease, in ms. */
+const placerSilenceMs = 1_500;
+
+/** Time from the announcement that an endpoint leaves until streams are moved off it, in ms. */
+const evacuateMs = 900;
 
 /** Connections to one endpoint; the rest of its bound is for the other gateways. */
 const connectionsPerEndpoint = 128;
@@ -147,10 +151,15 @@
 
   private readonly abort = new AbortController();
 
+  private cancelSweep: CancelTimer | undefined;
+
   private readyServer: Server | undefined;
 
   private metricsServer: Server | undefined;
 
+  /** Monotonic time of the last message of a gateway that places layers. */
+  private placerHeardMs = 0;
+
   /** Monotonic time of the order to stop. */
   private drainStartedMs: number | undefined;
 
@@ -184,6 +193,7 @@
       this.lease,
       this.config,
       this.directory,
+      this.ledger,
       ports.control,
       clock,
       logger,
@@ -216,7 +226,13 @@
       logger,
     );
     this.config.onDidChange(({ config: { version } }) => metrics.configVersion.set(version));
-    this.directory.onDidRemove((endpoint) => this.forget(endpoint));
+    this.directory.onDidRemove((endpoint) => {
+      this.forget(endpoint);
+      this.stalls.evacuate(endpoint.address);
+    });
+    this.directory.onDidDrain(({ address }) => {
+      clock.after(evacuateMs, () => this.stalls.evacuate(address));
+    });
   }
 
   /** Ports of the servers for the balancer and for metrics. */
@@ -288,6 +304,7 @@
   /** Releases everything. */
   async close(): Promise<void> {
     this.abort.abort();
+    this.cancelSweep?.();
     this.ingress.close();
     this.readyServer?.close();
     this.metricsServer?.close();
@@ -471,13 +488,18 @@
       configVersion: this.config.current?.config.version ?? 0,
       loads: this.ledger.ownLoads(),
       suspects: this.directory.silent(),
+      leaving: this.directory.leaving(),
+      placingTerm: this.lease.isConfirmed ? (this.lease.term() ?? 0) : 0,
     };
   }
 
-  private receiveMessage({ sender, loads, suspects }: PeerMessage): void {
+  private receiveMessage({ sender, loads, suspects, leaving, placingTerm }: PeerMessage): void {
     this.ledger.updatePeer(sender, loads);
-    for (const address of suspects) {
-      this.directory.suspect(address, `told by ${sender}`, peerSuspicionMs, false);
+    for (const address of [...suspects, ...leaving]) {
+      this.directory.suspect(address, Suspicion.Told, `told by ${sender}`);
+    }
+    if (placingTerm > 0) {
+      this.placerHeardMs = this.parts.clock.monotonicMs();
     }
     this.admissions.forEach((admission) => admission.pump());
   }
@@ -514,8 +536,10 @@
   private async keepLease(): Promise<void> {
     const stepMs = this.parts.settings.leaseMs * leaseStepShare;
     let held: number | undefined;
+    this.placerHeardMs = this.parts.clock.monotonicMs();
     while (!this.abort.signal.aborted && this.drainStartedMs === undefined) {
-      await this.lease.step();
+      const silentMs = this.parts.clock.monotonicMs() - this.placerHeardMs;
+      await this.lease.step(this.peers.aliveCount > 1 && silentMs > placerSilenceMs);
       const term = this.lease.term();
       if (term !== held) {
         this.parts.logger.log(LogLevel.Info, term === undefined ? 'lease-lost' : 'lease-held', {
@@ -528,13 +552,10 @@
   }
 
   private repeat(everyMs: number, action: () => void): void {
-    const cancel = this.parts.clock.after(everyMs, () => {
+    this.cancelSweep = this.parts.clock.after(everyMs, () => {
       action();
-      if (!this.abort.signal.aborted) {
-        this.repeat(everyMs, action);
-      }
+      this.repeat(everyMs, action);
     });
-    this.abort.signal.addEventListener('abort', cancel, { once: true });
   }
 }
 
--- a/src/gateway/peers/common/peerMessage.ts
+++ b/src/gateway/peers/common/peerMessage.ts
@@ -10,6 +10,10 @@
   readonly loads: ReadonlyMap<string, EndpointLoad>;
   /** Addresses that the sender passes over because they were silent. */
   readonly suspects: readonly string[];
+  /** Addresses of endpoints that leave, as the sender read in the store. */
+  readonly leaving: readonly string[];
+  /** Term under which the sender places layers; 0 if it doesn't. */
+  readonly placingTerm: number;
 }
 
 const amount = v.pipe(v.number(), v.minValue(0));
@@ -19,6 +23,8 @@
   v.number(),
   v.array(v.tuple([v.string(), amount, amount, amount, amount])),
   v.array(v.string()),
+  v.array(v.string()),
+  v.number(),
 ]);
 
 /**
@@ -35,7 +41,8 @@
     load.heads,
     Math.round(load.readMs),
   ]);
-  return [message.sender, message.configVersion, loads, message.suspects];
+  const { sender, configVersion, suspects, leaving, placingTerm } = message;
+  return [sender, configVersion, loads, suspects, leaving, placingTerm];
 }
 
 /**
@@ -49,11 +56,13 @@
   if (!parsed.success) {
     return undefined;
   }
-  const [sender, configVersion, loads, suspects] = parsed.output;
+  const [sender, configVersion, loads, suspects, leaving, placingTerm] = parsed.output;
   return {
     sender,
     configVersion,
     suspects,
+    leaving,
+    placingTerm,
     loads: new Map(
       loads.map(([address, tokenLayers, requests, heads, readMs]) => [
         address,
--- a/src/gateway/peers/test/common/peerMessage.test.ts
+++ b/src/gateway/peers/test/common/peerMessage.test.ts
@@ -9,6 +9,8 @@
       configVersion: 4,
       loads: new Map([['10.0.0.1:80', { tokenLayers: 10, requests: 2, heads: 1, readMs: 3 }]]),
       suspects: ['10.0.0.2:80'],
+      leaving: ['10.0.0.3:80'],
+      placingTerm: 2,
     };
     expect(fromWire(unpack(pack(toWire(message))))).to.deep.equal(message);
   });
--- a/src/gateway/placement/common/rangePlanner.ts
+++ b/src/gateway/placement/common/rangePlanner.ts
@@ -10,6 +10,10 @@
   readonly stepFactor: number;
   /** Layers that it holds or was ordered to hold. */
   readonly layers: LayerRange | undefined;
+  /** Whether it carries out no order. */
+  readonly isSettled: boolean;
+  /** Requests whose path includes it. */
+  readonly requests: number;
 }
 
 /** Layers that an endpoint should take. */
@@ -39,12 +43,13 @@
 }
 
 /**
- * Assigns layers to endpoints that hold none.
+ * Assigns layers to endpoints.
  *
  * The cards of a place, but for those of the slowest kind, form chains that lie wholly within the
  * place: activations of a prompt would fill the links between places. Each part of a chain gets
  * layers in proportion to its memory, so that all parts have room for the same requests. The
- * slowest cards are spares that hold a few layers each, where the fewest others do.
+ * slowest cards are spares that hold a few layers each, where the fewest others do. When layers of a
+ * place lose their last holder, endpoints whose layers others hold as well take them over.
  */
 export class RangePlanner {
   /** @param engine - Behaviour of the engines. */
@@ -53,14 +58,18 @@
   /**
    * Plans the next assignments.
    *
-   * @param endpoints - Endpoints that take new work; ranges that they hold are kept.
-   * @returns Ranges for endpoints without any, chains before spares.
+   * @param endpoints - Endpoints that take new work.
+   * @returns Ranges for endpoints without any, chains before spares, then moves to mend gaps.
    */
   plan(endpoints: readonly PlacedEndpoint[]): readonly Assignment[] {
     const places = [...new Set(endpoints.map(({ place }) => place))].sort();
     const groups = this.groupPlaces(places, endpoints);
     const plans = groups.map((group) => this.planGroup(group));
-    return [...plans.flatMap(({ chains }) => chains), ...plans.flatMap(({ spares }) => spares)];
+    return [
+      ...plans.flatMap(({ chains }) => chains),
+      ...plans.flatMap(({ repairs }) => repairs),
+      ...plans.flatMap(({ spares }) => spares),
+    ];
   }
 
   /** Places that can't hold a chain of their own plan together. */
@@ -85,6 +94,7 @@
   private planGroup(endpoints: readonly PlacedEndpoint[]): {
     readonly chains: readonly Assignment[];
     readonly spares: readonly Assignment[];
+    readonly repairs: readonly Assignment[];
   } {
     const { engine } = this;
     const needMb = engine.layerCount * engine.layerMb * (1 + chainHeadroom);
@@ -98,7 +108,48 @@
     );
     const chains = this.continueFresh(core, needMb) ?? this.fill(core, held, core);
     const spares = this.fill(spareCards, [...held, ...chains], core);
-    return { chains, spares };
+    const repairs = this.repair(endpoints, [...held, ...chains, ...spares]);
+    return { chains, spares, repairs };
+  }
+
+  /** Moves endpoints whose layers others hold as well to layers that nobody holds. */
+  private repair(
+    endpoints: readonly PlacedEndpoint[],
+    held: readonly Assignment[],
+  ): readonly Assignment[] {
+    const holders = new Array<number>(this.engine.layerCount).fill(0);
+    const add = ({ from, to }: LayerRange, by: number) => {
+      for (let layer = from; layer < to; layer += 1) {
+        holders[layer] += by;
+      }
+    };
+    held.forEach(({ layers }) => add(layers, 1));
+    const movable = endpoints
+      .flatMap((each) => (each.layers && each.isSettled ? [{ ...each, layers: each.layers }] : []))
+      .sort(
+        (a, b) =>
+          b.stepFactor - a.stepFactor ||
+          a.requests - b.requests ||
+          size(a.layers) - size(b.layers) ||
+          a.address.localeCompare(b.address),
+      );
+    const moves: Assignment[] = [];
+    for (const { address, layers, memoryMb } of movable) {
+      const gap = longestRun(holders, (count) => count === 0);
+      if (size(gap) === 0) {
+        break;
+      }
+      if (holders.slice(layers.from, layers.to).every((count) => count > 1)) {
+        const length = Math.min(size(gap), this.maxLayers(memoryMb, spareWeightShare));
+        const target = { from: gap.from, to: gap.from + length };
+        // What is given up takes memory until requests have left it, so a full card shrinks first.
+        const fits = size(layers) + length <= this.maxLayers(memoryMb, 1);
+        moves.push({ address, layers: fits ? target : { from: layers.from, to: layers.from + 1 } });
+        add(layers, -1);
+        add(target, 1);
+      }
+    }
+    return moves;
   }
 
   /** The rest of a first plan, if all that the cards hold so far is part of it. */
@@ -186,10 +237,10 @@
     const usual = this.maxLayers(memoryMb, spareWeightShare);
     const most = this.maxLayers(memoryMb, 1);
     if (isCore) {
-      const gap = longestRun(cover, (holders) => holders < 1);
-      if (size(gap) > 0) {
-        return { from: gap.from, to: Math.min(gap.to, gap.from + most) };
-      }
+      const fewest = Math.floor(Math.min(...cover));
+      const thin = longestRun(cover, (holders) => holders < fewest + 1);
+      const length = size(thin) > most ? usual : size(thin);
+      return { from: thin.from, to: thin.from + length };
     }
     const length = Math.min(usual, cover.length);
     let best: LayerRange = { from: 0, to: length };
--- a/src/gateway/placement/node/placementLoop.ts
+++ b/src/gateway/placement/node/placementLoop.ts
@@ -4,8 +4,14 @@
 import type { LeaseCandidate } from '../../../services/lease/common/lease.js';
 import type { EngineProfile, ServiceProfile } from '../../config/common/configSnapshot.js';
 import type { ConfigHolder } from '../../config/common/configHolder.js';
-import { EndpointState, incarnationOf, type Endpoint } from '../../directory/common/endpoint.js';
+import {
+  EndpointState,
+  incarnationOf,
+  type Endpoint,
+  type LayerRange,
+} from '../../directory/common/endpoint.js';
 import type { EndpointDirectory } from '../../directory/common/endpointDirectory.js';
+import type { RoomLedger } from '../../routing/common/roomLedger.js';
 import type { IEndpointControl } from '../../relay/common/endpointControl.js';
 import { RangePlanner, type Assignment, type PlacedEndpoint } from '../common/rangePlanner.js';
 
@@ -43,6 +49,7 @@
    * @param lease - Tells whether this gateway may order, and under which fencing token.
    * @param config - The configuration in force.
    * @param directory - Endpoints that there are.
+   * @param ledger - Requests under way at them.
    * @param control - Reports of and orders to endpoints.
    * @param clock - Source of time and timers.
    * @param logger - Receives each decision.
@@ -51,6 +58,7 @@
     private readonly lease: LeaseCandidate,
     private readonly config: ConfigHolder,
     private readonly directory: EndpointDirectory,
+    private readonly ledger: RoomLedger,
     private readonly control: IEndpointControl,
     private readonly clock: IClock & ITimers,
     private readonly logger: ILogger,
@@ -92,7 +100,8 @@
       this.lastCount = endpoints.length;
       this.lastChangeMs = nowMs;
     }
-    if (endpoints.length === 0 || nowMs - this.lastChangeMs < settleMs) {
+    const isFresh = endpoints.every(({ layers }) => layers === undefined);
+    if (endpoints.length === 0 || (isFresh && nowMs - this.lastChangeMs < settleMs)) {
       return;
     }
     const placed = endpoints.flatMap((endpoint) => this.toPlaced(endpoint, engine));
@@ -108,12 +117,22 @@
 
   private toPlaced(endpoint: Endpoint, engine: EngineProfile): readonly PlacedEndpoint[] {
     const card = engine.cards.get(endpoint.card ?? '');
-    if (card === undefined || this.directory.isSuspect(endpoint)) {
+    if (card === undefined || this.directory.isSilent(endpoint)) {
       return [];
     }
     const { address, place } = endpoint;
-    const layers = endpoint.layers ?? this.underWay.get(incarnationOf(endpoint));
-    return [{ address, place, memoryMb: card.memoryMb, stepFactor: card.stepFactor, layers }];
+    const ordered = this.underWay.get(incarnationOf(endpoint));
+    return [
+      {
+        address,
+        place,
+        memoryMb: card.memoryMb,
+        stepFactor: card.stepFactor,
+        layers: ordered ?? endpoint.layers,
+        isSettled: ordered === undefined,
+        requests: this.ledger.loadAt(address).requests,
+      },
+    ];
   }
 
   /** Orders one endpoint to load layers and follows it until it holds them. */
@@ -124,7 +143,7 @@
     }
     this.underWay.set(key, assignment.layers);
     if (await this.place(endpoint, assignment, term)) {
-      await this.follow(endpoint);
+      await this.follow(endpoint, assignment.layers);
     } else {
       this.retryAtMs.set(endpoint.address, this.clock.monotonicMs() + retryMs);
     }
@@ -139,7 +158,10 @@
       return false;
     }
     const { startedMs, isBusy, orderCount, layers: held } = report.value;
-    if (isBusy || held !== undefined || startedMs !== endpoint.startedMs) {
+    if (startedMs !== endpoint.startedMs) {
+      return false;
+    }
+    if (isBusy || !isSameRange(held, endpoint.layers)) {
       this.directory.observeLayers(endpoint, held);
       return false;
     }
@@ -163,7 +185,7 @@
     return ordered.isOk();
   }
 
-  private async follow(endpoint: Endpoint): Promise<void> {
+  private async follow(endpoint: Endpoint, layers: LayerRange): Promise<void> {
     const deadlineMs = this.clock.monotonicMs() + orderTimeoutMs;
     while (this.clock.monotonicMs() < deadlineMs && !this.abort.signal.aborted) {
       await sleep(followMs, this.abort.signal);
@@ -171,10 +193,14 @@
       if (report.isErr() || report.value.startedMs !== endpoint.startedMs) {
         return;
       }
-      if (!report.value.isBusy && report.value.layers !== undefined) {
-        this.directory.observeLayers(endpoint, report.value.layers);
+      this.directory.observeLayers(endpoint, report.value.layers);
+      if (!report.value.isBusy && isSameRange(report.value.layers, layers)) {
         return;
       }
     }
   }
 }
+
+function isSameRange(a: LayerRange | undefined, b: LayerRange | undefined): boolean {
+  return a?.from === b?.from && a?.to === b?.to;
+}
--- a/src/gateway/relay/node/plainRelay.ts
+++ b/src/gateway/relay/node/plainRelay.ts
@@ -3,6 +3,7 @@
 import type { EndpointHealth } from '../../../services/ejection/common/endpointHealth.js';
 import { RouteKind } from '../../config/common/configSnapshot.js';
 import { incarnationOf, type Endpoint } from '../../directory/common/endpoint.js';
+import { Suspicion } from '../../directory/common/endpointDirectory.js';
 import type { Reservation } from '../../routing/common/roomLedger.js';
 import {
   deadlineOf,
@@ -200,7 +201,7 @@
     if (wasSent) {
       this.mayHaveRun(send, reason);
     } else {
-      this.context.directory.suspect(send.endpoint.address, reason);
+      this.context.directory.suspect(send.endpoint.address, Suspicion.Silent, reason);
       this.didNotRun(send, reason);
     }
   }
--- a/src/gateway/relay/node/stallMonitor.ts
+++ b/src/gateway/relay/node/stallMonitor.ts
@@ -2,6 +2,7 @@
 import type { CancelTimer } from '../../../base/common/clock.js';
 import type { IEndpointControl } from '../common/endpointControl.js';
 import { OrderRefusal, OrderRefusedError } from '../common/endpointControl.js';
+import { Suspicion } from '../../directory/common/endpointDirectory.js';
 import type { RelayContext } from './relayContext.js';
 import type { StreamRelay } from './streamRelay.js';
 
@@ -49,6 +50,20 @@
     this.streams.delete(stream);
   }
 
+  /**
+   * Moves streams off an endpoint that leaves, but for those that begin at it.
+   *
+   * @param address - The endpoint.
+   */
+  evacuate(address: string): void {
+    for (const stream of this.streams) {
+      const head = stream.headAddress;
+      if (head !== undefined && head !== address && stream.uses(address)) {
+        void this.move(stream, head, address, false);
+      }
+    }
+  }
+
   /** Stops. */
   close(): void {
     this.cancelTimer?.();
@@ -79,7 +94,7 @@
       const count = (this.silentReports.get(head) ?? 0) + 1;
       this.silentReports.set(head, count);
       if (count >= maxSilentReports) {
-        this.context.directory.suspect(head, 'no report');
+        this.context.directory.suspect(head, Suspicion.Silent, 'no report');
         through.forEach((stream) => stream.abandonRun(head));
       }
       return;
@@ -87,38 +102,50 @@
     this.silentReports.delete(head);
     const byId = new Map(through.map((stream) => [stream.requestId, stream]));
     for (const { requestId, address } of report.value.stalled) {
-      this.context.directory.suspect(address, 'stalls a path');
+      this.context.directory.suspect(address, Suspicion.Silent, 'stalls a path');
       const stream = byId.get(requestId);
-      if (stream && !this.moving.has(stream)) {
-        await this.move(stream, head, address);
+      if (stream) {
+        await this.move(stream, head, address, true);
       }
     }
   }
 
-  private async move(stream: StreamRelay, head: string, fault: string): Promise<void> {
-    this.moving.add(stream);
-    const path = stream.detour(fault);
-    if (path === undefined) {
-      this.moving.delete(stream);
-      stream.abandonRun(fault);
+  /**
+   * Moves one stream around an endpoint.
+   *
+   * @param isStalled - Whether the stream stands still and must go on elsewhere if it can't move.
+   */
+  private async move(
+    stream: StreamRelay,
+    head: string,
+    fault: string,
+    isStalled: boolean,
+  ): Promise<void> {
+    if (this.moving.has(stream)) {
       return;
     }
-    const moved = await this.control.repath(head, stream.requestId, path);
+    this.moving.add(stream);
+    const path = stream.detour(fault);
+    const moved = path && (await this.control.repath(head, stream.requestId, path));
     this.moving.delete(stream);
-    if (moved.isOk()) {
+    if (path && moved?.isOk()) {
       stream.adopt(path);
       return;
     }
-    this.context.ledger.release(path.reservations);
-    const { error } = moved;
-    const isUnknown =
-      error instanceof OrderRefusedError && error.refusal === OrderRefusal.UnknownRequest;
+    if (path) {
+      this.context.ledger.release(path.reservations);
+    }
     this.context.logger.log(LogLevel.Warn, 'repath-failed', {
       request: stream.requestId,
       endpoint: head,
-      reason: error.message,
+      around: fault,
+      reason: moved?.isErr() ? moved.error.message : 'no path has room',
     });
-    if (!isUnknown) {
+    const isGone =
+      moved?.isErr() &&
+      moved.error instanceof OrderRefusedError &&
+      moved.error.refusal === OrderRefusal.UnknownRequest;
+    if (isStalled && !isGone) {
       stream.abandonRun(fault);
     }
   }
--- a/src/gateway/relay/node/streamRelay.ts
+++ b/src/gateway/relay/node/streamRelay.ts
@@ -7,6 +7,7 @@
 } from '../../admission/common/modelAdmission.js';
 import { RouteKind } from '../../config/common/configSnapshot.js';
 import { incarnationOf } from '../../directory/common/endpoint.js';
+import { Suspicion } from '../../directory/common/endpointDirectory.js';
 import type { LayerPath } from '../../routing/common/pathFinder.js';
 import {
   deadlineOf,
@@ -40,12 +41,11 @@
 /** Idle time of a kept connection that is used again, in milliseconds. */
 const keptIdleMs = 3_000;
 
-/** Time for which an endpoint that was short of memory is passed over, in milliseconds. */
-const fullMs = 400;
-
 /** Wait after which a refusal for want of an endpoint means that the endpoint is dead, in ms. */
 const deadRefusalMs = 1_200;
 
+const misdirectedStatus = 421;
+
 /** Where a stream stands. */
 enum Phase {
   Waiting,
@@ -399,7 +399,7 @@
     }
     const head = this.path?.parts[0].endpoint;
     if (head) {
-      this.context.directory.suspect(head.address, reason);
+      this.context.directory.suspect(head.address, Suspicion.Silent, reason);
       this.excluded.add(head.address);
     }
     if (wasSent && this.phase === Phase.Sent) {
@@ -412,12 +412,7 @@
     const address = facts.faultAddress ?? this.headAddress;
     if (address !== undefined) {
       const waitedMs = this.context.clock.monotonicMs() - this.sentAtMs;
-      const isDead = waitedMs > deadRefusalMs;
-      this.context.directory.suspect(
-        address,
-        isDead ? 'silent on a path' : `refused with ${status}`,
-        isDead ? undefined : fullMs,
-      );
+      this.context.directory.suspect(address, suspicionOf(status, waitedMs), `status ${status}`);
       this.excluded.add(address);
     }
     this.broken(Break.NotRun, `status ${status} by ${address ?? 'unknown'}`);
@@ -554,6 +549,14 @@
   }
 }
 
+/** What a refusal by an endpoint of a path says of it. */
+function suspicionOf(status: number, waitedMs: number): Suspicion {
+  if (status === misdirectedStatus) {
+    return Suspicion.Misdirected;
+  }
+  return waitedMs > deadRefusalMs ? Suspicion.Silent : Suspicion.Refusing;
+}
+
 /**
  * Describes a path for a log line.
  *
--- a/src/services/lease/common/lease.ts
+++ b/src/services/lease/common/lease.ts
@@ -71,8 +71,17 @@
     return ageMs < this.options.durationMs * holderShare ? this.heldTerm : undefined;
   }
 
-  /** Takes or renews the lease if possible; call this a few times per duration. */
-  async step(): Promise<void> {
+  /** Whether the last renewal was confirmed and is recent enough to act on. */
+  get isConfirmed(): boolean {
+    return this.written !== undefined && this.term() !== undefined;
+  }
+
+  /**
+   * Takes or renews the lease if possible; call this a few times per duration.
+   *
+   * @param isAbandoned - Whether the holder is known to act no more, so that its lease need not end.
+   */
+  async step(isAbandoned = false): Promise<void> {
     const startedMs = this.clock.monotonicMs();
     if (this.written) {
       // A renewal needs no read: the condition on the version finds out if another took over.
@@ -86,7 +95,7 @@
     const stored = read.value;
     if (stored?.value.holder === this.options.candidate) {
       await this.write(stored, stored.value.term, startedMs);
-    } else if (stored === undefined || this.isExpired(stored.version, startedMs)) {
+    } else if (stored === undefined || isAbandoned || this.isExpired(stored.version, startedMs)) {
       await this.write(stored, (stored?.value.term ?? 0) + 1, startedMs);
     } else {
       this.heldTerm = undefined;
