Start gateways from compiled code and let first requests wait for the store

Moving streams off endpoints that leave cost more than it saved. Change: no evacuation; the bundle holds only the dispatcher part of undici and starts with cached code; requests wait up to 0.4 s for the first reading of the store.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,22 +1,39 @@
+import { copyFileSync } from 'node:fs';
 import { build } from 'esbuild';
 
 const programs = ['entry', 'agent', 'gateway', 'admin', 'standin', 'bench'];
 const outdir = process.argv[2] ?? 'build';
 
-await build({
-  entryPoints: programs.map((name) => `src/bin/ibisspar-${name}.ts`),
-  outdir,
-  outExtension: { '.js': '.mjs' },
+const common = {
   bundle: true,
   platform: 'node',
   target: 'node20',
-  format: 'esm',
   minifySyntax: true,
   minifyWhitespace: true,
   // Native add-ons are optional for these packages; each falls back to JavaScript.
   external: ['msgpackr-extract', 'unix-dgram', 'bufferutil', 'utf-8-validate'],
+  logLevel: 'warning',
+};
+
+await build({
+  ...common,
+  entryPoints: programs.map((name) => `src/bin/ibisspar-${name}.ts`),
+  outdir,
+  outExtension: { '.js': '.mjs' },
+  format: 'esm',
   banner: {
     js: "import { createRequire as bundleCreateRequire } from 'node:module'; const require = bundleCreateRequire(import.meta.url);",
   },
-  logLevel: 'warning',
 });
+
+// Only classic scripts can be started with cached code.
+await build({
+  ...common,
+  entryPoints: ['src/bin/ibisspar-gateway.ts'],
+  outdir,
+  outExtension: { '.js': '.cjs' },
+  format: 'cjs',
+  alias: { undici: './scripts/undiciClient.cjs', 'node:http2': './scripts/noHttp2.cjs' },
+  minifyIdentifiers: true,
+});
+copyFileSync('scripts/startCached.cjs', `${outdir}/startCached.cjs`);
--- a/src/gateway/directory/common/endpointDirectory.ts
+++ b/src/gateway/directory/common/endpointDirectory.ts
@@ -58,11 +58,6 @@
 
   private readonly removals = new Emitter<Endpoint>();
 
-  private readonly departures = new Emitter<Endpoint>();
-
-  /** Fires when an endpoint announces that it leaves. */
-  readonly onDidDrain = this.departures.event;
-
   /** Fires when an endpoint is gone, or replaced by another incarnation. */
   readonly onDidRemove = this.removals.event;
 
@@ -110,9 +105,6 @@
         startedMs: endpoint.startedMs,
       });
     }
-    if (before?.state === EndpointState.Ready && endpoint.state === EndpointState.Draining) {
-      this.departures.fire(endpoint);
-    }
   }
 
   /**
@@ -273,7 +265,6 @@
   /** Removes every listener. */
   close(): void {
     this.removals.close();
-    this.departures.close();
   }
 
   private suspicionOf(endpoint: Endpoint): Suspect | undefined {
--- a/src/gateway/http/node/ingress.ts
+++ b/src/gateway/http/node/ingress.ts
@@ -21,7 +21,7 @@
 const maxParsedHeaderBytes = 65_536;
 
 /** When a caller that came before the first configuration may come back, in milliseconds. */
-const startingRetryMs = 1_000;
+const startingRetryMs = 500;
 
 /** Time beyond the configured header timeout that a slow connection is kept, in milliseconds. */
 const headerSlackMs = 1_000;
@@ -38,6 +38,7 @@
    * @param config - The configuration in force.
    * @param dialect - Reads callers' headers.
    * @param random - Draws among split routes.
+   * @param whenSynced - Resolves once the store was read, or after a short wait for it.
    * @param startRelay - Hands requests on.
    * @param clock - Source of time.
    * @param logger - Receives refusals.
@@ -46,6 +47,7 @@
     private readonly config: ConfigHolder,
     private readonly dialect: IDialect,
     private readonly random: IRandom,
+    private readonly whenSynced: () => Promise<void>,
     private readonly startRelay: StartRelay,
     private readonly clock: IClock,
     private readonly logger: ILogger,
@@ -117,6 +119,7 @@
       this.requests -= 1;
       onGone?.();
     });
+    await this.whenSynced();
     const table = this.config.current;
     if (table === undefined) {
       this.refuse(req, caller, {
--- a/src/gateway/node/gatewayProgram.ts
+++ b/src/gateway/node/gatewayProgram.ts
@@ -81,15 +81,18 @@
 /** Silence of the gateway that places layers after which another may take the lease, in ms. */
 const placerSilenceMs = 1_500;
 
-/** Time from the announcement that an endpoint leaves until streams are moved off it, in ms. */
-const evacuateMs = 900;
-
 /** Connections to one endpoint; the rest of its bound is for the other gateways. */
 const connectionsPerEndpoint = 128;
 
 /** Gateways that are assumed to share a budget while none has been heard of. */
 const assumedGateways = 5;
 
+/** Longest wait of a request for the first reading of the store, in milliseconds. */
+const syncWaitMs = 400;
+
+/** Pause between looks whether the store was read, in milliseconds. */
+const syncPollMs = 15;
+
 /** Time after SIGTERM for which callers may still be sent here, in milliseconds. */
 const balancerLagMs = 2_500;
 
@@ -221,18 +224,13 @@
       this.config,
       ports.dialect,
       parts.random,
+      () => this.whenSynced(),
       (req, caller) => this.startRelay(req, caller),
       clock,
       logger,
     );
     this.config.onDidChange(({ config: { version } }) => metrics.configVersion.set(version));
-    this.directory.onDidRemove((endpoint) => {
-      this.forget(endpoint);
-      this.stalls.evacuate(endpoint.address);
-    });
-    this.directory.onDidDrain(({ address }) => {
-      clock.after(evacuateMs, () => this.stalls.evacuate(address));
-    });
+    this.directory.onDidRemove((endpoint) => this.forget(endpoint));
   }
 
   /** Ports of the servers for the balancer and for metrics. */
@@ -320,11 +318,20 @@
   }
 
   private get isReady(): boolean {
-    return (
-      this.drainStartedMs === undefined &&
-      this.config.current !== undefined &&
-      this.feeds.every((feed) => feed.hasListed)
-    );
+    return this.drainStartedMs === undefined && this.isSynced;
+  }
+
+  private get isSynced(): boolean {
+    return this.config.current !== undefined && this.feeds.every((feed) => feed.hasListed);
+  }
+
+  /** Spares callers that come right after a start a refusal, as the store usually answers at once. */
+  private async whenSynced(): Promise<void> {
+    const { clock } = this.parts;
+    const untilMs = clock.monotonicMs() + syncWaitMs;
+    while (!this.isSynced && clock.monotonicMs() < untilMs) {
+      await sleep(syncPollMs, this.abort.signal);
+    }
   }
 
   private createFeeds(): readonly StoreFeed<unknown>[] {
--- a/src/gateway/relay/node/stallMonitor.ts
+++ b/src/gateway/relay/node/stallMonitor.ts
@@ -50,20 +50,6 @@
     this.streams.delete(stream);
   }
 
-  /**
-   * Moves streams off an endpoint that leaves, but for those that begin at it.
-   *
-   * @param address - The endpoint.
-   */
-  evacuate(address: string): void {
-    for (const stream of this.streams) {
-      const head = stream.headAddress;
-      if (head !== undefined && head !== address && stream.uses(address)) {
-        void this.move(stream, head, address, false);
-      }
-    }
-  }
-
   /** Stops. */
   close(): void {
     this.cancelTimer?.();
@@ -105,22 +91,13 @@
       this.context.directory.suspect(address, Suspicion.Silent, 'stalls a path');
       const stream = byId.get(requestId);
       if (stream) {
-        await this.move(stream, head, address, true);
+        await this.move(stream, head, address);
       }
     }
   }
 
-  /**
-   * Moves one stream around an endpoint.
-   *
-   * @param isStalled - Whether the stream stands still and must go on elsewhere if it can't move.
-   */
-  private async move(
-    stream: StreamRelay,
-    head: string,
-    fault: string,
-    isStalled: boolean,
-  ): Promise<void> {
+  /** Moves a stalled stream around an endpoint; if it can't move, it goes on elsewhere. */
+  private async move(stream: StreamRelay, head: string, fault: string): Promise<void> {
     if (this.moving.has(stream)) {
       return;
     }
@@ -145,7 +122,7 @@
       moved?.isErr() &&
       moved.error instanceof OrderRefusedError &&
       moved.error.refusal === OrderRefusal.UnknownRequest;
-    if (isStalled && !isGone) {
+    if (!isGone) {
       stream.abandonRun(fault);
     }
   }
