Keep the platform's names in platform/ by lint, and drop settings that nothing reads

Change: lint refuses the platform's names in src/ and imports of platform/ outside mains; path choice reads the engines of the configuration in force; settings without a reader are gone.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -25,6 +25,10 @@
     from: programs.filter((other) => other !== program).map((other) => `./src/${other}`),
   })),
   { target: './src/**/common/**/*', from: './src/**/node/**/*' },
+  // The adapter is wired to the product in the programs' mains and nowhere else.
+  ...layers
+    .filter((layer) => layer !== 'bin')
+    .map((layer) => ({ target: `./src/${layer}`, from: ['./platform'] })),
 ].filter((zone) => zone.from.length > 0);
 
 const inputOutputModules = ['fs', 'net', 'http', 'https', 'dgram', 'dns', 'timers', 'process'].map(
@@ -43,7 +47,9 @@
   prettier,
   {
     languageOptions: {
-      parserOptions: { projectService: { allowDefaultProject: ['scripts/*.mjs'] } },
+      parserOptions: {
+        projectService: { allowDefaultProject: ['scripts/*.mjs', 'scripts/*.cjs'] },
+      },
     },
   },
   {
@@ -81,7 +87,7 @@
     rules: { 'n/no-process-exit': 'off', 'n/no-sync': 'off', 'no-bitwise': 'off' },
   },
   {
-    files: ['src/**/test/**', 'scripts/**'],
+    files: ['src/**/test/**', 'platform/test/**', 'scripts/**'],
     rules: {
       'n/no-process-exit': 'off',
       'n/no-sync': 'off',
@@ -89,6 +95,13 @@
       '@typescript-eslint/no-unused-expressions': 'off',
     },
   },
+  {
+    files: ['scripts/*.cjs'],
+    rules: {
+      '@typescript-eslint/no-require-imports': 'off',
+      'import-x/no-relative-packages': 'off',
+    },
+  },
   {
     files: ['src/**/common/**/*.ts'],
     ignores: ['src/**/test/**'],
--- a/scripts/undiciClient.cjs
+++ b/scripts/undiciClient.cjs
@@ -6,7 +6,7 @@
 const Agent = require('../node_modules/undici/lib/dispatcher/agent.js');
 const Client = require('../node_modules/undici/lib/dispatcher/client.js');
 const buildConnector = require('../node_modules/undici/lib/core/connect.js');
-const api = require('../node_modules/undici/lib/api/index.js');
+const api = require('../node_modules/undici/lib/api');
 
 module.exports = {
   Agent,
--- a/src/bin/ibisspar-gateway.ts
+++ b/src/bin/ibisspar-gateway.ts
@@ -1,6 +1,7 @@
 import { cac } from 'cac';
 import { decodeConfig, decodeGateway, decodeServer } from '../../platform/decodeObjects.js';
 import { HeaderDialect } from '../../platform/headerDialect.js';
+import { settingsVariable } from '../../platform/settingsVariable.js';
 import { ReplicaControl } from '../../platform/replicaControl.js';
 import { PlatformKind, StoreClient } from '../../platform/storeClient.js';
 import { messageOf } from '../base/common/errors.js';
@@ -16,9 +17,6 @@
 import { gatewaySchema, type GatewaySettings } from '../services/settings/common/settings.js';
 import { loadSettings } from '../services/settings/node/loadSettings.js';
 
-/** Variable that holds the path of the settings file where no option names it. */
-const settingsVariable = 'IBISSPAR_NODE_FILE';
-
 /** Lines of one event a second; the busiest gateway serves some 30 requests a second. */
 const maxLinesPerSecond = 100;
 
--- a/src/gateway/admission/test/common/modelAdmission.test.ts
+++ b/src/gateway/admission/test/common/modelAdmission.test.ts
@@ -51,7 +51,10 @@
     clock = new FakeClock();
     ledger = new RoomLedger(clock);
     endpoints = [whole];
-    const finder = new PathFinder(hugeEngine, (address) => ledger.loadAt(address));
+    const finder = new PathFinder(
+      () => hugeEngine,
+      (address) => ledger.loadAt(address),
+    );
     admission = new ModelAdmission(finder, () => endpoints, ledger, clock);
   });
 
--- a/src/gateway/node/gatewayProgram.ts
+++ b/src/gateway/node/gatewayProgram.ts
@@ -15,7 +15,7 @@
 import type { GatewaySettings } from '../../services/settings/common/settings.js';
 import { ModelAdmission } from '../admission/common/modelAdmission.js';
 import { ConfigHolder } from '../config/common/configHolder.js';
-import type { ConfigSnapshot } from '../config/common/configSnapshot.js';
+import type { ConfigSnapshot, EngineProfile } from '../config/common/configSnapshot.js';
 import { incarnationOf, type Endpoint } from '../directory/common/endpoint.js';
 import { EndpointDirectory, Suspicion } from '../directory/common/endpointDirectory.js';
 import type { IFeedSource } from '../feeds/common/feedSource.js';
@@ -271,6 +271,7 @@
     void this.keepLease();
     logger.log(LogLevel.Info, 'started', {
       place: settings.place,
+      region: settings.region,
       callers: settings.callerAddress,
       store: settings.storeAddress,
     });
@@ -426,7 +427,7 @@
     this.budgetOf(req.service).countRequest();
     let relay: Relay;
     if (service?.engine) {
-      const admission = this.admissionOf(req.service);
+      const admission = this.admissionOf(req.service, service.engine);
       const stream = new StreamRelay(
         req,
         caller,
@@ -453,13 +454,15 @@
     return this.parts.clock.monotonicMs() - this.drainStartedMs > takenMs;
   }
 
-  private admissionOf(service: string): ModelAdmission {
+  private admissionOf(service: string, engine: EngineProfile): ModelAdmission {
     const known = this.admissions.get(service);
-    const engine = this.config.current?.config.services.get(service)?.engine;
-    if (known || engine === undefined) {
-      return known ?? this.emptyAdmission();
+    if (known) {
+      return known;
     }
-    const finder = new PathFinder(engine, (address) => this.ledger.loadAt(address));
+    const finder = new PathFinder(
+      () => this.config.current?.config.services.get(service)?.engine ?? engine,
+      (address) => this.ledger.loadAt(address),
+    );
     const created = new ModelAdmission(
       finder,
       () => this.directory.usable(service),
@@ -470,10 +473,6 @@
     return created;
   }
 
-  private emptyAdmission(): ModelAdmission {
-    throw new Error('the service has no engine');
-  }
-
   private budgetOf(service: string): RetryBudget {
     const known = this.budgets.get(service);
     if (known) {
--- a/src/gateway/routing/common/pathFinder.ts
+++ b/src/gateway/routing/common/pathFinder.ts
@@ -96,14 +96,18 @@
 /** Finds paths over endpoints that hold parts of a model. */
 export class PathFinder {
   /**
-   * @param engine - Behaviour of the engines.
+   * @param currentEngine - Behaviour of the engines under the configuration in force.
    * @param loadAt - Reservations at an address.
    */
   constructor(
-    private readonly engine: EngineProfile,
+    private readonly currentEngine: () => EngineProfile,
     private readonly loadAt: (address: string) => EndpointLoad,
   ) {}
 
+  private get engine(): EngineProfile {
+    return this.currentEngine();
+  }
+
   /**
    * Finds the cheapest path with room, within one place if there is one.
    *
--- a/src/services/settings/common/settings.ts
+++ b/src/services/settings/common/settings.ts
@@ -125,16 +125,12 @@
   metricsPort: port,
   storeAddress: address,
   storeCallMs: v.optional(milliseconds, 1_000),
-  /** Pause between the store entries of a live endpoint. */
-  storeHeartbeatMs: milliseconds,
   /** Time from SIGTERM to the end. */
   drainMs: milliseconds,
   leaseMs: v.optional(milliseconds, 6_000),
   retryRatio: v.pipe(v.number(), v.minValue(0)),
   retryWindowMs: milliseconds,
   retrySlack: v.pipe(v.number(), v.minValue(0)),
-  /** Silence of an endpoint after which engines cut the work that depends on it. */
-  stallMs: milliseconds,
 });
 
 /** Checked settings of `ibisspar-gateway`. */
