Let replacements take over the layers of endpoints that leave

Change: a fast card that isn't needed yet stays empty for three seconds, takes the whole thin run when one shows, and waits for a run that suits its size; spares, and only they, bridge the loading.

--- a/src/gateway/placement/common/rangePlanner.ts
+++ b/src/gateway/placement/common/rangePlanner.ts
@@ -14,6 +14,8 @@
   readonly isSettled: boolean;
   /** Requests whose path includes it. */
   readonly requests: number;
+  /** How long it has held nothing, in milliseconds; 0 if it holds layers. */
+  readonly emptyMs: number;
 }
 
 /** Layers that an endpoint should take. */
@@ -31,6 +33,15 @@
 /** Share of a spare card's memory that weights take, so that it has room for many requests. */
 const spareWeightShare = 0.65;
 
+/**
+ * Time for which a fast card that isn't needed yet stays empty, in milliseconds: in a release the new
+ * endpoint comes first, and what it should hold shows when the old one leaves.
+ */
+const reserveMs = 3_000;
+
+/** Share of its usual layers below which a fast card isn't taken out of reserve for a gap. */
+const reserveFitShare = 0.6;
+
 /** Weight of a spare holder when holders of a layer are counted. */
 const spareWeight = 0.35;
 
@@ -59,25 +70,29 @@
    * Plans the next assignments.
    *
    * @param endpoints - Endpoints that take new work.
-   * @returns Ranges for endpoints without any, chains before spares, then moves to mend gaps.
+   * @returns Ranges for endpoints without any, chains before spares; before them moves that mend gaps, which take the least time.
    */
   plan(endpoints: readonly PlacedEndpoint[]): readonly Assignment[] {
     const places = [...new Set(endpoints.map(({ place }) => place))].sort();
     const groups = this.groupPlaces(places, endpoints);
     const plans = groups.map((group) => this.planGroup(group));
     return [
-      ...plans.flatMap(({ chains }) => chains),
       ...plans.flatMap(({ repairs }) => repairs),
+      ...plans.flatMap(({ chains }) => chains),
       ...plans.flatMap(({ spares }) => spares),
     ];
   }
 
+  private get slowestStepFactor(): number {
+    return Math.max(...[...this.engine.cards.values()].map(({ stepFactor }) => stepFactor));
+  }
+
   /** Places that can't hold a chain of their own plan together. */
   private groupPlaces(
     places: readonly string[],
     endpoints: readonly PlacedEndpoint[],
   ): readonly (readonly PlacedEndpoint[])[] {
-    const needMb = this.engine.layerCount * this.engine.layerMb * (1 + chainHeadroom);
+    const needMb = this.chainMb;
     const whole: PlacedEndpoint[][] = [];
     const rest: PlacedEndpoint[] = [];
     for (const place of places) {
@@ -96,25 +111,23 @@
     readonly spares: readonly Assignment[];
     readonly repairs: readonly Assignment[];
   } {
-    const { engine } = this;
-    const needMb = engine.layerCount * engine.layerMb * (1 + chainHeadroom);
-    const slowest = Math.max(...[...engine.cards.values()].map(({ stepFactor }) => stepFactor));
-    const fast = endpoints.filter(({ stepFactor }) => stepFactor < slowest);
+    const fast = endpoints.filter(({ stepFactor }) => stepFactor < this.slowestStepFactor);
     const fastMb = sum(fast.map(({ memoryMb }) => memoryMb));
-    const core = fastMb >= needMb ? fast : endpoints;
+    const core = fastMb >= this.chainMb ? fast : endpoints;
     const spareCards = endpoints.filter((endpoint) => !core.includes(endpoint));
     const held: Assignment[] = endpoints.flatMap(({ address, layers }) =>
       layers ? [{ address, layers }] : [],
     );
-    const chains = this.continueFresh(core, needMb) ?? this.fill(core, held, core);
+    const chains = this.continueFresh(core) ?? this.fill(core, held, core);
     const spares = this.fill(spareCards, [...held, ...chains], core);
-    const repairs = this.repair(endpoints, [...held, ...chains, ...spares]);
+    const repairs = this.repair(endpoints, spareCards, [...held, ...chains, ...spares]);
     return { chains, spares, repairs };
   }
 
-  /** Moves endpoints whose layers others hold as well to layers that nobody holds. */
+  /** Moves spares whose layers others hold as well to layers that nobody holds. */
   private repair(
     endpoints: readonly PlacedEndpoint[],
+    spareCards: readonly PlacedEndpoint[],
     held: readonly Assignment[],
   ): readonly Assignment[] {
     const holders = new Array<number>(this.engine.layerCount).fill(0);
@@ -123,12 +136,19 @@
         holders[layer] += by;
       }
     };
-    held.forEach(({ layers }) => add(layers, 1));
-    const movable = endpoints
+    // A fast card loads its many layers for seconds, so those are missing until then.
+    const loading = new Set(
+      endpoints
+        .filter(({ isSettled, layers, stepFactor }) =>
+          stepFactor < this.slowestStepFactor ? !isSettled || layers === undefined : false,
+        )
+        .map(({ address }) => address),
+    );
+    held.filter(({ address }) => !loading.has(address)).forEach(({ layers }) => add(layers, 1));
+    const movable = spareCards
       .flatMap((each) => (each.layers && each.isSettled ? [{ ...each, layers: each.layers }] : []))
       .sort(
         (a, b) =>
-          b.stepFactor - a.stepFactor ||
           a.requests - b.requests ||
           size(a.layers) - size(b.layers) ||
           a.address.localeCompare(b.address),
@@ -153,12 +173,9 @@
   }
 
   /** The rest of a first plan, if all that the cards hold so far is part of it. */
-  private continueFresh(
-    core: readonly PlacedEndpoint[],
-    needMb: number,
-  ): readonly Assignment[] | undefined {
+  private continueFresh(core: readonly PlacedEndpoint[]): readonly Assignment[] | undefined {
     const held = new Map(core.map(({ address, layers }) => [address, layers]));
-    const fresh = this.freshChains(core, needMb);
+    const fresh = this.freshChains(core);
     const isPart = fresh.every(({ address, layers }) => {
       const has = held.get(address);
       return has === undefined || (has.from === layers.from && has.to === layers.to);
@@ -167,9 +184,8 @@
   }
 
   /** Splits cards into chains of like memory and the layers of each chain by memory. */
-  private freshChains(cards: readonly PlacedEndpoint[], needMb: number): readonly Assignment[] {
-    const total = sum(cards.map(({ memoryMb }) => memoryMb));
-    const count = Math.max(1, Math.floor(total / needMb));
+  private freshChains(cards: readonly PlacedEndpoint[]): readonly Assignment[] {
+    const count = this.chainCount(sum(cards.map(({ memoryMb }) => memoryMb)));
     const chains = Array.from({ length: count }, () => ({
       memoryMb: 0,
       cards: [] as PlacedEndpoint[],
@@ -221,10 +237,17 @@
     const empty = cards
       .filter(({ layers }) => layers === undefined)
       .sort((a, b) => b.memoryMb - a.memoryMb || a.address.localeCompare(b.address));
-    return empty.flatMap(({ address, memoryMb }) => {
+    const holding = core.filter(({ layers }) => layers !== undefined);
+    const chains = this.chainCount(sum(holding.map(({ memoryMb }) => memoryMb)));
+    return empty.flatMap(({ address, memoryMb, emptyMs }) => {
       const isCore = coreAddresses.has(address);
+      const isReserve = isCore && emptyMs < reserveMs;
+      if (isReserve && Math.min(...cover) >= chains) {
+        return [];
+      }
       const layers = this.leastCovered(cover, memoryMb, isCore);
-      if (size(layers) === 0) {
+      const usual = this.maxLayers(memoryMb, spareWeightShare);
+      if (size(layers) === 0 || (isReserve && size(layers) < reserveFitShare * usual)) {
         return [];
       }
       const assignment = { address, layers };
@@ -256,6 +279,15 @@
     return best;
   }
 
+  /** Memory that a chain needs, in megabytes. */
+  private get chainMb(): number {
+    return this.engine.layerCount * this.engine.layerMb * (1 + chainHeadroom);
+  }
+
+  private chainCount(memoryMb: number): number {
+    return Math.max(1, Math.floor(memoryMb / this.chainMb));
+  }
+
   private maxLayers(memoryMb: number, share: number): number {
     return Math.floor((memoryMb * Math.min(share, maxWeightShare)) / this.engine.layerMb);
   }
--- a/src/gateway/placement/node/placementLoop.ts
+++ b/src/gateway/placement/node/placementLoop.ts
@@ -35,6 +35,9 @@
   /** Ranges ordered and not yet held, by incarnation. */
   private readonly underWay = new Map<string, Assignment['layers']>();
 
+  /** Monotonic time at which an incarnation was first seen without layers. */
+  private readonly emptySinceMs = new Map<string, number>();
+
   private readonly retryAtMs = new Map<string, number>();
 
   private readonly abort = new AbortController();
@@ -131,10 +134,23 @@
         layers: ordered ?? endpoint.layers,
         isSettled: ordered === undefined,
         requests: this.ledger.loadAt(address).requests,
+        emptyMs: this.emptyMs(endpoint),
       },
     ];
   }
 
+  private emptyMs(endpoint: Endpoint): number {
+    const key = incarnationOf(endpoint);
+    if (endpoint.layers !== undefined) {
+      this.emptySinceMs.delete(key);
+      return 0;
+    }
+    const nowMs = this.clock.monotonicMs();
+    const sinceMs = this.emptySinceMs.get(key) ?? nowMs;
+    this.emptySinceMs.set(key, sinceMs);
+    return nowMs - sinceMs;
+  }
+
   /** Orders one endpoint to load layers and follows it until it holds them. */
   private async order(endpoint: Endpoint, assignment: Assignment, term: number): Promise<void> {
     const key = incarnationOf(endpoint);
