--- a/src/gateway/relay/node/streamRelay.ts
+++ b/src/gateway/relay/node/streamRelay.ts
@@ -24,7 +24,7 @@
  * Share of the expected answer that is reserved beside the prompt. Streams grow while they run, so
  * at any moment they hold about half of it.
  */
-const reservedAnswerShare = 0.7;
+const reservedAnswerShare = 0.5;
 
 /** Longest wait for room; callers leave after two seconds without an event. */
 const maxWaitMs = 1_200;
--- a/src/gateway/routing/common/pathFinder.ts
+++ b/src/gateway/routing/common/pathFinder.ts
@@ -61,8 +61,8 @@
 /** Cost of one more endpoint on a path, in milliseconds: a hop and half a pass that is running. */
 const partMs = 2;
 
-/** Steps by which pace enters the choice beside the first event; about an answer's events. */
-const weighedSteps = 30;
+/** Steps by which pace enters the choice beside the first event: a slow path holds room for longer. */
+const weighedSteps = 80;
 
 /** Cost of an endpoint whose room is all taken, in milliseconds; grows with the square of it. */
 const pressureMs = 200;
