Let one of several candidates take an abandoned lease

Callers that came before the first configuration were sent back for half a second each time, and came only once. Change: an abandoned lease must stand still for one step, a released one is free at once; an order without effect is dropped after 3 s; Retry-After grows with the time that the store has been away.

--- a/src/gateway/http/node/ingress.ts
+++ b/src/gateway/http/node/ingress.ts
@@ -20,8 +20,12 @@
 /** Bytes of headers that the parser reads before the configured bound is known. */
 const maxParsedHeaderBytes = 65_536;
 
-/** When a caller that came before the first configuration may come back, in milliseconds. */
-const startingRetryMs = 500;
+/**
+ * Bounds on when a caller that came before the first configuration may come back, in milliseconds. The
+ * longer the store has been away, the longer it is likely to stay so, and callers come back only once.
+ */
+const minStartingRetryMs = 500;
+const maxStartingRetryMs = 5_000;
 
 /** Time beyond the configured header timeout that a slow connection is kept, in milliseconds. */
 const headerSlackMs = 1_000;
@@ -34,6 +38,8 @@
 
   private isDraining = false;
 
+  private readonly createdMs: number;
+
   /**
    * @param config - The configuration in force.
    * @param dialect - Reads callers' headers.
@@ -52,6 +58,7 @@
     private readonly clock: IClock,
     private readonly logger: ILogger,
   ) {
+    this.createdMs = clock.monotonicMs();
     this.server = createServer(
       { maxHeaderSize: maxParsedHeaderBytes, noDelay: true, requestTimeout: 0 },
       (req, res) => {
@@ -125,7 +132,7 @@
       this.refuse(req, caller, {
         status: RefusalStatus.Unavailable,
         detail: 'no configuration has been read yet',
-        retryAfterMs: startingRetryMs,
+        retryAfterMs: this.startingRetryMs(arrivedMs),
       });
       return;
     }
@@ -193,6 +200,11 @@
     );
   }
 
+  private startingRetryMs(nowMs: number): number {
+    const awayMs = nowMs - this.createdMs;
+    return Math.min(maxStartingRetryMs, Math.max(minStartingRetryMs, 2 * awayMs));
+  }
+
   private refuse(req: IncomingMessage, caller: CallerConnection, refusal: Refusal): void {
     this.logger.log(LogLevel.Info, 'request-refused', {
       request: this.dialect.readRequest(req.headers).requestId,
--- a/src/gateway/placement/node/placementLoop.ts
+++ b/src/gateway/placement/node/placementLoop.ts
@@ -24,6 +24,9 @@
 /** Pause between reports of an endpoint that is loading, in milliseconds. */
 const followMs = 250;
 
+/** Time after which an idle endpoint with other layers obeyed another order, in milliseconds. */
+const effectMs = 3_000;
+
 /** Time after which an order without an effect is given anew, in milliseconds. */
 const orderTimeoutMs = 15_000;
 
@@ -202,7 +205,8 @@
   }
 
   private async follow(endpoint: Endpoint, layers: LayerRange): Promise<void> {
-    const deadlineMs = this.clock.monotonicMs() + orderTimeoutMs;
+    const startedMs = this.clock.monotonicMs();
+    const deadlineMs = startedMs + orderTimeoutMs;
     while (this.clock.monotonicMs() < deadlineMs && !this.abort.signal.aborted) {
       await sleep(followMs, this.abort.signal);
       const report = await this.control.report(endpoint.address);
@@ -210,7 +214,8 @@
         return;
       }
       this.directory.observeLayers(endpoint, report.value.layers);
-      if (!report.value.isBusy && isSameRange(report.value.layers, layers)) {
+      const isLate = this.clock.monotonicMs() - startedMs > effectMs;
+      if (!report.value.isBusy && (isLate || isSameRange(report.value.layers, layers))) {
         return;
       }
     }
--- a/src/services/lease/common/lease.ts
+++ b/src/services/lease/common/lease.ts
@@ -79,7 +79,8 @@
   /**
    * Takes or renews the lease if possible; call this a few times per duration.
    *
-   * @param isAbandoned - Whether the holder is known to act no more, so that its lease need not end.
+   * @param isAbandoned - Whether the holder is known to act no more; its lease is taken if it
+   *   stands still for one step.
    */
   async step(isAbandoned = false): Promise<void> {
     const startedMs = this.clock.monotonicMs();
@@ -95,7 +96,11 @@
     const stored = read.value;
     if (stored?.value.holder === this.options.candidate) {
       await this.write(stored, stored.value.term, startedMs);
-    } else if (stored === undefined || isAbandoned || this.isExpired(stored.version, startedMs)) {
+    } else if (
+      stored === undefined ||
+      stored.value.holder === '' ||
+      this.mayTake(stored.version, startedMs, isAbandoned)
+    ) {
       await this.write(stored, (stored?.value.term ?? 0) + 1, startedMs);
     } else {
       this.heldTerm = undefined;
@@ -113,11 +118,13 @@
     }
   }
 
-  private isExpired(version: number, nowMs: number): boolean {
+  /** An abandoned lease has to stand still from one step to the next: another may just have taken it. */
+  private mayTake(version: number, nowMs: number, isAbandoned: boolean): boolean {
     if (this.observed?.version !== version) {
       this.observed = { version, atMs: nowMs };
+      return false;
     }
-    return nowMs - this.observed.atMs > this.options.durationMs;
+    return isAbandoned || nowMs - this.observed.atMs > this.options.durationMs;
   }
 
   private async write(
--- a/src/services/lease/test/common/lease.test.ts
+++ b/src/services/lease/test/common/lease.test.ts
@@ -65,4 +65,26 @@
       { seed: 92, numRuns: 20 },
     );
   });
+
+  it('passes an abandoned lease to one of several candidates, and a released one at once', async () => {
+    await fc.assert(
+      fc.asyncProperty(fc.scheduler(), async (scheduler) => {
+        const store = new FaultyStore(scheduler, []);
+        const clock = new FakeClock();
+        const [first, second, third] = ['a', 'b', 'c'].map(
+          (candidate) => new LeaseCandidate({ name: 'l', candidate, durationMs }, store, clock),
+        );
+        await scheduler.waitFor(first.step());
+        await scheduler.waitFor(second.step());
+        await scheduler.waitFor(third.step());
+        await scheduler.waitFor(second.step(true));
+        await scheduler.waitFor(third.step(true));
+        expect([second.term(), third.term()]).to.deep.equal([2, undefined]);
+        await scheduler.waitFor(second.release());
+        await scheduler.waitFor(third.step());
+        expect([second.term(), third.term()]).to.deep.equal([undefined, 3]);
+      }),
+      { seed: 93, numRuns: 20 },
+    );
+  });
 });
