--- a/src/gateway/node/gatewayMetrics.ts
+++ b/src/gateway/node/gatewayMetrics.ts
@@ -72,10 +72,17 @@
     registers: [this.registry],
   });
 
-  /** Requests under way. */
-  readonly inFlight = new Gauge({
-    name: 'ibisspar_requests_in_flight',
-    help: 'Requests under way',
-    registers: [this.registry],
-  });
+  /**
+   * Serves the number of requests under way.
+   *
+   * @param count - Counts them when the metrics are read.
+   */
+  watchInFlight(count: () => number): void {
+    const gauge: Gauge = new Gauge({
+      name: 'ibisspar_requests_in_flight',
+      help: 'Requests under way',
+      registers: [this.registry],
+      collect: () => gauge.set(count()),
+    });
+  }
 }
--- a/src/gateway/node/gatewayProgram.ts
+++ b/src/gateway/node/gatewayProgram.ts
@@ -1,4 +1,3 @@
-import { createServer, type Server } from 'node:http';
 import type { SystemClock } from '../../base/node/systemClock.js';
 import { sleep } from '../../base/node/systemClock.js';
 import type { CancelTimer } from '../../base/common/clock.js';
@@ -7,27 +6,21 @@
 import { LeaseCandidate } from '../../services/lease/common/lease.js';
 import { EndpointHealth } from '../../services/ejection/common/endpointHealth.js';
 import { SequentialTest } from '../../services/ejection/common/failureDetector.js';
-import {
-  absentVersion,
-  ObjectKind,
-  type IObjectStore,
-} from '../../services/objects/common/objects.js';
+import { absentVersion, ObjectKind } from '../../services/objects/common/objects.js';
 import type { GatewaySettings } from '../../services/settings/common/settings.js';
 import { ModelAdmission } from '../admission/common/modelAdmission.js';
 import { ConfigHolder } from '../config/common/configHolder.js';
-import type { ConfigSnapshot, EngineProfile } from '../config/common/configSnapshot.js';
+import type { EngineProfile } from '../config/common/configSnapshot.js';
 import { incarnationOf, type Endpoint } from '../directory/common/endpoint.js';
 import { EndpointDirectory, Suspicion } from '../directory/common/endpointDirectory.js';
-import type { IFeedSource } from '../feeds/common/feedSource.js';
-import { StoreFeed, type FeedPace } from '../feeds/node/storeFeed.js';
+import type { StoreFeed } from '../feeds/node/storeFeed.js';
 import type { CallerConnection } from '../http/node/callerConnection.js';
 import { Ingress } from '../http/node/ingress.js';
+import { StatusServers } from '../http/node/statusServers.js';
 import type { PeerMessage } from '../peers/common/peerMessage.js';
 import { PeerExchange, type PeerAddress } from '../peers/node/peerExchange.js';
 import { PlacementLoop } from '../placement/node/placementLoop.js';
 import { RefusalStatus, type CallerRequest } from '../relay/common/callerRequest.js';
-import type { IDialect } from '../relay/common/dialect.js';
-import type { IEndpointControl } from '../relay/common/endpointControl.js';
 import { EndpointSender } from '../relay/node/endpointSender.js';
 import { PlainRelay } from '../relay/node/plainRelay.js';
 import type { RelayContext } from '../relay/node/relayContext.js';
@@ -38,18 +31,9 @@
 import { PlainRouter } from '../routing/common/plainRouter.js';
 import { RoomLedger } from '../routing/common/roomLedger.js';
 import { EndpointProber } from './endpointProber.js';
+import { createFeeds, type GatewayPorts } from './gatewayFeeds.js';
 import type { GatewayMetrics } from './gatewayMetrics.js';
 
-/** What a gateway needs of the system that it runs on. */
-export interface GatewayPorts {
-  readonly store: IObjectStore;
-  readonly configFeed: IFeedSource<ConfigSnapshot>;
-  readonly endpointFeed: IFeedSource<Endpoint>;
-  readonly peerFeed: IFeedSource<PeerAddress>;
-  readonly control: IEndpointControl;
-  readonly dialect: IDialect;
-}
-
 /** What a gateway is given by its main. */
 export interface GatewayParts {
   readonly settings: GatewaySettings;
@@ -69,15 +53,6 @@
 /** Pause before the gateway's own entry is written again after a failure, in milliseconds. */
 const registerRetryMs = 1_000;
 
-/** A configuration has to be in force two seconds after the store took it. */
-const configPace: FeedPace = { watchWaitMs: 4_000, gatherMs: 0 };
-
-/** An endpoint that leaves must get no new work two seconds after the store took note of it. */
-const endpointPace: FeedPace = { watchWaitMs: 4_000, gatherMs: 250 };
-
-/** Peers change when instances are replaced. */
-const peerPace: FeedPace = { watchWaitMs: 20_000, gatherMs: 500 };
-
 /** Silence of the gateway that places layers after which another may take the lease, in ms. */
 const placerSilenceMs = 1_500;
 
@@ -156,9 +131,7 @@
 
   private cancelSweep: CancelTimer | undefined;
 
-  private readyServer: Server | undefined;
-
-  private metricsServer: Server | undefined;
+  private readonly status: StatusServers;
 
   /** Monotonic time of the last message of a gateway that places layers. */
   private placerHeardMs = 0;
@@ -219,7 +192,9 @@
       clock,
       logger,
     );
-    this.feeds = this.createFeeds();
+    this.feeds = createFeeds(ports, this.config, this.directory, this.peers, logger);
+    this.status = new StatusServers(() => this.isReady, metrics.registry);
+    metrics.watchInFlight(() => this.ingress.inFlight);
     this.ingress = new Ingress(
       this.config,
       ports.dialect,
@@ -235,7 +210,7 @@
 
   /** Ports of the servers for the balancer and for metrics. */
   get statusPorts(): { readonly ready: number; readonly metrics: number } {
-    return { ready: portOf(this.readyServer), metrics: portOf(this.metricsServer) };
+    return this.status.ports;
   }
 
   /** Port that callers connect to. */
@@ -247,19 +222,9 @@
   async start(): Promise<void> {
     const { settings, logger } = this.parts;
     const [host, port] = splitAddress(settings.callerAddress);
-    const [readyHost, readyPort] = splitAddress(settings.readyAddress);
     this.feeds.forEach((feed) => feed.start());
     await this.ingress.listen(host, port);
-    this.readyServer = createServer((req, res) => {
-      res.writeHead(req.url === '/readyz' && this.isReady ? 200 : 503).end();
-    }).listen(readyPort, readyHost);
-    this.metricsServer = createServer((_req, res) => {
-      this.parts.metrics.inFlight.set(this.ingress.inFlight);
-      this.parts.metrics.registry.metrics().then(
-        (text) => res.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' }).end(text),
-        () => res.writeHead(500).end(),
-      );
-    }).listen(settings.metricsPort, settings.host);
+    this.status.listen(splitAddress(settings.readyAddress), [settings.host, settings.metricsPort]);
     const peerPort = await this.peers.start();
     this.placement.start();
     this.prober.start();
@@ -305,8 +270,7 @@
     this.abort.abort();
     this.cancelSweep?.();
     this.ingress.close();
-    this.readyServer?.close();
-    this.metricsServer?.close();
+    this.status.close();
     this.feeds.forEach((feed) => feed.close());
     this.peers.close();
     this.placement.close();
@@ -335,50 +299,6 @@
     }
   }
 
-  private createFeeds(): readonly StoreFeed<unknown>[] {
-    const { ports, logger } = this.parts;
-    const { directory, config, peers } = this;
-    const none = () => undefined;
-    return [
-      new StoreFeed<ConfigSnapshot>(
-        'config',
-        ports.configFeed,
-        {
-          onItem: (snapshot) => config.offer(snapshot),
-          onRemoved: none,
-          onListed: none,
-          onRegained: none,
-        },
-        configPace,
-        logger,
-      ),
-      new StoreFeed<Endpoint>(
-        'endpoints',
-        ports.endpointFeed,
-        {
-          onItem: (endpoint) => directory.update(endpoint),
-          onRemoved: (id) => directory.remove(id),
-          onListed: (ids) => directory.retainOnly(ids),
-          onRegained: () => directory.storeReturned(),
-        },
-        endpointPace,
-        logger,
-      ),
-      new StoreFeed<PeerAddress>(
-        'gateways',
-        ports.peerFeed,
-        {
-          onItem: (peer) => peers.add(peer),
-          onRemoved: (instance) => peers.remove(instance),
-          onListed: none,
-          onRegained: none,
-        },
-        peerPace,
-        logger,
-      ),
-    ];
-  }
-
   private createHealth(): EndpointHealth {
     const health = new EndpointHealth(
       { ejectMs: 2_000, maxEjectMs: 8_000, maxEjectedShare: 0.5 },
@@ -565,11 +485,6 @@
   }
 }
 
-function portOf(server: Server | undefined): number {
-  const address = server?.address();
-  return typeof address === 'object' && address ? address.port : 0;
-}
-
 function splitAddress(address: string): [string, number] {
   const at = address.lastIndexOf(':');
   return [address.slice(0, at), Number(address.slice(at + 1))];
--- a/src/gateway/relay/node/streamRelay.ts
+++ b/src/gateway/relay/node/streamRelay.ts
@@ -17,8 +17,9 @@
 } from '../common/callerRequest.js';
 import type { AnswerFacts } from '../common/dialect.js';
 import { EventSplitter } from '../common/eventSplitter.js';
-import type { AnswerHead, IAnswerSink, IExchange } from './endpointSender.js';
+import type { AnswerHead, IExchange } from './endpointSender.js';
 import type { RelayContext } from './relayContext.js';
+import { AnswerKind, StreamRun, type IStreamReceiver } from './streamRun.js';
 
 /**
  * Share of the expected answer that is reserved beside the prompt. Streams grow while they run, so
@@ -66,16 +67,8 @@
   Dead = 'dead',
 }
 
-/** What an answer's head makes of its body. */
-export enum AnswerKind {
-  Ignored,
-  Events,
-  NotRun,
-  Failure,
-}
-
 /** Relays one stream: waits for room, sends, passes events on, and goes on elsewhere if it must. */
-export class StreamRelay {
+export class StreamRelay implements IStreamReceiver {
   private phase = Phase.Waiting;
 
   private ticket: IAdmissionTicket | undefined;
@@ -300,7 +293,6 @@
     );
   }
 
-  /** @internal Answer head of the run with the given number. */
   onHead(send: number, head: AnswerHead): AnswerKind {
     if (send !== this.sends || this.phase !== Phase.Sent) {
       return AnswerKind.Ignored;
@@ -332,7 +324,6 @@
     return AnswerKind.Events;
   }
 
-  /** @internal Bytes of a stream. */
   onEvents(chunk: Buffer): boolean {
     const batch = this.splitter.push(chunk);
     if (batch === undefined || this.phase !== Phase.Streaming) {
@@ -359,7 +350,6 @@
     return false;
   }
 
-  /** @internal The stream ended as complete. */
   onComplete(): void {
     if (this.phase !== Phase.Streaming) {
       return;
@@ -373,7 +363,6 @@
     this.finish('complete', 200);
   }
 
-  /** @internal A whole answer that isn't a stream. */
   onWhole(kind: AnswerKind, head: AnswerHead, body: Buffer): void {
     if (this.phase !== Phase.Sent) {
       return;
@@ -392,7 +381,6 @@
     this.finish('endpoint-failure', head.status);
   }
 
-  /** @internal The exchange failed. */
   onFailure(send: number, reason: string, wasSent: boolean): void {
     if (send !== this.sends || this.phase === Phase.Over || this.phase === Phase.Waiting) {
       return;
@@ -510,45 +498,6 @@
   }
 }
 
-/** Sink of one send; later sends of the same relay ignore it. */
-class StreamRun implements IAnswerSink {
-  private kind = AnswerKind.Ignored;
-
-  private head: AnswerHead | undefined;
-
-  private readonly chunks: Buffer[] = [];
-
-  constructor(
-    private readonly send: number,
-    private readonly relay: StreamRelay,
-  ) {}
-
-  onHead(head: AnswerHead): void {
-    this.head = head;
-    this.kind = this.relay.onHead(this.send, head);
-  }
-
-  onData(chunk: Buffer): boolean {
-    if (this.kind === AnswerKind.Events) {
-      return this.relay.onEvents(chunk);
-    }
-    this.chunks.push(chunk);
-    return true;
-  }
-
-  onEnd(): void {
-    if (this.kind === AnswerKind.Events) {
-      this.relay.onComplete();
-    } else if (this.kind !== AnswerKind.Ignored && this.head) {
-      this.relay.onWhole(this.kind, this.head, Buffer.concat(this.chunks));
-    }
-  }
-
-  onError(reason: string, wasSent: boolean): void {
-    this.relay.onFailure(this.send, reason, wasSent);
-  }
-}
-
 /** What a refusal by an endpoint of a path says of it. */
 function suspicionOf(status: number, waitedMs: number): Suspicion {
   if (status === misdirectedStatus) {
