Share crash suspicions over the links, and blame a stop only for what it lost

Cause: (1) In the run of a chat submission failed while engine-8 was frozen (0.0 to 4.7 s); its later calls are answered 'its answer is not kept'. The last of them fell into the stop of engine-10 at 5.0 s, and the check blamed the stop. The call list shows it: two calls of the key ended with an unknown outcome at 1.1 s and 2.5 s and none was answered. (2) 'one request killed 4 endpoints' came with platform-outage and crashing-request together: entries shared suspicions over the platform only, so each of them ran the request until it had seen two crashes itself. Ruled out: a kept answer lost by the stop (no call of the keys was ever answered). Change: a call counts as cut by a stop unless its key had lost its outcome before the stop and was never answered; an entry sends a new suspicion through three agents to the other entries.

--- a/src/agent/node/agentProgram.ts
+++ b/src/agent/node/agentProgram.ts
@@ -295,6 +295,9 @@
       case MessageKind.Seal:
         this.seal(message, send);
         break;
+      case MessageKind.Suspects:
+        this.links.toOtherEntries(link?.peer?.instance, message);
+        break;
       case MessageKind.Order:
         void this.obey(message, send);
         break;
--- a/src/agent/node/stageLinks.ts
+++ b/src/agent/node/stageLinks.ts
@@ -75,6 +75,20 @@
     this.entries.get(entry)?.send(message);
   }
 
+  /**
+   * Passes a message of an entry on to the others.
+   *
+   * @param sender - Instance id of the entry that sent it.
+   * @param message - The message.
+   */
+  toOtherEntries(sender: string | undefined, message: LinkMessage): void {
+    this.entries.forEach((link, entry) => {
+      if (entry !== sender) {
+        link.send(message);
+      }
+    });
+  }
+
   toStage(stage: StageSpec, message: LinkMessage): void {
     if (stage.incarnation === this.identity.incarnation) {
       setImmediate(() => this.local.fire(message));
--- a/src/bench/faults/common/checkers.ts
+++ b/src/bench/faults/common/checkers.ts
@@ -157,6 +157,20 @@
   return { runs: leavings.length, violations, undecided: 0 };
 }
 
+/**
+ * Tells whether a key's outcome was lost before a stop began: an earlier call of the key had ended
+ * without an answer and no call was answered, so that later calls can't be answered either.
+ */
+function wasLostBefore(history: FaultHistory, stop: FaultRecord, call: CallRecord): boolean {
+  const earlier = history.calls.filter(
+    ({ key, endMs }) => call.key !== undefined && key === call.key && endMs < stop.startMs,
+  );
+  return (
+    earlier.some(({ end, run }) => end !== CallEnd.Whole && run !== RunState.NotRun) &&
+    earlier.every(({ end }) => end !== CallEnd.Whole)
+  );
+}
+
 /** During a planned stop alone, no call may end in anything but an answer or an honest refusal. */
 function checkStops(history: FaultHistory): PromiseResult {
   const planned = new Set([FaultKind.StopAgent, FaultKind.StopEntry]);
@@ -165,7 +179,9 @@
     (fault) => !planned.has(fault.kind) && fault.kind !== FaultKind.OperatorRace,
   );
   const cut = history.calls.filter((call) => {
-    const duringStop = stops.some((stop) => overlaps(stop, call.startMs, call.endMs));
+    const duringStop = stops.some(
+      (stop) => overlaps(stop, call.startMs, call.endMs) && !wasLostBefore(history, stop, call),
+    );
     const duringOther = others.some((other) => overlaps(other, call.startMs, call.endMs));
     const isRefused = call.end === CallEnd.Broken && call.detail.includes(refusedConnection);
     const isHonest = isRefused || (call.end === CallEnd.Problem && call.run === RunState.NotRun);
--- a/src/entry/fleet/node/agentPool.ts
+++ b/src/entry/fleet/node/agentPool.ts
@@ -48,6 +48,9 @@
 /** Time to open a link to an agent, in milliseconds. */
 const connectLimitMs = 500;
 
+/** Agents that get a message for the other entries; some may die or freeze before they send it. */
+const spreadCopies = 3;
+
 /** Links from an entry to the agents that the instance list names. */
 export class AgentPool implements IFleet {
   private readonly members = new Map<string, Member>();
@@ -152,6 +155,16 @@
     return link !== undefined;
   }
 
+  /**
+   * Sends a message to a few agents, each of which passes it on to the other entries.
+   *
+   * @param message - The message.
+   */
+  spread(message: LinkMessage): void {
+    const links = [...this.members.values()].flatMap(({ link }) => link ?? []);
+    links.slice(-spreadCopies).forEach((link) => link.send(message));
+  }
+
   addActive(endpoint: string, change: 1 | -1): void {
     const member = this.members.get(endpoint);
     if (member) {
--- a/src/entry/node/entryProgram.ts
+++ b/src/entry/node/entryProgram.ts
@@ -12,6 +12,7 @@
 import {
   linkVersion,
   MessageKind,
+  type SuspectRecord,
   type HeartbeatMessage,
   type HelloMessage,
 } from '../../services/link/common/messages.js';
@@ -47,7 +48,7 @@
 import { PrefixDirectory } from '../routing/common/prefixDirectory.js';
 import { RuleFeed } from '../rules/node/ruleFeed.js';
 import { ServiceCaller } from '../services/common/serviceCaller.js';
-import { CrashSuspects, type SuspectRecord } from '../suspects/common/crashSuspects.js';
+import { CrashSuspects } from '../suspects/common/crashSuspects.js';
 import { SuspectGuard } from '../suspects/common/suspectGuard.js';
 import { SuspectStore } from '../suspects/common/suspectStore.js';
 import { ChatSubmission } from '../submission/common/chatSubmission.js';
@@ -291,6 +292,13 @@
     this.quarantine.onDidChange(() => {
       this.quarantine.values().forEach(({ records }) => guard.merge(records));
     });
+    // Agents pass suspicions on faster than the platform, and during its outages.
+    guard.onDidSuspect((records) => this.pool.spread({ kind: MessageKind.Suspects, records }));
+    this.pool.onDidReceive(({ message }) => {
+      if (message.kind === MessageKind.Suspects) {
+        guard.merge(message.records);
+      }
+    });
     return guard;
   }
 
--- a/src/entry/suspects/common/crashSuspects.ts
+++ b/src/entry/suspects/common/crashSuspects.ts
@@ -1,13 +1,4 @@
-/** What is known of a request that was running when an endpoint died. */
-export interface SuspectRecord {
-  readonly fingerprint: string;
-  /** Ids of the crashes during which the request ran. */
-  readonly crashes: readonly string[];
-  /** Entry that may run the request again; empty if none does. */
-  readonly runner: string;
-  /** Wall-clock time of the newest change, in milliseconds since 1970. */
-  readonly atMs: number;
-}
+import type { SuspectRecord } from '../../../services/link/common/messages.js';
 
 /** What to do with a request. */
 export enum Verdict {
@@ -144,6 +135,17 @@
     return true;
   }
 
+  /**
+   * Returns what is known of one request.
+   *
+   * @param fingerprint - The request.
+   * @returns Its record, or nothing.
+   */
+  recordsOf(fingerprint: string): readonly SuspectRecord[] {
+    const record = this.records.get(fingerprint);
+    return record === undefined ? [] : [record];
+  }
+
   /** Returns the records to store in the platform. */
   snapshot(): readonly SuspectRecord[] {
     return [...this.records.values()];
--- a/src/entry/suspects/common/suspectGuard.ts
+++ b/src/entry/suspects/common/suspectGuard.ts
@@ -1,6 +1,8 @@
 import type { IClock, ITimers } from '../../../base/common/clock.js';
+import { Emitter } from '../../../base/common/event.js';
 import { LogLevel, type ILogger } from '../../../base/common/logger.js';
-import { Verdict, type CrashSuspects, type SuspectRecord } from './crashSuspects.js';
+import type { SuspectRecord } from '../../../services/link/common/messages.js';
+import { Verdict, type CrashSuspects } from './crashSuspects.js';
 
 /** Shares suspicions with the other entries. */
 export interface ISuspectSharing {
@@ -29,6 +31,11 @@
 
   private readonly running = new Set<string>();
 
+  private readonly suspected = new Emitter<readonly SuspectRecord[]>();
+
+  /** Fires with the record of a request that ran when an endpoint died. */
+  readonly onDidSuspect = this.suspected.event;
+
   private sharing = false;
 
   /** True if something changed while suspicions were being shared. */
@@ -96,6 +103,7 @@
     this.unshared = true;
     const verdict = this.suspects.verdict(fingerprint);
     this.logger.log(LogLevel.Warn, 'crash-suspect', { crash, fingerprint, verdict });
+    this.suspected.fire(this.suspects.recordsOf(fingerprint));
   }
 
   /**
@@ -122,7 +130,7 @@
   /**
    * Takes over suspicions of other entries.
    *
-   * @param records - Records as stored in the platform.
+   * @param records - Records as stored in the platform or sent by another entry.
    */
   merge(records: readonly SuspectRecord[]): void {
     this.suspects.merge(records, this.clock.wallMs());
--- a/src/entry/suspects/common/suspectStore.ts
+++ b/src/entry/suspects/common/suspectStore.ts
@@ -4,7 +4,8 @@
   ObjectKind,
   type IObjectStore,
 } from '../../../services/objects/common/objects.js';
-import type { CrashSuspects, SuspectRecord } from './crashSuspects.js';
+import type { SuspectRecord } from '../../../services/link/common/messages.js';
+import type { CrashSuspects } from './crashSuspects.js';
 
 /** Object that all entries share. */
 interface SuspectObject {
--- a/src/entry/suspects/test/common/suspectGuard.test.ts
+++ b/src/entry/suspects/test/common/suspectGuard.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai';
 import { FakeClock } from '../../../../base/test/common/fakeClock.js';
-import { CrashSuspects, type SuspectRecord } from '../../common/crashSuspects.js';
+import type { SuspectRecord } from '../../../../services/link/common/messages.js';
+import { CrashSuspects } from '../../common/crashSuspects.js';
 import { SuspectGuard } from '../../common/suspectGuard.js';
 
 function turn(): Promise<void> {
@@ -65,4 +66,16 @@
     await turn();
     expect(events).to.deep.equal(['apart', 'free']);
   });
+
+  it('refuses a request that another entry saw crash twice while the platform was away', async () => {
+    const { guard, shares, events, waiter } = create();
+    const other = create();
+    other.guard.onDidSuspect((records) => guard.merge(records));
+    other.guard.crashed('e#1', 'f');
+    other.guard.crashed('e#2', 'f');
+    guard.admit(waiter);
+    await turn();
+    expect(shares).to.have.length(0);
+    expect(events).to.deep.equal(['refused']);
+  });
 });
--- a/src/services/link/common/messages.ts
+++ b/src/services/link/common/messages.ts
@@ -21,6 +21,7 @@
   Order,
   OrderResult,
   Leaving,
+  Suspects,
 }
 
 /** What an endpoint holds and how busy it is; rides on heartbeats. */
@@ -274,6 +275,23 @@
   readonly kind: MessageKind.Leaving;
 }
 
+/** What is known of a request that was running when an endpoint died. */
+export interface SuspectRecord {
+  readonly fingerprint: string;
+  /** Ids of the crashes during which the request ran. */
+  readonly crashes: readonly string[];
+  /** Entry that may run the request again; empty if none does. */
+  readonly runner: string;
+  /** Wall-clock time of the newest change, in milliseconds since 1970. */
+  readonly atMs: number;
+}
+
+/** Suspicions of an entry; an agent passes them on to the other entries. */
+export interface SuspectsMessage {
+  readonly kind: MessageKind.Suspects;
+  readonly records: readonly SuspectRecord[];
+}
+
 /** Any message between the system's processes. */
 export type LinkMessage =
   | HelloMessage
@@ -290,4 +308,5 @@
   | CallResultMessage
   | OrderMessage
   | OrderResultMessage
-  | LeavingMessage;
+  | LeavingMessage
+  | SuspectsMessage;
