Look at the socket once more before a request is sent on

Cause: on the grown second site a gateway starved of processor time read a request 1.7 s after it came; its caller had left after 1 s. The end of the connection lay behind the request in the socket and shows at the next poll only, by which time the request was at an endpoint (GONE, 8 requests). Ruled out: an unheeded close event; closes seen are passed on at once. Change: two loop turns between reading and dispatching a request.

--- a/src/gateway/http/node/ingress.ts
+++ b/src/gateway/http/node/ingress.ts
@@ -1,3 +1,4 @@
+import { setImmediate } from 'node:timers/promises';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { messageOf } from '../../../base/common/errors.js';
 import type { IClock } from '../../../base/common/clock.js';
@@ -152,6 +153,7 @@
       });
       return;
     }
+    await nextPoll();
     if (!caller.isGone) {
       // A newer configuration may have come into force while the body was read.
       onGone = this.dispatch(req, caller, body, arrivedMs, this.config.current ?? table);
@@ -218,6 +220,15 @@
   }
 }
 
+/**
+ * Lets the loop look at the sockets once more. A gateway that was slow or frozen may read a request
+ * whose caller has left since; the end of the connection shows at the next look only.
+ */
+async function nextPoll(): Promise<void> {
+  await setImmediate(); // still within the look that brought the request
+  await setImmediate();
+}
+
 function headerBytes(req: IncomingMessage): number {
   return req.rawHeaders.reduce((total, each) => total + each.length + 2, 0);
 }
