Count no connection that was given up before it was open

An exchange that is aborted before its connection is open destroys the client, which then reports neither a disconnect nor an error, so it stayed among the open connections: it was closed a second time when the endpoint was forgotten, and counted towards the bound on connections. Ruled out: closing a connection that is busy; that resolves once it is idle. Change: the sender drops such a connection itself. Before: 'too many connections' after as many aborts as the bound, and two rejections in the second test. After: both tests pass.

--- a/src/gateway/relay/node/endpointSender.ts
+++ b/src/gateway/relay/node/endpointSender.ts
@@ -110,6 +110,8 @@
     private readonly sink: IAnswerSink,
     private readonly connection: Connection,
     private readonly onOver: () => void,
+    /** Called if the exchange is aborted before it has the connection. */
+    private readonly onUnused: () => void,
   ) {}
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
@@ -170,7 +172,7 @@
     if (this.controller) {
       this.controller.abort(new Error('aborted'));
     } else {
-      void this.connection.client.destroy();
+      this.onUnused();
     }
   }
 }
@@ -210,10 +212,16 @@
     }
     const connection = kept ?? this.open(address, open);
     connection.isBusy = true;
-    const exchange = new Exchange(sink, connection, () => {
+    const onOver = () => {
       connection.isBusy = false;
       connection.idleSinceMs = this.clock.monotonicMs();
-    });
+    };
+    const onUnused = () => {
+      // The client reports neither a disconnect nor an error for a connection it never opened.
+      open.delete(connection);
+      void connection.client.destroy();
+    };
+    const exchange = new Exchange(sink, connection, onOver, onUnused);
     connection.client.dispatch(
       {
         method: req.method,
--- /dev/null
+++ b/src/gateway/relay/test/node/endpointSender.test.ts
@@ -0,0 +1,82 @@
+import { createServer, type Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { expect } from 'chai';
+import { SystemClock } from '../../../../base/node/systemClock.js';
+import { EndpointSender, type IAnswerSink } from '../../node/endpointSender.js';
+
+const request = { method: 'GET', target: '/', headers: [], body: undefined, maxIdleMs: 1_000 };
+
+/** Collects how an exchange ended. */
+function sinkOf(onDone: (outcome: string) => void): IAnswerSink {
+  return {
+    onHead: () => undefined,
+    onData: () => true,
+    onEnd: () => onDone('complete'),
+    onError: (reason) => onDone(reason),
+  };
+}
+
+describe('EndpointSender', () => {
+  let server: Server;
+  let address: string;
+
+  beforeEach(async () => {
+    server = createServer((_req, res) => res.end('answer'));
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', () => resolve());
+    });
+    address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+  });
+
+  afterEach(() => {
+    server.close();
+    server.closeAllConnections();
+  });
+
+  it('does not count connections that were given up before they were open', async () => {
+    const sender = new EndpointSender(2, new SystemClock());
+    for (let count = 0; count < 3; count += 1) {
+      sender
+        .send(
+          address,
+          request,
+          sinkOf(() => undefined),
+        )
+        .abort();
+    }
+    const outcome = await new Promise<string>((resolve) => {
+      sender.send(address, request, sinkOf(resolve));
+    });
+    expect(outcome).to.equal('complete');
+    sender.forget(address);
+    await sender.close();
+  });
+
+  it('gives an exchange up whose endpoint was forgotten meanwhile', async () => {
+    const rejections: unknown[] = [];
+    const note = (reason: unknown) => rejections.push(reason);
+    process.on('unhandledRejection', note);
+    const sender = new EndpointSender(2, new SystemClock());
+    const early = sender.send(
+      address,
+      request,
+      sinkOf(() => undefined),
+    );
+    sender.forget(address);
+    early.abort();
+    const done = sender.send(
+      address,
+      request,
+      sinkOf(() => undefined),
+    );
+    done.abort();
+    sender.forget(address);
+    const outcome = await new Promise<string>((resolve) => {
+      sender.send(address, request, sinkOf(resolve));
+    });
+    await sender.close();
+    process.off('unhandledRejection', note);
+    expect(outcome).to.equal('complete');
+    expect(rejections).to.deep.equal([]);
+  });
+});
