Learn the room of an endpoint from its refusals and tell peers of them

Cause: on the grown sites endpoints refused half of what they were sent. Each of 27 to 31 gateways found a full endpoint out for itself, every 400 ms, and a completed stream ended the suspicion of an endpoint that was still full. Change: a refusal by an endpoint with half its room reserved sets its room to what is reserved; that limit loosens by a tenth a second; peers are told. Other refusals pass it over as before, and work begun before doesn't end that.

--- a/src/gateway/admission/common/modelAdmission.ts
+++ b/src/gateway/admission/common/modelAdmission.ts
@@ -156,6 +156,21 @@
     return path;
   }
 
+  /**
+   * Takes note that an endpoint refused a request whose reservations were given back.
+   *
+   * @param address - The endpoint.
+   * @returns Whether it refused for want of room, so that it will do for smaller loads.
+   */
+  noteRefusal(address: string): boolean {
+    const endpoint = this.endpoints().find((each) => each.address === address);
+    const isFull = endpoint !== undefined && this.finder.isPressed(endpoint);
+    if (isFull) {
+      this.ledger.noteFull(address, true);
+    }
+    return isFull;
+  }
+
   /** Admits what has room now; call this when room became free. */
   pump(): void {
     if (this.waiting.length === 0) {
--- a/src/gateway/admission/test/common/modelAdmission.test.ts
+++ b/src/gateway/admission/test/common/modelAdmission.test.ts
@@ -51,10 +51,7 @@
     clock = new FakeClock();
     ledger = new RoomLedger(clock);
     endpoints = [whole];
-    const finder = new PathFinder(
-      () => hugeEngine,
-      (address) => ledger.loadAt(address),
-    );
+    const finder = new PathFinder(() => hugeEngine, ledger);
     admission = new ModelAdmission(finder, () => endpoints, ledger, clock);
   });
 
@@ -131,4 +128,24 @@
     expect((await ticket.outcome).unwrapErr().reason).to.equal(RefusalReason.Cancelled);
     expect(admission.queueLength).to.equal(0);
   });
+
+  it('sends no more to an endpoint that was full than it held, until something ends there', async () => {
+    endpoints = [{ ...whole, slots: 10 }];
+    const large = { reservedTokens: 33_000 };
+    const paths = [await admit(large), await admit(large), await admit(large)];
+    release(paths[2]);
+    expect(admission.noteRefusal('e')).to.equal(true);
+    const waiting = admission.request(requestAt(large));
+    clock.advance(100);
+    expect(admission.queueLength).to.equal(1);
+    release(paths[0]);
+    expect((await waiting.outcome).isOk()).to.equal(true);
+  });
+
+  it('does not learn the room of an endpoint from a refusal while it is nearly empty', async () => {
+    expect(admission.noteRefusal('e')).to.equal(false);
+    await admit();
+    await admit();
+    expect(admission.queueLength).to.equal(0);
+  });
 });
--- a/src/gateway/node/gatewayProgram.ts
+++ b/src/gateway/node/gatewayProgram.ts
@@ -237,7 +237,7 @@
     logger.log(LogLevel.Info, 'started', {
       place: settings.place,
       region: settings.region,
-      callers: settings.callerAddress,
+      callers: `${host}:${this.callerPort}`,
       store: settings.storeAddress,
     });
   }
@@ -381,7 +381,7 @@
     }
     const finder = new PathFinder(
       () => this.config.current?.config.services.get(service)?.engine ?? engine,
-      (address) => this.ledger.loadAt(address),
+      this.ledger,
     );
     const created = new ModelAdmission(
       finder,
@@ -415,12 +415,15 @@
       loads: this.ledger.ownLoads(),
       suspects: this.directory.silent(),
       leaving: this.directory.leaving(),
+      full: this.ledger.fullNow(),
       placingTerm: this.lease.isConfirmed ? (this.lease.term() ?? 0) : 0,
     };
   }
 
-  private receiveMessage({ sender, loads, suspects, leaving, placingTerm }: PeerMessage): void {
+  private receiveMessage(message: PeerMessage): void {
+    const { sender, loads, suspects, leaving, placingTerm, full } = message;
     this.ledger.updatePeer(sender, loads);
+    full.forEach((address) => this.ledger.noteFull(address, false));
     for (const address of [...suspects, ...leaving]) {
       this.directory.suspect(address, Suspicion.Told, `told by ${sender}`);
     }
@@ -432,6 +435,7 @@
 
   private forget(endpoint: Endpoint): void {
     this.sender.forget(endpoint.address);
+    this.ledger.forget(endpoint.address);
     this.plainRouter.forget(endpoint);
     this.health.forget(incarnationOf(endpoint));
     this.ejected.delete(incarnationOf(endpoint));
--- a/src/gateway/peers/common/peerMessage.ts
+++ b/src/gateway/peers/common/peerMessage.ts
@@ -10,6 +10,8 @@
   readonly loads: ReadonlyMap<string, EndpointLoad>;
   /** Addresses that the sender passes over because they were silent. */
   readonly suspects: readonly string[];
+  /** Addresses of endpoints that refused the sender just now, for want of room. */
+  readonly full: readonly string[];
   /** Addresses of endpoints that leave, as the sender read in the store. */
   readonly leaving: readonly string[];
   /** Term under which the sender places layers; 0 if it doesn't. */
@@ -25,6 +27,7 @@
   v.array(v.string()),
   v.array(v.string()),
   v.number(),
+  v.optional(v.array(v.string()), []),
 ]);
 
 /**
@@ -41,8 +44,8 @@
     load.heads,
     Math.round(load.readMs),
   ]);
-  const { sender, configVersion, suspects, leaving, placingTerm } = message;
-  return [sender, configVersion, loads, suspects, leaving, placingTerm];
+  const { sender, configVersion, suspects, leaving, placingTerm, full } = message;
+  return [sender, configVersion, loads, suspects, leaving, placingTerm, full];
 }
 
 /**
@@ -56,13 +59,14 @@
   if (!parsed.success) {
     return undefined;
   }
-  const [sender, configVersion, loads, suspects, leaving, placingTerm] = parsed.output;
+  const [sender, configVersion, loads, suspects, leaving, placingTerm, full] = parsed.output;
   return {
     sender,
     configVersion,
     suspects,
     leaving,
     placingTerm,
+    full,
     loads: new Map(
       loads.map(([address, tokenLayers, requests, heads, readMs]) => [
         address,
--- a/src/gateway/peers/test/common/peerMessage.test.ts
+++ b/src/gateway/peers/test/common/peerMessage.test.ts
@@ -11,6 +11,7 @@
       suspects: ['10.0.0.2:80'],
       leaving: ['10.0.0.3:80'],
       placingTerm: 2,
+      full: ['10.0.0.4:80'],
     };
     expect(fromWire(unpack(pack(toWire(message))))).to.deep.equal(message);
   });
--- a/src/gateway/relay/node/streamRelay.ts
+++ b/src/gateway/relay/node/streamRelay.ts
@@ -358,7 +358,8 @@
       this.broken(Break.Cut, 'ended within an event');
       return;
     }
-    this.path?.parts.forEach(({ endpoint }) => this.context.directory.clear(endpoint.address));
+    const { directory } = this.context;
+    this.path?.parts.forEach(({ endpoint }) => directory.clear(endpoint.address, this.sentAtMs));
     this.caller.end();
     this.finish('complete', 200);
   }
@@ -400,8 +401,12 @@
     const address = facts.faultAddress ?? this.headAddress;
     if (address !== undefined) {
       const waitedMs = this.context.clock.monotonicMs() - this.sentAtMs;
-      this.context.directory.suspect(address, suspicionOf(status, waitedMs), `status ${status}`);
+      const kind = suspicionOf(status, waitedMs);
       this.excluded.add(address);
+      this.releasePath();
+      if (kind !== Suspicion.Refusing || !this.admission.noteRefusal(address)) {
+        this.context.directory.suspect(address, kind, `status ${status}`);
+      }
     }
     this.broken(Break.NotRun, `status ${status} by ${address ?? 'unknown'}`);
   }
--- a/src/gateway/routing/common/pathFinder.ts
+++ b/src/gateway/routing/common/pathFinder.ts
@@ -1,6 +1,6 @@
 import type { EngineProfile } from '../../config/common/configSnapshot.js';
 import type { Endpoint, LayerRange } from '../../directory/common/endpoint.js';
-import type { EndpointLoad, Reservation } from './roomLedger.js';
+import type { Reservation, RoomLedger } from './roomLedger.js';
 
 /** Layers that one endpoint of a path runs. */
 export interface PathPart extends LayerRange {
@@ -58,6 +58,9 @@
 /** Share of an endpoint's cache memory that is planned for; the rest absorbs long answers. */
 const plannedShare = 0.97;
 
+/** Share of its room that must be reserved for an endpoint to refuse for want of it. */
+const pressedShare = 0.5;
+
 /** Cost of one more endpoint on a path, in milliseconds: a hop and half a pass that is running. */
 const partMs = 2;
 
@@ -97,11 +100,11 @@
 export class PathFinder {
   /**
    * @param currentEngine - Behaviour of the engines under the configuration in force.
-   * @param loadAt - Reservations at an address.
+   * @param ledger - Reservations at the endpoints.
    */
   constructor(
     private readonly currentEngine: () => EngineProfile,
-    private readonly loadAt: (address: string) => EndpointLoad,
+    private readonly ledger: RoomLedger,
   ) {}
 
   private get engine(): EngineProfile {
@@ -134,6 +137,18 @@
     return best && this.toPath(best.edges, req);
   }
 
+  /**
+   * Tells whether a refusal by an endpoint can be for want of room.
+   *
+   * @param endpoint - The endpoint.
+   * @returns False if too little of its room is reserved for that.
+   */
+  isPressed(endpoint: Endpoint): boolean {
+    const { from, to } = endpoint.layers ?? { from: 0, to: 0 };
+    const room = cacheTokenLayers(this.engine, endpoint, to - from);
+    return this.ledger.loadAt(endpoint.address).tokenLayers >= pressedShare * room;
+  }
+
   private candidate(endpoint: Endpoint, req: PathRequest): readonly Candidate[] {
     const { engine } = this;
     const card = engine.cards.get(endpoint.card ?? '');
@@ -141,8 +156,9 @@
     if (card === undefined || layers === undefined || req.excluded?.has(endpoint.address)) {
       return [];
     }
-    const load = this.loadAt(endpoint.address);
-    const room = plannedShare * cacheTokenLayers(engine, endpoint, layers.to - layers.from);
+    const load = this.ledger.loadAt(endpoint.address);
+    const planned = plannedShare * cacheTokenLayers(engine, endpoint, layers.to - layers.from);
+    const room = Math.min(planned, this.ledger.limitAt(endpoint.address));
     const stepMs = (engine.stepMs + engine.stepMsPerWriter * load.requests) * card.stepFactor;
     const pairMs = (engine.pairMsPerMillion * req.promptTokens * req.promptTokens) / 2e6;
     const readMs =
--- a/src/gateway/routing/common/roomLedger.ts
+++ b/src/gateway/routing/common/roomLedger.ts
@@ -26,6 +26,23 @@
  */
 const peerTimeoutMs = 1_000;
 
+/** Share by which a learned limit grows each second; it is forgotten once it no longer binds. */
+const limitGrowthPerSecond = 0.1;
+
+/** Time after which a learned limit no longer counts, in milliseconds; most streams ended by then. */
+const limitMs = 8_000;
+
+/** Time for which peers are told that an endpoint was full, in milliseconds; a few messages. */
+const tellFullMs = 250;
+
+const millisecondsPerSecond = 1_000;
+
+/** What was reserved at an endpoint when it refused a request for want of room. */
+interface LearnedLimit {
+  readonly tokenLayers: number;
+  readonly atMs: number;
+}
+
 function emptyLoad(): EndpointLoad {
   return { tokenLayers: 0, requests: 0, heads: 0, readMs: 0 };
 }
@@ -46,6 +63,11 @@
     { readonly atMs: number; readonly loads: ReadonlyMap<string, EndpointLoad> }
   >();
 
+  private readonly limits = new Map<string, LearnedLimit>();
+
+  /** Times at which endpoints refused requests of this process, by address. */
+  private readonly refusedMs = new Map<string, number>();
+
   /** @param clock - Source of time. */
   constructor(private readonly clock: IClock) {}
 
@@ -87,6 +109,55 @@
     this.peers.set(peer, { atMs: this.clock.monotonicMs(), loads });
   }
 
+  /**
+   * Learns the room of an endpoint from a refusal: what is reserved now is as much as it holds.
+   *
+   * Answers differ in length from what was expected, so that an endpoint may be full before the
+   * reservations say so.
+   *
+   * @param address - The endpoint.
+   * @param isOwn - Whether it refused a request of this process; peers are told of those.
+   */
+  noteFull(address: string, isOwn: boolean): void {
+    const atMs = this.clock.monotonicMs();
+    const { tokenLayers } = this.loadAt(address);
+    this.limits.set(address, { tokenLayers: Math.min(tokenLayers, this.limitAt(address)), atMs });
+    if (isOwn) {
+      this.refusedMs.set(address, atMs);
+    }
+  }
+
+  /** Room learned from refusals, in tokens times layers; infinite if none is known. */
+  limitAt(address: string): number {
+    const limit = this.limits.get(address);
+    if (limit === undefined) {
+      return Number.POSITIVE_INFINITY;
+    }
+    const ageMs = this.clock.monotonicMs() - limit.atMs;
+    if (ageMs > limitMs) {
+      this.limits.delete(address);
+      return Number.POSITIVE_INFINITY;
+    }
+    return limit.tokenLayers * (1 + (limitGrowthPerSecond * ageMs) / millisecondsPerSecond);
+  }
+
+  /** Endpoints that refused requests of this process just now, for want of room. */
+  fullNow(): readonly string[] {
+    const oldestMs = this.clock.monotonicMs() - tellFullMs;
+    for (const [address, atMs] of this.refusedMs) {
+      if (atMs < oldestMs) {
+        this.refusedMs.delete(address);
+      }
+    }
+    return [...this.refusedMs.keys()];
+  }
+
+  /** Forgets what was learned of an endpoint, as when another one has its address. */
+  forget(address: string): void {
+    this.limits.delete(address);
+    this.refusedMs.delete(address);
+  }
+
   /** What this process has reserved, by address. */
   ownLoads(): ReadonlyMap<string, EndpointLoad> {
     return this.own;
--- a/src/gateway/routing/test/common/pathFinder.test.ts
+++ b/src/gateway/routing/test/common/pathFinder.test.ts
@@ -23,10 +23,7 @@
 const request = { promptTokens: 800, reservedTokens: 950 };
 
 function finderWith(ledger: RoomLedger): PathFinder {
-  return new PathFinder(
-    () => engine,
-    (address) => ledger.loadAt(address),
-  );
+  return new PathFinder(() => engine, ledger);
 }
 
 const anyHolders = fc.array(
@@ -134,10 +131,7 @@
     ].map((endpoint, index) => ({ ...endpoint, place: index < 2 ? 'a' : 'b' }));
     const wide = { ...engine, layerMb: 500 };
     const ledger = new RoomLedger(new FakeClock());
-    const finder = new PathFinder(
-      () => wide,
-      (address) => ledger.loadAt(address),
-    );
+    const finder = new PathFinder(() => wide, ledger);
     for (let count = 0; count < 20; count += 1) {
       ledger.reserve(finder.find(endpoints, request)?.reservations ?? []);
     }
