--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -29,6 +29,7 @@
   ...layers
     .filter((layer) => layer !== 'bin')
     .map((layer) => ({ target: `./src/${layer}`, from: ['./platform'] })),
+  { target: ['./src', './platform'], from: ['./soak'] },
 ].filter((zone) => zone.from.length > 0);
 
 const inputOutputModules = ['fs', 'net', 'http', 'https', 'dgram', 'dns', 'timers', 'process'].map(
@@ -83,11 +84,11 @@
     rules: { 'n/no-process-exit': 'off', 'n/no-sync': 'off' },
   },
   {
-    files: ['src/standin/**', 'src/bench/**'],
+    files: ['src/standin/**', 'src/bench/**', 'soak/**'],
     rules: { 'n/no-process-exit': 'off', 'n/no-sync': 'off', 'no-bitwise': 'off' },
   },
   {
-    files: ['src/**/test/**', 'platform/test/**', 'scripts/**'],
+    files: ['src/**/test/**', 'platform/test/**', 'soak/**', 'scripts/**'],
     rules: {
       'n/no-process-exit': 'off',
       'n/no-sync': 'off',
@@ -103,7 +104,7 @@
     },
   },
   {
-    files: ['src/**/common/**/*.ts'],
+    files: ['src/**/common/**/*.ts', 'soak/common/**/*.ts'],
     ignores: ['src/**/test/**'],
     rules: {
       'no-restricted-imports': ['error', { paths: inputOutputModules.map((name) => ({ name })) }],
--- a/src/bench/node/processes.ts
+++ b/src/bench/node/processes.ts
@@ -12,7 +12,7 @@
 const nodeFlags = ['--max-semi-space-size=1'];
 
 /** Directory of the bundled programs, next to the running bundle. */
-const programs = fileURLToPath(new URL('.', import.meta.url));
+const ownDirectory = fileURLToPath(new URL('.', import.meta.url));
 
 /** A running program of the system or a stand-in. */
 export class RunningProcess {
@@ -72,6 +72,9 @@
 
   private count = 0;
 
+  /** @param programs - Directory of the bundled programs. */
+  constructor(private readonly programs = ownDirectory) {}
+
   /**
    * Starts a program and waits until it says that it listens.
    *
@@ -91,7 +94,7 @@
     const log = createWriteStream(join(this.directory, `${name}-${this.count}.log`));
     const child = spawn(
       process.execPath,
-      [...nodeFlags, join(programs, `ibisspar-${program}.mjs`), ...args],
+      [...nodeFlags, join(this.programs, `ibisspar-${program}.mjs`), ...args],
       {
         stdio: ['ignore', 'pipe', 'pipe'],
       },
--- a/src/bench/node/shaper.ts
+++ b/src/bench/node/shaper.ts
@@ -1,6 +1,12 @@
 import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net';
 
-/** Forwards TCP connections and makes them slow, silent or cut. */
+/** Directions in which data can be held up. */
+export enum Direction {
+  ToTarget = 'to-target',
+  ToClient = 'to-client',
+}
+
+/** Forwards TCP connections and makes them slow, silent, held up or cut. */
 export class Shaper {
   private readonly server: Server;
 
@@ -8,6 +14,8 @@
 
   private readonly silent = new Set<Socket>();
 
+  private readonly held = new Set<Direction>();
+
   /** Port that clients connect to. */
   port = 0;
 
@@ -17,7 +25,7 @@
    */
   constructor(
     public targetPort: number,
-    private readonly delayMs: number,
+    public delayMs: number,
   ) {
     this.server = createServer((client) => this.forward(client));
   }
@@ -37,6 +45,23 @@
     this.pairs.forEach((pair) => pair.forEach((socket) => this.silent.add(socket)));
   }
 
+  /**
+   * Holds data up in open and new connections until `release`, as a partition or a frozen process
+   * does.
+   *
+   * @param directions - Which way.
+   */
+  hold(...directions: readonly Direction[]): void {
+    directions.forEach((direction) => this.held.add(direction));
+    this.pairs.forEach((pair) => this.applyHold(pair));
+  }
+
+  /** Lets data pass that was held up. */
+  release(): void {
+    this.held.clear();
+    this.pairs.forEach((pair) => pair.forEach((socket) => socket.resume()));
+  }
+
   /** Resets the open connections; new ones work. */
   cut(): void {
     this.pairs.forEach((pair) => pair.forEach((socket) => socket.resetAndDestroy()));
@@ -48,6 +73,15 @@
     this.server.close();
   }
 
+  private applyHold([client, target]: readonly [Socket, Socket]): void {
+    if (this.held.has(Direction.ToTarget)) {
+      client.pause();
+    }
+    if (this.held.has(Direction.ToClient)) {
+      target.pause();
+    }
+  }
+
   private forward(client: Socket): void {
     const target = connect({ host: '127.0.0.1', port: this.targetPort, noDelay: true });
     client.setNoDelay(true);
@@ -55,14 +89,19 @@
     this.pairs.add(pair);
     this.pipe(client, target);
     this.pipe(target, client);
-    const end = () => {
+    const end = (how: (socket: Socket) => void) => {
       if (!this.silent.has(client)) {
         this.pairs.delete(pair);
-        client.destroy();
-        target.destroy();
+        pair.forEach(how);
       }
     };
-    pair.forEach((socket) => socket.on('close', end).on('error', end));
+    const reset = () => end((socket) => socket.resetAndDestroy());
+    for (const socket of pair) {
+      socket.on('close', () => end((other) => other.destroy())).on('error', reset);
+      // A reset that is polled together with data is reported as an end, but leaves no peer.
+      socket.on('end', () => socket.remoteAddress === undefined && reset());
+    }
+    this.applyHold(pair);
   }
 
   private pipe(from: Socket, to: Socket): void {
