Form chains of all cards where two have room, and bound paths between places

Prompts fill the link between places (4,400 Mbit/s), so that streams crossing it stall, hold their room, and still nothing is served 20 s after the last fault. Change: all cards of a place form chains if these then hold two chains with 0.35 of their weights to spare; repairs move slow cards as before. A limit is learned only with 0.8 of the room reserved and lasts 3 s.

--- a/src/gateway/config/common/configSnapshot.ts
+++ b/src/gateway/config/common/configSnapshot.ts
@@ -72,6 +72,10 @@
   readonly loadsAtOnce: number;
   /** Mean number of tokens that an answer has. */
   readonly usualOutputTokens: number;
+  /** What one part of a path sends to the next for each token, in bytes. */
+  readonly activationBytesPerToken: number;
+  /** Bandwidth that all paths between places share, in megabits a second; undefined if unknown. */
+  readonly placeLinkMbps: number | undefined;
   readonly cards: ReadonlyMap<string, CardKind>;
 }
 
--- a/src/gateway/config/test/common/fixtures.ts
+++ b/src/gateway/config/test/common/fixtures.ts
@@ -50,6 +50,8 @@
   loadMs: 14_000,
   loadsAtOnce: 5,
   usualOutputTokens: 203,
+  activationBytesPerToken: 28_226,
+  placeLinkMbps: 18_000,
   cards: new Map([
     ['large', { memoryMb: 72_000, stepFactor: 2.4, readFactor: 3.2 }],
     ['middle', { memoryMb: 43_200, stepFactor: 5.6, readFactor: 2.7 }],
--- a/src/gateway/directory/common/endpointDirectory.ts
+++ b/src/gateway/directory/common/endpointDirectory.ts
@@ -44,7 +44,6 @@
 
 interface Suspect {
   readonly kind: Suspicion;
-  readonly atMs: number;
   readonly untilMs: number;
   readonly incarnation: string;
   /** How long it is passed over this time, in milliseconds. */
@@ -176,8 +175,7 @@
     if (known && known.untilMs > nowMs + forMs && known.incarnation === incarnation) {
       return;
     }
-    const untilMs = nowMs + forMs;
-    this.suspicions.set(address, { kind, atMs: nowMs, untilMs, incarnation, forMs });
+    this.suspicions.set(address, { kind, untilMs: nowMs + forMs, incarnation, forMs });
     if (known === undefined || known.untilMs < nowMs || known.kind !== kind) {
       this.logger.log(LogLevel.Warn, 'endpoint-suspected', {
         endpoint: endpoint.id,
@@ -193,13 +191,9 @@
    * Ends a suspicion after the endpoint was seen to work.
    *
    * @param address - Where it listens.
-   * @param sinceMs - When the work began, in monotonic milliseconds; an endpoint that has refused
-   *   new work since then may still do so.
    */
-  clear(address: string, sinceMs = Number.POSITIVE_INFINITY): void {
-    const known = this.suspicions.get(address);
-    const stillRefuses = known?.kind === Suspicion.Refusing && known.atMs >= sinceMs;
-    if (!stillRefuses && this.suspicions.delete(address)) {
+  clear(address: string): void {
+    if (this.suspicions.delete(address)) {
       this.logger.log(LogLevel.Info, 'endpoint-cleared', { address });
     }
   }
--- a/src/gateway/node/gatewayProgram.ts
+++ b/src/gateway/node/gatewayProgram.ts
@@ -27,6 +27,7 @@
 import { StallMonitor } from '../relay/node/stallMonitor.js';
 import { StreamRelay } from '../relay/node/streamRelay.js';
 import { RetryBudget } from '../retries/common/retryBudget.js';
+import { CrossingBudget } from '../routing/common/crossingBudget.js';
 import { PathFinder } from '../routing/common/pathFinder.js';
 import { PlainRouter } from '../routing/common/plainRouter.js';
 import { RoomLedger } from '../routing/common/roomLedger.js';
@@ -379,20 +380,26 @@
     if (known) {
       return known;
     }
-    const finder = new PathFinder(
-      () => this.config.current?.config.services.get(service)?.engine ?? engine,
-      this.ledger,
-    );
+    const currentEngine = () => this.config.current?.config.services.get(service)?.engine ?? engine;
+    const gateways = () => this.sharingGateways;
+    const finder = new PathFinder(currentEngine, this.ledger);
+    const crossing = new CrossingBudget(currentEngine, gateways, this.parts.clock);
     const created = new ModelAdmission(
       finder,
       () => this.directory.usable(service),
       this.ledger,
+      crossing,
       this.parts.clock,
     );
     this.admissions.set(service, created);
     return created;
   }
 
+  /** Gateways among which budgets are split; peers may be unheard for a while. */
+  private get sharingGateways(): number {
+    return Math.max(assumedGateways, this.peers.aliveCount);
+  }
+
   private budgetOf(service: string): RetryBudget {
     const known = this.budgets.get(service);
     if (known) {
@@ -401,7 +408,7 @@
     const { retryRatio: ratio, retrySlack: slack, retryWindowMs: windowMs } = this.parts.settings;
     const created = new RetryBudget(
       { ratio, slack, windowMs },
-      () => Math.max(assumedGateways, this.peers.aliveCount),
+      () => this.sharingGateways,
       this.parts.clock,
     );
     this.budgets.set(service, created);
@@ -423,7 +430,9 @@
   private receiveMessage(message: PeerMessage): void {
     const { sender, loads, suspects, leaving, placingTerm, full } = message;
     this.ledger.updatePeer(sender, loads);
-    full.forEach((address) => this.ledger.noteFull(address, false));
+    this.admissions.forEach((admission) =>
+      full.forEach((address) => admission.noteRefusal(address, false)),
+    );
     for (const address of [...suspects, ...leaving]) {
       this.directory.suspect(address, Suspicion.Told, `told by ${sender}`);
     }
--- a/src/gateway/placement/common/rangePlanner.ts
+++ b/src/gateway/placement/common/rangePlanner.ts
@@ -24,9 +24,18 @@
   readonly layers: LayerRange;
 }
 
-/** Memory that a chain needs beyond its weights, as a share of them, for requests. */
+/** Least memory that a chain needs beyond its weights, as a share of them, for requests. */
 const chainHeadroom = 0.1;
 
+/**
+ * Memory beyond their weights, as a share of them, with which chains of all cards hold more requests
+ * than chains of the fast cards alone.
+ */
+const mixedHeadroom = 0.35;
+
+/** Chains of all cards that a place must have room for; each layer then has a second holder. */
+const minMixedChains = 2;
+
 /** Share of a card's memory that weights may take; the rest holds requests. */
 const maxWeightShare = 0.9;
 
@@ -56,11 +65,12 @@
 /**
  * Assigns layers to endpoints.
  *
- * The cards of a place, but for those of the slowest kind, form chains that lie wholly within the
- * place: activations of a prompt would fill the links between places. Each part of a chain gets
- * layers in proportion to its memory, so that all parts have room for the same requests. The
- * slowest cards are spares that hold a few layers each, where the fewest others do. When layers of a
- * place lose their last holder, endpoints whose layers others hold as well take them over.
+ * The cards of a place form chains that lie wholly within the place: activations of a prompt would
+ * fill the links between places. Each part of a chain gets layers in proportion to its memory, so
+ * that all parts have room for the same requests. Where all cards together hold two chains or more,
+ * the slowest kind is part of them, which costs pace and gains memory; elsewhere the slowest cards
+ * are spares that hold a few layers each, where the fewest others do. When layers of a place lose
+ * their last holder, slow endpoints whose layers others hold as well take them over.
  */
 export class RangePlanner {
   /** @param engine - Behaviour of the engines. */
@@ -92,7 +102,7 @@
     places: readonly string[],
     endpoints: readonly PlacedEndpoint[],
   ): readonly (readonly PlacedEndpoint[])[] {
-    const needMb = this.chainMb;
+    const needMb = this.chainMb(chainHeadroom);
     const whole: PlacedEndpoint[][] = [];
     const rest: PlacedEndpoint[] = [];
     for (const place of places) {
@@ -111,23 +121,35 @@
     readonly spares: readonly Assignment[];
     readonly repairs: readonly Assignment[];
   } {
-    const fast = endpoints.filter(({ stepFactor }) => stepFactor < this.slowestStepFactor);
-    const fastMb = sum(fast.map(({ memoryMb }) => memoryMb));
-    const core = fastMb >= this.chainMb ? fast : endpoints;
+    const { core, headroom } = this.chooseCore(endpoints);
     const spareCards = endpoints.filter((endpoint) => !core.includes(endpoint));
+    const slowCards = endpoints.filter(({ stepFactor }) => stepFactor >= this.slowestStepFactor);
     const held: Assignment[] = endpoints.flatMap(({ address, layers }) =>
       layers ? [{ address, layers }] : [],
     );
-    const chains = this.continueFresh(core) ?? this.fill(core, held, core);
-    const spares = this.fill(spareCards, [...held, ...chains], core);
-    const repairs = this.repair(endpoints, spareCards, [...held, ...chains, ...spares]);
+    const chains = this.continueFresh(core, headroom) ?? this.fill(core, held, core, headroom);
+    const spares = this.fill(spareCards, [...held, ...chains], core, headroom);
+    const repairs = this.repair(endpoints, slowCards, [...held, ...chains, ...spares]);
     return { chains, spares, repairs };
   }
 
-  /** Moves spares whose layers others hold as well to layers that nobody holds. */
+  /** Cards that form chains, and the memory that each chain has beyond its weights. */
+  private chooseCore(endpoints: readonly PlacedEndpoint[]): {
+    readonly core: readonly PlacedEndpoint[];
+    readonly headroom: number;
+  } {
+    if (chainCount(endpoints, this.chainMb(mixedHeadroom)) >= minMixedChains) {
+      return { core: endpoints, headroom: mixedHeadroom };
+    }
+    const fast = endpoints.filter(({ stepFactor }) => stepFactor < this.slowestStepFactor);
+    const isEnough = chainCount(fast, this.chainMb(chainHeadroom)) > 0;
+    return { core: isEnough ? fast : endpoints, headroom: chainHeadroom };
+  }
+
+  /** Moves slow cards whose layers others hold as well to layers that nobody holds. */
   private repair(
     endpoints: readonly PlacedEndpoint[],
-    spareCards: readonly PlacedEndpoint[],
+    slowCards: readonly PlacedEndpoint[],
     held: readonly Assignment[],
   ): readonly Assignment[] {
     const holders = new Array<number>(this.engine.layerCount).fill(0);
@@ -145,7 +167,7 @@
         .map(({ address }) => address),
     );
     held.filter(({ address }) => !loading.has(address)).forEach(({ layers }) => add(layers, 1));
-    const movable = spareCards
+    const movable = slowCards
       .flatMap((each) => (each.layers && each.isSettled ? [{ ...each, layers: each.layers }] : []))
       .sort(
         (a, b) =>
@@ -173,9 +195,12 @@
   }
 
   /** The rest of a first plan, if all that the cards hold so far is part of it. */
-  private continueFresh(core: readonly PlacedEndpoint[]): readonly Assignment[] | undefined {
+  private continueFresh(
+    core: readonly PlacedEndpoint[],
+    headroom: number,
+  ): readonly Assignment[] | undefined {
     const held = new Map(core.map(({ address, layers }) => [address, layers]));
-    const fresh = this.freshChains(core);
+    const fresh = this.freshChains(core, headroom);
     const isPart = fresh.every(({ address, layers }) => {
       const has = held.get(address);
       return has === undefined || (has.from === layers.from && has.to === layers.to);
@@ -184,8 +209,8 @@
   }
 
   /** Splits cards into chains of like memory and the layers of each chain by memory. */
-  private freshChains(cards: readonly PlacedEndpoint[]): readonly Assignment[] {
-    const count = this.chainCount(sum(cards.map(({ memoryMb }) => memoryMb)));
+  private freshChains(cards: readonly PlacedEndpoint[], headroom: number): readonly Assignment[] {
+    const count = Math.max(1, chainCount(cards, this.chainMb(headroom)));
     const chains = Array.from({ length: count }, () => ({
       memoryMb: 0,
       cards: [] as PlacedEndpoint[],
@@ -225,6 +250,7 @@
     cards: readonly PlacedEndpoint[],
     held: readonly Assignment[],
     core: readonly PlacedEndpoint[],
+    headroom: number,
   ): readonly Assignment[] {
     const coreAddresses = new Set(core.map(({ address }) => address));
     const cover = new Array<number>(this.engine.layerCount).fill(0);
@@ -238,7 +264,7 @@
       .filter(({ layers }) => layers === undefined)
       .sort((a, b) => b.memoryMb - a.memoryMb || a.address.localeCompare(b.address));
     const holding = core.filter(({ layers }) => layers !== undefined);
-    const chains = this.chainCount(sum(holding.map(({ memoryMb }) => memoryMb)));
+    const chains = Math.max(1, chainCount(holding, this.chainMb(headroom)));
     return empty.flatMap(({ address, memoryMb, emptyMs }) => {
       const isCore = coreAddresses.has(address);
       const isReserve = isCore && emptyMs < reserveMs;
@@ -280,12 +306,8 @@
   }
 
   /** Memory that a chain needs, in megabytes. */
-  private get chainMb(): number {
-    return this.engine.layerCount * this.engine.layerMb * (1 + chainHeadroom);
-  }
-
-  private chainCount(memoryMb: number): number {
-    return Math.max(1, Math.floor(memoryMb / this.chainMb));
+  private chainMb(headroom: number): number {
+    return this.engine.layerCount * this.engine.layerMb * (1 + headroom);
   }
 
   private maxLayers(memoryMb: number, share: number): number {
@@ -293,6 +315,11 @@
   }
 }
 
+/** Chains that the memory of cards holds. */
+function chainCount(cards: readonly PlacedEndpoint[], chainMb: number): number {
+  return Math.floor(sum(cards.map(({ memoryMb }) => memoryMb)) / chainMb);
+}
+
 function longestRun(cover: readonly number[], matches: (holders: number) => boolean): LayerRange {
   let best: LayerRange = { from: 0, to: 0 };
   let from = 0;
--- a/src/gateway/relay/node/streamRelay.ts
+++ b/src/gateway/relay/node/streamRelay.ts
@@ -359,7 +359,7 @@
       return;
     }
     const { directory } = this.context;
-    this.path?.parts.forEach(({ endpoint }) => directory.clear(endpoint.address, this.sentAtMs));
+    this.path?.parts.forEach(({ endpoint }) => directory.clear(endpoint.address));
     this.caller.end();
     this.finish('complete', 200);
   }
@@ -404,7 +404,7 @@
       const kind = suspicionOf(status, waitedMs);
       this.excluded.add(address);
       this.releasePath();
-      if (kind !== Suspicion.Refusing || !this.admission.noteRefusal(address)) {
+      if (kind !== Suspicion.Refusing || !this.admission.noteRefusal(address, true)) {
         this.context.directory.suspect(address, kind, `status ${status}`);
       }
     }
--- a/src/gateway/routing/common/pathFinder.ts
+++ b/src/gateway/routing/common/pathFinder.ts
@@ -14,6 +14,8 @@
   readonly reservations: readonly Reservation[];
   /** Expected time to the first event, in milliseconds. */
   readonly firstEventMs: number;
+  /** How often the path goes from one place to another. */
+  readonly crossings: number;
 }
 
 /** What a path is wanted for. */
@@ -28,6 +30,8 @@
   readonly head?: { readonly address: string; readonly to: number };
   /** Whether a path will do that has no room now. */
   readonly ignoresRoom?: boolean;
+  /** Whether the path must lie within one place. */
+  readonly staysInPlace?: boolean;
 }
 
 /** Endpoint with what routing knows of it. */
@@ -59,7 +63,7 @@
 const plannedShare = 0.97;
 
 /** Share of its room that must be reserved for an endpoint to refuse for want of it. */
-const pressedShare = 0.5;
+const pressedShare = 0.8;
 
 /** Cost of one more endpoint on a path, in milliseconds: a hop and half a pass that is running. */
 const partMs = 2;
@@ -131,7 +135,7 @@
         best = found;
       }
     }
-    if (best === undefined && places.size > 1) {
+    if (best === undefined && places.size > 1 && !req.staysInPlace) {
       best = this.search(candidates, req);
     }
     return best && this.toPath(best.edges, req);
@@ -283,7 +287,9 @@
         partMs + candidate.waitMs + readMs + candidate.stepMsPerLayer * count * steps * 2;
       from = to;
     }
-    return { parts, reservations, firstEventMs };
+    const places = parts.map(({ endpoint }) => endpoint.place);
+    const crossings = places.filter((place, index) => index > 0 && place !== places[index - 1]);
+    return { parts, reservations, firstEventMs, crossings: crossings.length };
   }
 }
 
--- a/src/gateway/routing/common/roomLedger.ts
+++ b/src/gateway/routing/common/roomLedger.ts
@@ -27,10 +27,10 @@
 const peerTimeoutMs = 1_000;
 
 /** Share by which a learned limit grows each second; it is forgotten once it no longer binds. */
-const limitGrowthPerSecond = 0.1;
+const limitGrowthPerSecond = 0.25;
 
-/** Time after which a learned limit no longer counts, in milliseconds; most streams ended by then. */
-const limitMs = 8_000;
+/** Time after which a learned limit no longer counts, in milliseconds; most streams last as long. */
+const limitMs = 3_000;
 
 /** Time for which peers are told that an endpoint was full, in milliseconds; a few messages. */
 const tellFullMs = 250;
