Ask the store for the lease only if the placer is not heard

Change: LeaseKeeper steps for the holder, at the start, without peers, and once the placer is silent for 1.5 s; then twice a second, as the lease has to stand still for one step. Test: no more than 3 reads in 50 s while the placer is heard; a lost placer is replaced within half the lease's duration.

--- a/src/gateway/node/gatewayProgram.ts
+++ b/src/gateway/node/gatewayProgram.ts
@@ -19,6 +19,7 @@
 import { StatusServers } from '../http/node/statusServers.js';
 import type { PeerMessage } from '../peers/common/peerMessage.js';
 import { PeerExchange, type PeerAddress } from '../peers/node/peerExchange.js';
+import { LeaseKeeper } from '../placement/common/leaseKeeper.js';
 import { PlacementLoop } from '../placement/node/placementLoop.js';
 import { RefusalStatus, type CallerRequest } from '../relay/common/callerRequest.js';
 import { EndpointSender } from '../relay/node/endpointSender.js';
@@ -45,8 +46,8 @@
   readonly random: IRandom;
 }
 
-/** Pause between steps for the lease, as a share of its duration. */
-const leaseStepShare = 1 / 4;
+/** Pause between looks whether the lease needs a step, in milliseconds. */
+const leaseLookMs = 250;
 
 /** Pause between sweeps of the directory, in milliseconds. */
 const sweepMs = 300;
@@ -54,9 +55,6 @@
 /** Pause before the gateway's own entry is written again after a failure, in milliseconds. */
 const registerRetryMs = 1_000;
 
-/** Silence of the gateway that places layers after which another may take the lease, in ms. */
-const placerSilenceMs = 1_500;
-
 /** Connections to one endpoint; the rest of its bound is for the other gateways. */
 const connectionsPerEndpoint = 128;
 
@@ -134,8 +132,7 @@
 
   private readonly status: StatusServers;
 
-  /** Monotonic time of the last message of a gateway that places layers. */
-  private placerHeardMs = 0;
+  private readonly leaseKeeper: LeaseKeeper;
 
   /** Monotonic time of the order to stop. */
   private drainStartedMs: number | undefined;
@@ -166,6 +163,12 @@
       ports.store,
       clock,
     );
+    this.leaseKeeper = new LeaseKeeper(
+      this.lease,
+      settings.leaseMs,
+      () => this.peers.aliveCount > 1,
+      clock,
+    );
     this.placement = new PlacementLoop(
       this.lease,
       this.config,
@@ -437,7 +440,7 @@
       this.directory.suspect(address, Suspicion.Told, `told by ${sender}`);
     }
     if (placingTerm > 0) {
-      this.placerHeardMs = this.parts.clock.monotonicMs();
+      this.leaseKeeper.heardPlacer();
     }
   }
 
@@ -472,12 +475,9 @@
   }
 
   private async keepLease(): Promise<void> {
-    const stepMs = this.parts.settings.leaseMs * leaseStepShare;
     let held: number | undefined;
-    this.placerHeardMs = this.parts.clock.monotonicMs();
     while (!this.abort.signal.aborted && this.drainStartedMs === undefined) {
-      const silentMs = this.parts.clock.monotonicMs() - this.placerHeardMs;
-      await this.lease.step(this.peers.aliveCount > 1 && silentMs > placerSilenceMs);
+      await this.leaseKeeper.step();
       const term = this.lease.term();
       if (term !== held) {
         this.parts.logger.log(LogLevel.Info, term === undefined ? 'lease-lost' : 'lease-held', {
@@ -485,7 +485,7 @@
         });
         held = term;
       }
-      await sleep(stepMs, this.abort.signal);
+      await sleep(leaseLookMs, this.abort.signal);
     }
   }
 
