--- a/src/bench/node/processes.ts
+++ b/src/bench/node/processes.ts
@@ -89,16 +89,30 @@
     program: string,
     args: readonly string[],
     ready: RegExp,
+  ): Promise<RunningProcess> {
+    return this.startScript(`ibisspar-${program}.mjs`, args, ready, name);
+  }
+
+  /**
+   * Starts a script of the directory and waits until it says that it listens.
+   *
+   * @param script - File of the script.
+   * @param args - Arguments.
+   * @param ready - Matches the line that says where it listens; its first group is kept.
+   * @param name - Name for reports and log files.
+   * @returns The running process.
+   */
+  startScript(
+    script: string,
+    args: readonly string[],
+    ready: RegExp,
+    name = script,
   ): Promise<RunningProcess> {
     this.count += 1;
     const log = createWriteStream(join(this.directory, `${name}-${this.count}.log`));
-    const child = spawn(
-      process.execPath,
-      [...nodeFlags, join(this.programs, `ibisspar-${program}.mjs`), ...args],
-      {
-        stdio: ['ignore', 'pipe', 'pipe'],
-      },
-    );
+    const child = spawn(process.execPath, [...nodeFlags, join(this.programs, script), ...args], {
+      stdio: ['ignore', 'pipe', 'pipe'],
+    });
     child.stdout.pipe(log);
     child.stderr.pipe(log);
     return new Promise((resolve, reject) => {
--- a/src/gateway/relay/node/streamRelay.ts
+++ b/src/gateway/relay/node/streamRelay.ts
@@ -404,7 +404,10 @@
       const kind = suspicionOf(status, waitedMs);
       this.excluded.add(address);
       this.releasePath();
-      if (kind !== Suspicion.Refusing || !this.admission.noteRefusal(address, true)) {
+      if (kind === Suspicion.Refusing && this.admission.noteRefusal(address, true)) {
+        const reserved = this.context.ledger.loadAt(address).tokenLayers;
+        this.log('endpoint-full', { address, status, reserved: Math.round(reserved) });
+      } else {
         this.context.directory.suspect(address, kind, `status ${status}`);
       }
     }
