--- a/src/entry/node/entryProgram.ts
+++ b/src/entry/node/entryProgram.ts
@@ -256,6 +256,7 @@
     this.services.close();
     this.organisations.close();
     this.quarantine.close();
+    this.guard.close();
     this.pool.close();
   }
 
--- a/src/entry/suspects/common/suspectGuard.ts
+++ b/src/entry/suspects/common/suspectGuard.ts
@@ -137,6 +137,11 @@
     void this.pump();
   }
 
+  /** Removes every listener. */
+  close(): void {
+    this.suspected.close();
+  }
+
   /**
    * Shares suspicions and decides about the waiting requests. A caller hears of a quarantine only
    * after the other entries can know of it, since it may ask them next.
