Tell a refused connection behind the soak's proxy from one that was cut

Trace: gateway-1 was stopped at 15.26 s and had exited at 18.07 s; the calls came at 18.43 s, before the proxy knew the new process's port, and the target refused them. The proxy shows a refusal as a reset, and the check excuses refusals only. Ruled out: a request read and dropped (the process was gone; its log ends with cut=0). Change: the proxy names the ports of clients that the target refused, and the caller compares its own. A test of the proxy.

--- a/soak/node/callers.ts
+++ b/soak/node/callers.ts
@@ -107,11 +107,20 @@
       status: answer.status,
       outcome: outcomeOf(kind, id, answer),
       hasRetryAfter: answer.headers['retry-after'] !== undefined,
-      detail: answer.error ?? (answer.status === 200 ? '' : answer.body.slice(0, 80)),
+      detail: detailOf(gateway, answer),
     });
   }
 }
 
+/** What a call ended with; a connection that the process refused shows as a reset by the proxy. */
+function detailOf({ front }: SoakGateway, answer: CallerAnswer): string {
+  const { status, error, localPort, body } = answer;
+  if (localPort !== undefined && front.refusedPorts.delete(localPort)) {
+    return 'ECONNREFUSED behind the proxy';
+  }
+  return error ?? (status === 200 ? '' : body.slice(0, 80));
+}
+
 function outcomeOf(kind: RequestKind, id: string, answer: CallerAnswer): CallOutcome {
   const { status, isComplete, body, headers } = answer;
   if (status === 0) {
--- a/src/bench/node/shaper.ts
+++ b/src/bench/node/shaper.ts
@@ -19,6 +19,9 @@
   /** Port that clients connect to. */
   port = 0;
 
+  /** Ports of clients whose connection the target refused; such a client sees a reset. */
+  readonly refusedPorts = new Set<number>();
+
   /**
    * @param targetPort - Port on loopback to forward to.
    * @param delayMs - Delay of each piece of data in each direction, in milliseconds.
@@ -96,6 +99,12 @@
       }
     };
     const reset = () => end((socket) => socket.resetAndDestroy());
+    const clientPort = client.remotePort;
+    target.once('error', (err: NodeJS.ErrnoException) => {
+      if (err.code === 'ECONNREFUSED' && clientPort !== undefined) {
+        this.refusedPorts.add(clientPort);
+      }
+    });
     for (const socket of pair) {
       socket.on('close', () => end((other) => other.destroy())).on('error', reset);
       // A reset that is polled together with data is reported as an end, but leaves no peer.
--- /dev/null
+++ b/src/bench/test/node/shaper.test.ts
@@ -0,0 +1,81 @@
+import { once } from 'node:events';
+import { connect, createServer, type AddressInfo, type Socket } from 'node:net';
+import { expect } from 'chai';
+import { Direction, Shaper } from '../../node/shaper.js';
+
+describe('Shaper', () => {
+  let shaper: Shaper;
+  let accepted: Socket[];
+  const server = createServer((socket) => {
+    accepted.push(socket.on('error', () => undefined));
+    socket.pipe(socket);
+  });
+
+  beforeEach(async () => {
+    accepted = [];
+    server.listen(0, '127.0.0.1');
+    await once(server, 'listening');
+    shaper = new Shaper((server.address() as AddressInfo).port, 0);
+    await shaper.listen();
+  });
+
+  afterEach(async () => {
+    shaper.close();
+    accepted.forEach((socket) => socket.destroy());
+    if (server.listening) {
+      server.close();
+      await once(server, 'close');
+    }
+  });
+
+  /** Opens a connection through the shaper and returns how it ends. */
+  function open(): { readonly socket: Socket; readonly ended: Promise<string> } {
+    const socket = connect(shaper.port, '127.0.0.1');
+    const ended = new Promise<string>((resolve) => {
+      socket.on('error', (err) => resolve(err.message));
+      socket.on('close', () => resolve('closed'));
+      socket.on('end', () => resolve('ended'));
+    });
+    return { socket, ended };
+  }
+
+  it('passes a reset on as one', async () => {
+    const { socket, ended } = open();
+    socket.write('x');
+    await once(socket, 'data');
+    accepted[0].resetAndDestroy();
+    expect(await ended).to.include('ECONNRESET');
+  });
+
+  it('tells which clients the target refused', async () => {
+    server.close();
+    await once(server, 'close');
+    const { socket, ended } = open();
+    await once(socket, 'connect');
+    const port = socket.localPort ?? 0;
+    await ended;
+    expect(shaper.refusedPorts.has(port)).to.equal(true);
+  });
+
+  it('holds data up one way and lets it pass on release', async () => {
+    const { socket } = open();
+    await once(socket, 'connect');
+    shaper.hold(Direction.ToClient);
+    socket.write('held');
+    const received = once(socket, 'data');
+    let isReceived = false;
+    void received.then(() => {
+      isReceived = true;
+    });
+    const other = open().socket;
+    other.write('x'); // passes the target after the data that is held
+    while (accepted.length < 2 || accepted[1].bytesRead === 0) {
+      await new Promise((resolve) => {
+        setImmediate(resolve);
+      });
+    }
+    expect(isReceived).to.equal(false);
+    shaper.release();
+    expect(String((await received)[0])).to.equal('held');
+  });
+});
