Let a stream go on at no more endpoints than its route allows

Cause: a run that is broken off because another endpoint of its path died was repeated without counting it, though the first endpoint lives and has run it. Ruled out: repeats after connection failures; those were counted. Change: a relay keeps the first endpoints at which the request may have run; once there are as many as the route allows, a path must begin with one of them.

--- a/src/gateway/relay/node/streamRelay.ts
+++ b/src/gateway/relay/node/streamRelay.ts
@@ -36,6 +36,9 @@
 /** Sends of one request at the most, whatever the route allows for endpoints that run it. */
 const maxSends = 4;
 
+/** Endpoints at which a stream may run whatever its route allows, so that it can go on after a cut. */
+const minRunEndpoints = 2;
+
 /** Time left below which a request isn't sent once more, in milliseconds. */
 const minRemainingMs = 300;
 
@@ -87,8 +90,8 @@
 
   private sends = 0;
 
-  /** Sends that endpoints may have run. */
-  private runs = 0;
+  /** First endpoints of paths on which the request may have run; the route bounds their number. */
+  private readonly ranAt = new Set<string>();
 
   private isReading = false;
 
@@ -209,6 +212,7 @@
     if (this.phase !== Phase.Sent && this.phase !== Phase.Streaming) {
       return;
     }
+    this.noteRun();
     this.excluded.add(address);
     this.exchange?.abort();
     this.broken(Break.Dead, `silent ${address}`);
@@ -218,6 +222,7 @@
     promptTokens: number;
     reservedTokens: number;
     excluded: ReadonlySet<string>;
+    heads: ReadonlySet<string> | undefined;
   } {
     const { promptTokens, maxOutputTokens, expectedOutputTokens } = this.req.facts;
     const expected = Math.min(
@@ -228,6 +233,7 @@
       promptTokens,
       reservedTokens: promptTokens + reservedAnswerShare * expected,
       excluded: this.excluded,
+      heads: this.mayRunElsewhere ? undefined : this.ranAt,
     };
   }
 
@@ -314,7 +320,7 @@
       this.broken(Break.Cut, 'answer without receipt');
       return AnswerKind.Ignored;
     }
-    this.runs += 1;
+    this.noteRun();
     this.phase = Phase.Streaming;
     this.lastEventAtMs = this.context.clock.monotonicMs();
     if (!this.hasBegun) {
@@ -373,8 +379,11 @@
       this.notRun(facts, head.status);
       return;
     }
-    this.runs += 1;
-    if (this.hasBegun || (head.status >= 500 && this.mayRepeat())) {
+    this.noteRun();
+    if (
+      this.hasBegun ||
+      (head.status >= 500 && this.req.route.isResumable && this.mayRunElsewhere)
+    ) {
       this.broken(Break.Cut, `status ${head.status}`);
       return;
     }
@@ -392,7 +401,7 @@
       this.excluded.add(head.address);
     }
     if (wasSent && this.phase === Phase.Sent) {
-      this.runs += 1;
+      this.noteRun();
     }
     this.broken(wasSent ? Break.Cut : Break.NotSent, reason);
   }
@@ -414,8 +423,17 @@
     this.broken(Break.NotRun, `status ${status} by ${address ?? 'unknown'}`);
   }
 
-  private mayRepeat(): boolean {
-    return this.req.route.isResumable && this.runs < Math.max(2, this.req.route.maxAttempts);
+  /** Whether the route lets the request run at one more endpoint. */
+  private get mayRunElsewhere(): boolean {
+    return this.ranAt.size < Math.max(minRunEndpoints, this.req.route.maxAttempts);
+  }
+
+  /** Takes note that the request may run at the first endpoint of its path. */
+  private noteRun(): void {
+    const head = this.path?.parts[0].endpoint.address;
+    if (head !== undefined) {
+      this.ranAt.add(head);
+    }
   }
 
   /** Decides what follows a run without a complete answer. */
@@ -424,16 +442,13 @@
     this.exchange = undefined;
     const { clock, budgetOf, metrics } = this.context;
     const leftMs = deadlineOf(this.req) - clock.monotonicMs();
-    const isSafe =
-      why === Break.NotSent ||
-      why === Break.NotRun ||
-      (this.req.route.isResumable && (why === Break.Dead || this.mayRepeat()));
+    const isSafe = why === Break.NotSent || why === Break.NotRun || this.req.route.isResumable;
     const hasBudget = why === Break.NotSent || budgetOf(this.req.service).take();
     const goesOn = isSafe && hasBudget && this.sends < maxSends && leftMs > minRemainingMs;
     this.log('run-broken', { why, reason, events: this.events, goesOn, sends: this.sends });
     if (goesOn && !this.caller.isGone) {
       metrics.repeats.inc({ reason: why });
-      void this.seekPath(this.hasBegun || this.runs > 0);
+      void this.seekPath(this.hasBegun || this.ranAt.size > 0);
       return;
     }
     this.giveUp(why, 1_000, reason);
@@ -445,7 +460,7 @@
       this.finish(`broken: ${reason}`, 0);
       return;
     }
-    const hasRun = this.runs > 0;
+    const hasRun = this.ranAt.size > 0;
     const status = hasRun ? RefusalStatus.BadGateway : RefusalStatus.Unavailable;
     this.caller.refuse({ status, detail, ...(hasRun ? {} : { retryAfterMs }) });
     this.finish(`refused: ${reason}`, status);
@@ -458,7 +473,7 @@
     if (this.hasBegun) {
       this.caller.breakOff();
     } else {
-      const isWaiting = this.phase === Phase.Waiting && this.runs === 0;
+      const isWaiting = this.phase === Phase.Waiting && this.ranAt.size === 0;
       this.caller.refuse({
         status: isWaiting ? RefusalStatus.Unavailable : RefusalStatus.Timeout,
         detail: 'no complete answer in time',
--- a/src/gateway/routing/common/pathFinder.ts
+++ b/src/gateway/routing/common/pathFinder.ts
@@ -26,6 +26,8 @@
   readonly reservedTokens: number;
   /** Endpoints that must not be part of the path. */
   readonly excluded?: ReadonlySet<string>;
+  /** Addresses of which the path must begin with one, when the request may run nowhere else. */
+  readonly heads?: ReadonlySet<string>;
   /** First endpoint that the path must have, when a running request is moved. */
   readonly head?: { readonly address: string; readonly to: number };
   /** Whether a path will do that has no room now. */
@@ -41,7 +43,7 @@
   readonly to: number;
   readonly roomTokenLayers: number;
   readonly freeTokenLayers: number;
-  readonly headFree: boolean;
+  readonly mayBeHead: boolean;
   readonly stepMsPerLayer: number;
   readonly readMsPerLayer: number;
   readonly waitMs: number;
@@ -175,7 +177,9 @@
         to: layers.to,
         roomTokenLayers: room,
         freeTokenLayers: req.ignoresRoom ? Number.POSITIVE_INFINITY : room - load.tokenLayers,
-        headFree: req.ignoresRoom === true || load.heads < endpoint.slots,
+        mayBeHead:
+          (req.heads?.has(endpoint.address) ?? true) &&
+          (req.ignoresRoom === true || load.heads < endpoint.slots),
         stepMsPerLayer: stepMs / engine.layerCount,
         readMsPerLayer: readMs / engine.layerCount,
         waitMs: load.readMs,
@@ -235,7 +239,7 @@
     for (const candidate of candidates) {
       const isUsed =
         candidate.from > boundary || candidate.to <= boundary || onPath(node, candidate);
-      if (isUsed || (boundary === 0 && !candidate.headFree)) {
+      if (isUsed || (boundary === 0 && !candidate.mayBeHead)) {
         continue;
       }
       for (const to of boundaries) {
