Keep the wire's names of the soak in the adapter's folder

The soak read headers and wrote store objects itself; platform/test/wireViews.ts does it now in the project's words.

--- a/soak/common/checkers.ts
+++ b/soak/common/checkers.ts
@@ -14,19 +14,19 @@
 /** Layers of the model that the stand-ins hold. */
 export const modelLayers = 8;
 
-/** Time within which a change of the configuration is in force, in milliseconds: `config_ms`. */
+/** Time within which a change of the configuration is in force, in milliseconds; as agreed. */
 const configMs = 3_000;
 
-/** Time within which an endpoint that drains gets no new work, in milliseconds: `drain_ms`. */
+/** Time within which an endpoint that drains gets no new work, in milliseconds; as agreed. */
 const drainMs = 3_000;
 
-/** Time after a disturbance until a process is in touch again, in ms: `stable_window_ms`. */
+/** Time after a disturbance until a process is in touch again, in ms; as agreed. */
 const stableMs = 4_000;
 
-/** Time that a gateway has to stop, in milliseconds: `grace_s`. */
+/** Time that a gateway has to stop, in milliseconds; as agreed. */
 export const graceMs = 8_000;
 
-/** Time after the last fault from which requests are served again, in ms: `recover_s`. */
+/** Time after the last fault from which requests are served again, in ms; as agreed. */
 export const recoverMs = 15_000;
 
 /** Timeout of all routes, in milliseconds. */
--- a/soak/cost/relayCost.ts
+++ b/soak/cost/relayCost.ts
@@ -3,8 +3,10 @@
 import { cac } from 'cac';
 import { FakeReplica } from '../../platform/test/fakeReplica.js';
 import { FakeStore } from '../../platform/test/fakeStore.js';
-import { call, modelHeaders, usualConfig } from '../../platform/test/gatewayFleet.js';
+import { call, modelHeaders, usualKey } from '../../platform/test/gatewayFleet.js';
+import { announce, singlePathHeader, writeConfig } from '../../platform/test/wireViews.js';
 import { ProcessGroup, type RunningProcess } from '../../src/bench/node/processes.js';
+import { modelLayers } from '../common/checkers.js';
 import { messageOf } from '../../src/base/common/errors.js';
 
 /** Events of a stream and the pause between them; about those of the prepared sites. */
@@ -94,18 +96,16 @@
 async function run(streams: number, seconds: number): Promise<void> {
   const store = new FakeStore();
   const group = new ProcessGroup(fileURLToPath(new URL('../../../build/', import.meta.url)));
-  const replicas = [
-    new FakeReplica({ id: 'front', service: 'model', zone: 'a', kind: 'big', eventCount, eventMs }),
-    new FakeReplica({ id: 'back', service: 'model', zone: 'a', kind: 'big', eventCount, eventMs }),
-  ];
+  const options = { service: 'model', zone: 'a', kind: 'big', eventCount, eventMs, slots: 1_000 };
+  const replicas = ['front', 'back'].map((id) => new FakeReplica({ ...options, id }));
   try {
     const storeAddress = await store.listen();
     for (const [index, replica] of replicas.entries()) {
       replica.layers = { from: index * 4, target: index * 4 + 4 };
       await replica.listen();
-      store.put('servers', replica.options.id, { ...replica.entry(), slots: 1_000 });
+      announce(store, replica);
     }
-    store.put('config', 'main', usualConfig(1));
+    writeConfig(store, 1, [{ key: usualKey, organisation: 'org-1' }], 0);
     const settings = group.writeSettings('gateway', {
       instance: 'gateway',
       host: '127.0.0.1',
@@ -123,8 +123,12 @@
     });
     const started = /event=started .*callers=127\.0\.0\.1:(\d+)/;
     const gateway = await group.start('gateway', 'gateway', ['--settings', settings], started);
-    const options = { streams, seconds, log: `${group.directory}/gateway-1.log` };
-    const first = await measure('gateway', gateway, store, modelHeaders, options);
+    const log = `${group.directory}/gateway-1.log`;
+    const first = await measure('gateway', gateway, store, modelHeaders, {
+      streams,
+      seconds,
+      log,
+    });
     const bare = new ProcessGroup(fileURLToPath(new URL('.', import.meta.url)));
     try {
       const relay = await bare.startScript(
@@ -132,10 +136,12 @@
         [replicas[0].address],
         /callers=127\.0\.0\.1:(\d+)/,
       );
-      const path = `${replicas[0].address}=0-8`;
-      const headers = { ...modelHeaders, 'X-Ibisspar-Hop-Count': path };
-      const log = `${bare.directory}/bareRelay.js-1.log`;
-      const floor = await measure('bare relay', relay, store, headers, { ...options, log });
+      const headers = { ...modelHeaders, ...singlePathHeader(replicas[0], modelLayers) };
+      const floor = await measure('bare relay', relay, store, headers, {
+        streams,
+        seconds,
+        log: `${bare.directory}/bareRelay.js-1.log`,
+      });
       process.stdout.write(`${JSON.stringify(first)}\n${JSON.stringify(floor)}\n`);
     } finally {
       await bare.close();
--- a/soak/node/callers.ts
+++ b/soak/node/callers.ts
@@ -1,5 +1,6 @@
 import { Agent } from 'node:http';
 import { call, modelHeaders, type CallerAnswer } from '../../platform/test/gatewayFleet.js';
+import { answerFacts } from '../../platform/test/wireViews.js';
 import { SeededRandom } from '../../src/base/common/random.js';
 import { timeoutMs } from '../common/checkers.js';
 import { CallOutcome, RequestKind, type CallRecord } from '../common/records.js';
@@ -122,11 +123,12 @@
 }
 
 function outcomeOf(kind: RequestKind, id: string, answer: CallerAnswer): CallOutcome {
-  const { status, isComplete, body, headers } = answer;
+  const { status, isComplete, body } = answer;
+  const { requestId, hasReceipt } = answerFacts(answer);
   if (status === 0) {
     return CallOutcome.None;
   }
-  if (headers['x-ibisspar-request-id'] !== undefined && headers['x-ibisspar-request-id'] !== id) {
+  if (requestId !== undefined && requestId !== id) {
     return CallOutcome.Wrong;
   }
   if (!isComplete) {
@@ -135,7 +137,6 @@
   if (status >= 300) {
     return CallOutcome.Failure;
   }
-  const hasReceipt = headers['x-ibisspar-response-signature'] !== undefined;
   const isOwn =
     kind === RequestKind.Stream
       ? body === wholeStream(id)
--- a/soak/node/soakFleet.ts
+++ b/soak/node/soakFleet.ts
@@ -1,7 +1,13 @@
 import { fileURLToPath } from 'node:url';
 import { FakeReplica } from '../../platform/test/fakeReplica.js';
 import { FakeStore } from '../../platform/test/fakeStore.js';
-import { usualConfig } from '../../platform/test/gatewayFleet.js';
+import {
+  announce,
+  orderedLayers,
+  runsAt,
+  withdraw,
+  writeConfig,
+} from '../../platform/test/wireViews.js';
 import { ProcessGroup, type RunningProcess } from '../../src/bench/node/processes.js';
 import { Shaper } from '../../src/bench/node/shaper.js';
 import { graceMs } from '../common/checkers.js';
@@ -93,31 +99,17 @@
 
   /** Requests that back ends ran, in the order in which each of them saw them. */
   runs(): readonly RunRecord[] {
-    return this.replicas.flatMap(({ options, seen }) =>
-      seen.map(({ id, atMs, target, body, headers }) => ({
-        id,
-        endpoint: options.id,
-        atMs,
-        target,
-        body,
-        organisation: one(headers['x-ibisspar-tenant-id']),
-        hasKey: headers.authorization !== undefined,
-        ranges: rangesOf(one(headers['x-ibisspar-hop-count'])),
-        resumesAfter: one(headers['last-event-id']),
-      })),
-    );
+    return this.replicas.flatMap(runsAt);
   }
 
   /** Orders that back ends took. */
   orders(): readonly OrderRecord[] {
-    return this.replicas.flatMap(({ options, orders }) =>
-      orders
-        .filter(({ op }) => op === 'place')
-        .map(({ from, target }) => ({
-          endpoint: options.id,
-          layers: Number(target) - Number(from),
-          maxLayers: maxLayers[options.kind ?? ''] ?? 0,
-        })),
+    return this.replicas.flatMap((replica) =>
+      orderedLayers(replica).map((layers) => ({
+        endpoint: replica.options.id,
+        layers,
+        maxLayers: maxLayers[replica.options.kind ?? ''] ?? 0,
+      })),
     );
   }
 
@@ -165,10 +157,10 @@
     endpoint.replica.close();
     endpoint.proxy.cut();
     const { id, service, zone, kind } = endpoint.replica.options;
-    const lapse = setTimeout(() => this.store.delete('servers', id), lapseMs);
+    const lapse = setTimeout(() => withdraw(this.store, id), lapseMs);
     await sleep(downMs);
     clearTimeout(lapse);
-    this.store.delete('servers', id);
+    withdraw(this.store, id);
     endpoint.starts += 1;
     const name = keepsName ? id : `${endpoint.name}-${endpoint.starts}`;
     await this.startReplica(endpoint, name, service, zone, kind);
@@ -178,7 +170,7 @@
   async drainEndpoint(endpoint: SoakEndpoint, forMs: number): Promise<void> {
     const { replica } = endpoint;
     replica.state = 'draining';
-    this.store.put('servers', replica.options.id, replica.entry());
+    announce(this.store, replica);
     await sleep(forMs);
     await this.crashEndpoint(endpoint, 0, false);
   }
@@ -205,16 +197,7 @@
   private writeConfig(withoutKey?: string): void {
     this.configVersion += 3;
     const held = this.keys.filter(({ key, toMs }) => toMs === Infinity && key !== withoutKey);
-    const tenants = held.map(({ key, organisation }) => ({ name: organisation, api_keys: [key] }));
-    const usual = usualConfig(this.configVersion, { tenants });
-    const [route] = usual.routes as Record<string, unknown>[];
-    const idle = Array.from({ length: this.idleRoutes }, (_unused, index) => ({
-      ...route,
-      name: `idle-${index}`,
-      path_prefix: `/idle-${index}/`,
-    }));
-    const routes = [...(usual.routes as Record<string, unknown>[]), ...idle];
-    this.store.put('config', 'main', { ...usual, routes });
+    writeConfig(this.store, this.configVersion, held, this.idleRoutes);
   }
 
   private async addEndpoint(
@@ -244,7 +227,7 @@
     replica.address = `127.0.0.1:${endpoint.proxy.port}`;
     endpoint.replica = replica;
     this.replicas.push(replica);
-    replica.onOrder = () => this.store.put('servers', id, replica.entry());
+    replica.onOrder = () => announce(this.store, replica);
     replica.onOrder();
   }
 
@@ -290,20 +273,6 @@
   return Number(address.split(':')[1]);
 }
 
-function one(header: string | string[] | undefined): string | undefined {
-  return Array.isArray(header) ? header[0] : header;
-}
-
-function rangesOf(path: string | undefined): RunRecord['ranges'] {
-  return (path ?? '')
-    .split(',')
-    .filter((part) => part !== '')
-    .map((part) => {
-      const [from, to] = part.split('=')[1].split('-').map(Number);
-      return [from, to] as const;
-    });
-}
-
 /** Waits. */
 export function sleep(ms: number): Promise<void> {
   return new Promise((resolve) => {
