--- a/soak/common/checkers.ts
+++ b/soak/common/checkers.ts
@@ -1,10 +1,10 @@
+import type { SeenRun } from '../../platform/test/wireViews.js';
 import {
   CallOutcome,
   FaultKind,
   RequestKind,
   type CallRecord,
   type FaultRecord,
-  type RunRecord,
   type SoakHistory,
 } from './records.js';
 
@@ -79,8 +79,8 @@
   return `${call.kind} ${call.id} at ${call.gateway}: ${call.status} ${call.outcome} ${call.detail}`;
 }
 
-function runsById(history: SoakHistory): ReadonlyMap<string, readonly RunRecord[]> {
-  const runs = new Map<string, RunRecord[]>();
+function runsById(history: SoakHistory): ReadonlyMap<string, readonly SeenRun[]> {
+  const runs = new Map<string, SeenRun[]>();
   for (const run of history.runs) {
     runs.set(run.id, [...(runs.get(run.id) ?? []), run]);
   }
--- a/soak/common/records.ts
+++ b/soak/common/records.ts
@@ -1,3 +1,5 @@
+import type { SeenRun } from '../../platform/test/wireViews.js';
+
 /** Kinds of requests that the callers send. */
 export enum RequestKind {
   Stream = 'stream',
@@ -38,22 +40,6 @@
   readonly detail: string;
 }
 
-/** A request that a back end ran. */
-export interface RunRecord {
-  readonly id: string;
-  readonly endpoint: string;
-  readonly atMs: number;
-  readonly target: string;
-  readonly body: string;
-  readonly organisation: string | undefined;
-  /** Whether the caller's key was passed on. */
-  readonly hasKey: boolean;
-  /** Ranges of the path, in order; empty for a plain service. */
-  readonly ranges: readonly (readonly [from: number, to: number])[];
-  /** Event after which the run goes on. */
-  readonly resumesAfter: string | undefined;
-}
-
 /** An order to hold layers. */
 export interface OrderRecord {
   readonly endpoint: string;
@@ -127,7 +113,7 @@
 /** Everything that a run recorded. */
 export interface SoakHistory {
   readonly calls: readonly CallRecord[];
-  readonly runs: readonly RunRecord[];
+  readonly runs: readonly SeenRun[];
   readonly orders: readonly OrderRecord[];
   readonly keys: readonly KeyRecord[];
   readonly faults: readonly FaultRecord[];
--- a/soak/node/soakFleet.ts
+++ b/soak/node/soakFleet.ts
@@ -7,11 +7,12 @@
   runsAt,
   withdraw,
   writeConfig,
+  type SeenRun,
 } from '../../platform/test/wireViews.js';
 import { ProcessGroup, type RunningProcess } from '../../src/bench/node/processes.js';
 import { Shaper } from '../../src/bench/node/shaper.js';
 import { graceMs } from '../common/checkers.js';
-import type { KeyRecord, OrderRecord, RunRecord } from '../common/records.js';
+import type { KeyRecord, OrderRecord } from '../common/records.js';
 
 const places = ['a', 'b', 'c'];
 
@@ -98,7 +99,7 @@
   }
 
   /** Requests that back ends ran, in the order in which each of them saw them. */
-  runs(): readonly RunRecord[] {
+  runs(): readonly SeenRun[] {
     return this.replicas.flatMap(runsAt);
   }
 
--- a/soak/test/checkers.test.ts
+++ b/soak/test/checkers.test.ts
@@ -1,4 +1,5 @@
 import { expect } from 'chai';
+import type { SeenRun } from '../../platform/test/wireViews.js';
 import { checkPromises, modelLayers, recoverMs, timeoutMs } from '../common/checkers.js';
 import { planFaults } from '../common/faultPlan.js';
 import {
@@ -7,7 +8,6 @@
   RequestKind,
   type CallRecord,
   type FaultRecord,
-  type RunRecord,
   type SoakHistory,
 } from '../common/records.js';
 
@@ -32,7 +32,7 @@
   };
 }
 
-function runWith(changes: Partial<RunRecord> = {}): RunRecord {
+function runWith(changes: Partial<SeenRun> = {}): SeenRun {
   return {
     id: 'id',
     endpoint: 'e',
