--- a/soak/common/checkers.ts
+++ b/soak/common/checkers.ts
@@ -14,19 +14,19 @@
 /** Layers of the model that the stand-ins hold. */
 export const modelLayers = 8;
 
-/** Time within which a change of the configuration is in force, in milliseconds; as agreed. */
+/** Time within which a change of the configuration is in force, in milliseconds; the users' bound. */
 const configMs = 3_000;
 
-/** Time within which an endpoint that drains gets no new work, in milliseconds; as agreed. */
+/** Time within which an endpoint that drains gets no new work, in milliseconds; the users' bound. */
 const drainMs = 3_000;
 
-/** Time after a disturbance until a process is in touch again, in ms; as agreed. */
+/** Time after a disturbance until a process is in touch again, in ms; the users' bound. */
 const stableMs = 4_000;
 
-/** Time that a gateway has to stop, in milliseconds; as agreed. */
+/** Time that a gateway has to stop, in milliseconds; the users' bound. */
 export const graceMs = 8_000;
 
-/** Time after the last fault from which requests are served again, in ms; as agreed. */
+/** Time after the last fault from which requests are served again, in ms; the users' bound. */
 export const recoverMs = 15_000;
 
 /** Timeout of all routes, in milliseconds. */
