Log entries that are missing after an outage, and for how long a feed had no answer

Nothing told whether a gateway knew that an endpoint was missing from the store while it still used it. endpoint-missing says so and until when the entry is kept; store-regained says since when nothing had been read (awayMs). No decision is changed.

--- a/src/gateway/directory/common/endpointDirectory.ts
+++ b/src/gateway/directory/common/endpointDirectory.ts
@@ -138,8 +138,17 @@
       return;
     }
     const graceEndsMs = this.storeRecoveredMs + outageGraceMs;
-    if (this.clock.monotonicMs() < graceEndsMs) {
-      entry.expiresAtMs ??= graceEndsMs;
+    const forMs = graceEndsMs - this.clock.monotonicMs();
+    if (forMs > 0) {
+      if (entry.expiresAtMs === undefined) {
+        entry.expiresAtMs = graceEndsMs;
+        const { address } = entry.endpoint;
+        this.logger.log(LogLevel.Info, 'endpoint-missing', {
+          endpoint: id,
+          address,
+          keptForMs: Math.round(forMs),
+        });
+      }
       return;
     }
     this.drop(entry.endpoint, 'removed from the store');
--- a/src/gateway/feeds/node/storeFeed.ts
+++ b/src/gateway/feeds/node/storeFeed.ts
@@ -1,3 +1,4 @@
+import type { IClock } from '../../../base/common/clock.js';
 import { LogLevel, type ILogger } from '../../../base/common/logger.js';
 import { sleep } from '../../../base/node/systemClock.js';
 import { HistoryLostError, type FeedItem, type IFeedSource } from '../common/feedSource.js';
@@ -42,6 +43,9 @@
 
   private backoffMs = minBackoffMs;
 
+  /** Monotonic time of the store's last answer to this feed, in milliseconds. */
+  private lastAnswerMs: number;
+
   /** Whether a complete list has succeeded at least once. */
   hasListed = false;
 
@@ -50,6 +54,7 @@
    * @param source - Lists and watches the objects.
    * @param sink - Receives the objects and changes.
    * @param timing - How often the feed calls the store.
+   * @param clock - Source of time.
    * @param logger - Receives store failures and objects that can't be decoded.
    */
   constructor(
@@ -57,8 +62,11 @@
     private readonly source: IFeedSource<T>,
     private readonly sink: IFeedSink<T>,
     private readonly timing: FeedTiming,
+    private readonly clock: IClock,
     private readonly logger: ILogger,
-  ) {}
+  ) {
+    this.lastAnswerMs = clock.monotonicMs();
+  }
 
   /** Starts the loop that lists and watches; it runs until the feed is closed. */
   start(): void {
@@ -152,10 +160,13 @@
   }
 
   private handleSuccess(): void {
+    const nowMs = this.clock.monotonicMs();
+    const awayMs = Math.round(nowMs - this.lastAnswerMs);
+    this.lastAnswerMs = nowMs;
     this.backoffMs = minBackoffMs;
     if (this.isStoreUnavailable) {
       this.isStoreUnavailable = false;
-      this.logger.log(LogLevel.Info, 'store-regained', { feed: this.name });
+      this.logger.log(LogLevel.Info, 'store-regained', { feed: this.name, awayMs });
       this.sink.onRecovered();
     }
   }
--- a/src/gateway/node/gatewayFeeds.ts
+++ b/src/gateway/node/gatewayFeeds.ts
@@ -1,3 +1,4 @@
+import type { IClock } from '../../base/common/clock.js';
 import type { ILogger } from '../../base/common/logger.js';
 import type { IObjectStore, IStoreEra } from '../../services/objects/common/objects.js';
 import type { SuspectRecord } from '../../services/suspects/common/suspectRecord.js';
@@ -51,12 +52,14 @@
  *
  * @param platform - Adapters that provide the sources of the feeds.
  * @param targets - Receive what the feeds read.
+ * @param clock - Source of time.
  * @param logger - Receives store failures and objects that can't be decoded.
  * @returns The feeds, not yet started.
  */
 export function createFeeds(
   platform: PlatformAdapters,
   { config, directory, peers, crashProtection }: FeedTargets,
+  clock: IClock,
   logger: ILogger,
 ): readonly StoreFeed<unknown>[] {
   const ignore = () => undefined;
@@ -71,6 +74,7 @@
         onRecovered: ignore,
       },
       configTiming,
+      clock,
       logger,
     ),
     new StoreFeed<Endpoint>(
@@ -83,6 +87,7 @@
         onRecovered: () => directory.recordStoreRecovery(),
       },
       endpointTiming,
+      clock,
       logger,
     ),
     new StoreFeed<PeerAddress>(
@@ -95,6 +100,7 @@
         onRecovered: ignore,
       },
       peerTiming,
+      clock,
       logger,
     ),
     new StoreFeed<readonly SuspectRecord[]>(
@@ -107,6 +113,7 @@
         onRecovered: () => crashProtection.publish(),
       },
       suspectTiming,
+      clock,
       logger,
     ),
   ];
--- a/src/gateway/node/gatewayProgram.ts
+++ b/src/gateway/node/gatewayProgram.ts
@@ -248,6 +248,7 @@
         peers: this.peers,
         crashProtection: this.crashProtection,
       },
+      clock,
       logger,
     );
     this.status = new StatusServers(() => this.isReady, metrics.registry);
