Tell peers which endpoints left, so that a gateway cut off from the store stops using them

What callers saw: nothing yet; the endpoint served them. Its users had said that it leaves.

Cause: after any loss of the store a gateway keeps endpoints that are missing from its list for 2.2 s, since entries that lapsed in an outage come back. It can't tell an outage from the loss of its own path. In the incident the store was up all the while and three gateways had seen the removal, but they tell each other only of endpoints that drain, not of those that are gone. Class: a local loss of contact taken for a global outage.

Change: a gateway's message to its peers lists the incarnations that it saw leave in the last minute (32 at most). A gateway that has lost the store skips them while they are reported, and drops one that its own list lacks without waiting. A gateway in touch with the store ignores such reports, since the endpoint may have come back.

--- a/src/gateway/directory/common/endpointDirectory.ts
+++ b/src/gateway/directory/common/endpointDirectory.ts
@@ -36,6 +36,12 @@
  */
 const drainMemoryMs = 60_000;
 
+/** Time for which peers are told that an endpoint left, in milliseconds. */
+const removalMemoryMs = 60_000;
+
+/** Maximum number of endpoints that left in one message to peers, which keeps it to few packets. */
+const maxReportedRemovals = 32;
+
 /** Why an endpoint is skipped. */
 export enum Suspicion {
   /** It doesn't answer, or earlier stages of a path are waiting for it. */
@@ -71,11 +77,20 @@
   /** Monotonic time at which each incarnation was last seen to drain. */
   private readonly drainedAtMs = new Map<string, number>();
 
+  /** Monotonic time at which each incarnation was dropped, in that order. */
+  private readonly droppedAtMs = new Map<string, number>();
+
+  /** Monotonic time until which each incarnation counts as gone because a peer saw it leave the store. */
+  private readonly reportedGoneUntilMs = new Map<string, number>();
+
   private readonly removals = new Emitter<Endpoint>();
 
   /** Fires when an endpoint was removed or replaced by a later incarnation. */
   readonly onDidRemove = this.removals.event;
 
+  /** Whether this process has lost the store, so that peers may know more of the endpoints. */
+  private isStoreLost = false;
+
   /** Monotonic time at which the store last recovered from an outage, in milliseconds. */
   private storeRecoveredMs = Number.NEGATIVE_INFINITY;
 
@@ -104,6 +119,8 @@
       this.notifyRemoved(entry.endpoint);
     }
     this.byId.set(endpoint.id, { endpoint, expiresAtMs: undefined });
+    this.droppedAtMs.delete(incarnationOf(endpoint));
+    this.reportedGoneUntilMs.delete(incarnationOf(endpoint));
     const before = entry?.endpoint;
     if (
       before?.state !== endpoint.state ||
@@ -128,7 +145,7 @@
    * Removes an entry that is no longer in the store.
    *
    * Entries that expired during an outage of the store may reappear, so a removal right after an
-   * outage is delayed.
+   * outage is delayed, unless a peer saw the endpoint leave.
    *
    * @param id - Id of the endpoint.
    */
@@ -137,6 +154,10 @@
     if (entry === undefined) {
       return;
     }
+    if (this.isReportedGone(entry.endpoint)) {
+      this.drop(entry.endpoint, 'a peer saw it leave');
+      return;
+    }
     const graceEndsMs = this.storeRecoveredMs + outageGraceMs;
     const forMs = graceEndsMs - this.clock.monotonicMs();
     if (forMs > 0) {
@@ -168,8 +189,14 @@
     }
   }
 
+  /** Called when the store no longer answers this process. */
+  recordStoreLoss(): void {
+    this.isStoreLost = true;
+  }
+
   /** Called when the store answers again after a failure. */
   recordStoreRecovery(): void {
+    this.isStoreLost = false;
     this.storeRecoveredMs = this.clock.monotonicMs();
   }
 
@@ -181,6 +208,16 @@
         this.drainedAtMs.delete(incarnation);
       }
     }
+    for (const [incarnation, atMs] of this.droppedAtMs) {
+      if (nowMs - atMs > removalMemoryMs) {
+        this.droppedAtMs.delete(incarnation);
+      }
+    }
+    for (const [incarnation, untilMs] of this.reportedGoneUntilMs) {
+      if (untilMs <= nowMs) {
+        this.reportedGoneUntilMs.delete(incarnation);
+      }
+    }
     for (const { endpoint, expiresAtMs } of [...this.byId.values()]) {
       if (expiresAtMs !== undefined && expiresAtMs <= nowMs) {
         this.drop(endpoint, 'did not reappear after a store outage');
@@ -188,6 +225,39 @@
     }
   }
 
+  /** Returns the incarnations that recently left the store, the last ones first, to be reported to peers. */
+  removedIncarnations(): readonly string[] {
+    return [...this.droppedAtMs.keys()].reverse().slice(0, maxReportedRemovals);
+  }
+
+  /**
+   * Takes over from a peer which endpoints left, as far as this process can't know it from the store. A
+   * peer that has lost the store itself may report an endpoint that has come back since.
+   *
+   * @param peer - Instance name of the peer.
+   * @param incarnations - Incarnations that the peer saw leave.
+   */
+  handleRemovalReport(peer: string, incarnations: readonly string[]): void {
+    const reported = new Set(incarnations);
+    const untilMs = this.clock.monotonicMs() + peerSuspicionMs;
+    for (const { endpoint, expiresAtMs } of [...this.byId.values()]) {
+      const isMissing = expiresAtMs !== undefined;
+      const incarnation = incarnationOf(endpoint);
+      if (!(isMissing || this.isStoreLost) || !reported.has(incarnation)) {
+        continue;
+      }
+      if (isMissing) {
+        this.drop(endpoint, `${peer} saw it leave`);
+        continue;
+      }
+      if (!this.isReportedGone(endpoint)) {
+        const { id, address } = endpoint;
+        this.logger.log(LogLevel.Info, 'endpoint-reported-gone', { endpoint: id, address, peer });
+      }
+      this.reportedGoneUntilMs.set(incarnation, untilMs);
+    }
+  }
+
   /**
    * Skips an endpoint for a time that depends on the kind of suspicion. Never shortens an existing
    * suspicion of the same incarnation.
@@ -277,10 +347,13 @@
       .filter((endpoint) => endpoint.service === service);
   }
 
-  /** Returns the endpoints of a service that accept new requests and aren't suspect. */
+  /** Returns the endpoints of a service that accept new requests and are neither suspect nor reported gone. */
   findUsable(service: string): readonly Endpoint[] {
     return this.findByService(service).filter(
-      (endpoint) => endpoint.state === EndpointState.Ready && !this.isSuspect(endpoint),
+      (endpoint) =>
+        endpoint.state === EndpointState.Ready &&
+        !this.isSuspect(endpoint) &&
+        !this.isReportedGone(endpoint),
     );
   }
 
@@ -310,6 +383,11 @@
       : endpoint;
   }
 
+  private isReportedGone(endpoint: Endpoint): boolean {
+    const untilMs = this.reportedGoneUntilMs.get(incarnationOf(endpoint));
+    return untilMs !== undefined && untilMs > this.clock.monotonicMs();
+  }
+
   private suspicionOf(endpoint: Endpoint): Suspect | undefined {
     const suspect = this.suspicions.get(endpoint.address);
     return suspect !== undefined &&
@@ -343,7 +421,10 @@
   }
 
   private drop(endpoint: Endpoint, reason: string): void {
+    const incarnation = incarnationOf(endpoint);
     this.byId.delete(endpoint.id);
+    this.reportedGoneUntilMs.delete(incarnation);
+    this.droppedAtMs.set(incarnation, this.clock.monotonicMs());
     this.logger.log(LogLevel.Info, 'endpoint-gone', {
       endpoint: endpoint.id,
       address: endpoint.address,
--- a/src/gateway/directory/test/common/endpointDirectory.test.ts
+++ b/src/gateway/directory/test/common/endpointDirectory.test.ts
@@ -79,6 +79,46 @@
     expect(directory.findUsable('s')).to.have.length(1);
   });
 
+  it('skips an endpoint that a peer saw leave only while the store is lost', () => {
+    directory.update(endpointWith({}));
+    directory.handleRemovalReport('gw', ['e1@10']);
+    expect(directory.findUsable('s')).to.have.length(1);
+    directory.recordStoreLoss();
+    directory.handleRemovalReport('gw', ['e1@9']);
+    expect(directory.findUsable('s')).to.have.length(1);
+    directory.handleRemovalReport('gw', ['e1@10']);
+    expect(directory.findUsable('s')).to.have.length(0);
+    directory.recordStoreRecovery();
+    directory.retainOnly(new Set());
+    expect(removed).to.deep.equal(['e1@10']);
+  });
+
+  it('drops an endpoint missing after an outage when a peer tells that it left', () => {
+    directory.update(endpointWith({}));
+    directory.recordStoreRecovery();
+    directory.retainOnly(new Set());
+    directory.handleRemovalReport('gw', ['e1@10']);
+    expect(removed).to.deep.equal(['e1@10']);
+  });
+
+  it('uses an endpoint again once no peer reports any more that it left', () => {
+    directory.update(endpointWith({}));
+    directory.recordStoreLoss();
+    directory.handleRemovalReport('gw', ['e1@10']);
+    clock.advance(silentSuspicionMs);
+    expect(directory.findUsable('s')).to.have.length(1);
+  });
+
+  it('reports the endpoints that left, the last ones first, until they come back', () => {
+    directory.update(endpointWith({}));
+    directory.update(endpointWith({ id: 'e2' }));
+    directory.remove('e1');
+    directory.remove('e2');
+    expect(directory.removedIncarnations()).to.deep.equal(['e2@10', 'e1@10']);
+    directory.update(endpointWith({ id: 'e2' }));
+    expect(directory.removedIncarnations()).to.deep.equal(['e1@10']);
+  });
+
   it('skips a suspect for a limited time, but not its next incarnation', () => {
     directory.update(endpointWith({}));
     directory.suspect('10.0.0.1:80', Suspicion.Silent, 'test');
--- a/src/gateway/feeds/node/storeFeed.ts
+++ b/src/gateway/feeds/node/storeFeed.ts
@@ -26,6 +26,8 @@
   onRemoved(name: string): void;
   /** Called with the names of all objects after each complete list. */
   onListed(names: ReadonlySet<string>): void;
+  /** Called when the store stops answering. */
+  onLost(): void;
   /** Called when the store answers again after a failure. */
   onRecovered(): void;
 }
@@ -154,6 +156,7 @@
     if (!this.isStoreUnavailable) {
       this.isStoreUnavailable = true;
       this.logger.log(LogLevel.Warn, 'store-lost', { feed: this.name, reason });
+      this.sink.onLost();
     }
     await sleep(this.backoffMs, this.abortController.signal);
     this.backoffMs = Math.min(maxBackoffMs, this.backoffMs * 2);
--- a/src/gateway/node/gatewayProgram.ts
+++ b/src/gateway/node/gatewayProgram.ts
@@ -510,6 +510,7 @@
       loads: this.ledger.ownLoads(),
       suspects: this.directory.silentAddresses(),
       draining: this.directory.drainingAddresses(),
+      removed: this.directory.removedIncarnations(),
       full: this.ledger.recentlyFull(),
       placingTerm: this.lease.isConfirmed ? (this.lease.term() ?? 0) : 0,
       ...this.crashProtection.createReport(),
@@ -517,7 +518,7 @@
   }
 
   private handlePeerMessage(message: PeerMessage): void {
-    const { sender, loads, suspects, draining, placingTerm, full } = message;
+    const { sender, loads, suspects, draining, removed, placingTerm, full } = message;
     this.ledger.updatePeer(sender, loads);
     this.admissions.forEach((admission) =>
       full.forEach((address) => admission.recordRefusal(address, false)),
@@ -525,6 +526,9 @@
     for (const address of [...suspects, ...draining]) {
       this.directory.suspect(address, Suspicion.ReportedByPeer, `reported by ${sender}`);
     }
+    if (removed.length > 0) {
+      this.directory.handleRemovalReport(sender, removed);
+    }
     this.crashProtection.handleReport(sender, message);
     if (placingTerm > 0) {
       this.leaseScheduler.recordPlacerHeartbeat();
--- a/src/gateway/peers/common/peerMessage.ts
+++ b/src/gateway/peers/common/peerMessage.ts
@@ -16,6 +16,8 @@
   readonly full: readonly string[];
   /** Addresses of endpoints that drain, according to the store. */
   readonly draining: readonly string[];
+  /** Incarnations of endpoints that recently left the store, as the sender saw it. */
+  readonly removed: readonly string[];
   /** Lease term under which the sender places layers; 0 if it doesn't hold the lease. */
   readonly placingTerm: number;
 }
@@ -32,6 +34,7 @@
   v.optional(v.array(v.string()), []),
   v.optional(v.array(suspectRecordSchema), []),
   v.optional(v.array(v.string()), []),
+  v.optional(v.array(v.string()), []),
 ]);
 
 /**
@@ -49,7 +52,7 @@
     Math.round(load.prefillMs),
   ]);
   const { sender, configVersion, suspects, draining, placingTerm, full } = message;
-  const { suspectRequests, isolated } = message;
+  const { suspectRequests, isolated, removed } = message;
   return [
     sender,
     configVersion,
@@ -60,6 +63,7 @@
     full,
     suspectRequests,
     isolated,
+    removed,
   ];
 }
 
@@ -76,7 +80,7 @@
   }
   const [sender, configVersion, loads, suspects, draining, placingTerm, full, ...report] =
     parsed.output;
-  const [suspectRequests, isolated] = report;
+  const [suspectRequests, isolated, removed] = report;
   return {
     sender,
     configVersion,
@@ -86,6 +90,7 @@
     full,
     suspectRequests,
     isolated,
+    removed,
     loads: new Map(
       loads.map(([address, tokenLayers, requests, firstStageRequests, prefillMs]) => [
         address,
