Drop an endpoint that stays missing from the store although it reports its layers

An endpoint that leaves goes on answering, so the placer kept it until the next complete list, which need not come.

Evidence: the new test of the directory failed before ([] instead of one removal).

--- a/src/gateway/directory/common/endpointDirectory.ts
+++ b/src/gateway/directory/common/endpointDirectory.ts
@@ -121,24 +121,7 @@
     this.byId.set(endpoint.id, { endpoint, expiresAtMs: undefined });
     this.droppedAtMs.delete(incarnationOf(endpoint));
     this.reportedGoneUntilMs.delete(incarnationOf(endpoint));
-    const before = entry?.endpoint;
-    if (
-      before?.state !== endpoint.state ||
-      before.startedMs !== endpoint.startedMs ||
-      before.layers?.from !== endpoint.layers?.from ||
-      before.layers?.to !== endpoint.layers?.to
-    ) {
-      this.logger.log(LogLevel.Info, 'endpoint-changed', {
-        endpoint: endpoint.id,
-        address: endpoint.address,
-        service: endpoint.service,
-        place: endpoint.dataCentre,
-        state: endpoint.state,
-        from: endpoint.layers?.from,
-        to: endpoint.layers?.to,
-        startedMs: endpoint.startedMs,
-      });
-    }
+    this.logChange(entry?.endpoint, endpoint);
   }
 
   /**
@@ -328,7 +311,8 @@
   }
 
   /**
-   * Replaces the layers of an endpoint by those that it reported itself.
+   * Replaces the layers of an endpoint by those that it reported itself. An endpoint that is missing from
+   * the store stays so: one that leaves goes on answering.
    *
    * @param endpoint - Incarnation that reported.
    * @param layers - Reported layers; undefined if it holds none.
@@ -336,7 +320,9 @@
   observeLayers(endpoint: Endpoint, layers: LayerRange | undefined): void {
     const entry = this.byId.get(endpoint.id);
     if (entry && entry.endpoint.startedMs === endpoint.startedMs) {
-      this.update({ ...entry.endpoint, layers });
+      const before = entry.endpoint;
+      entry.endpoint = { ...before, layers };
+      this.logChange(before, entry.endpoint);
     }
   }
 
@@ -383,6 +369,27 @@
       : endpoint;
   }
 
+  private logChange(before: Endpoint | undefined, endpoint: Endpoint): void {
+    if (
+      before?.state === endpoint.state &&
+      before.startedMs === endpoint.startedMs &&
+      before.layers?.from === endpoint.layers?.from &&
+      before.layers?.to === endpoint.layers?.to
+    ) {
+      return;
+    }
+    this.logger.log(LogLevel.Info, 'endpoint-changed', {
+      endpoint: endpoint.id,
+      address: endpoint.address,
+      service: endpoint.service,
+      place: endpoint.dataCentre,
+      state: endpoint.state,
+      from: endpoint.layers?.from,
+      to: endpoint.layers?.to,
+      startedMs: endpoint.startedMs,
+    });
+  }
+
   private isReportedGone(endpoint: Endpoint): boolean {
     const untilMs = this.reportedGoneUntilMs.get(incarnationOf(endpoint));
     return untilMs !== undefined && untilMs > this.clock.monotonicMs();
--- a/src/gateway/directory/test/common/endpointDirectory.test.ts
+++ b/src/gateway/directory/test/common/endpointDirectory.test.ts
@@ -79,6 +79,16 @@
     expect(directory.findUsable('s')).to.have.length(1);
   });
 
+  it('drops an endpoint that stays missing after an outage although it reports its layers', () => {
+    directory.update(endpointWith({}));
+    directory.recordStoreRecovery();
+    directory.retainOnly(new Set());
+    directory.observeLayers(endpointWith({}), { from: 0, to: 4 });
+    clock.advance(outageGraceMs);
+    directory.removeExpired();
+    expect(removed).to.deep.equal(['e1@10']);
+  });
+
   it('skips an endpoint that a peer saw leave only while the store is lost', () => {
     directory.update(endpointWith({}));
     directory.handleRemovalReport('gw', ['e1@10']);
