--- a/src/gateway/admission/common/modelAdmission.ts
+++ b/src/gateway/admission/common/modelAdmission.ts
@@ -107,6 +107,7 @@
   /**
    * @param finder - Finds paths with free capacity.
    * @param endpoints - Endpoints that accept new requests.
+   * @param isConfirmed - Whether the store lists an endpoint; others are used only if those lack capacity.
    * @param ledger - Records the reservations of admitted requests.
    * @param crossingBudget - Limits paths that cross data centres.
    * @param clock - Source of time and timers.
@@ -114,6 +115,7 @@
   constructor(
     private readonly finder: PathFinder,
     private readonly endpoints: () => readonly Endpoint[],
+    private readonly isConfirmed: (endpoint: Endpoint) => boolean,
     private readonly ledger: ReservationLedger,
     private readonly crossingBudget: CrossDataCentreBudget,
     private readonly clock: IClock & ITimers,
@@ -232,8 +234,7 @@
   }
 
   private reserve(req: PathRequest): LayerPath | undefined {
-    const staysInDataCentre = !this.crossingBudget.allowsCrossing;
-    const path = this.finder.find(this.endpoints(), { ...req, staysInDataCentre });
+    const path = this.findPath(req);
     if (path) {
       this.ledger.reserve(path.reservations);
       this.crossingBudget.consume(req.reservedTokens, path.crossings);
@@ -241,6 +242,19 @@
     return path;
   }
 
+  private findPath(req: PathRequest): LayerPath | undefined {
+    const endpoints = this.endpoints();
+    const confirmed = endpoints.filter((endpoint) => this.isConfirmed(endpoint));
+    if (confirmed.length < endpoints.length) {
+      const path = this.finder.find(confirmed, { ...req, staysInDataCentre: true });
+      if (path) {
+        return path;
+      }
+    }
+    const staysInDataCentre = !this.crossingBudget.allowsCrossing;
+    return this.finder.find(endpoints, { ...req, staysInDataCentre });
+  }
+
   private immediateRefusal(req: AdmissionRequest): AdmissionRefusedError | undefined {
     if (this.finder.find(this.endpoints(), { ...req, ignoresCapacity: true }) === undefined) {
       return new AdmissionRefusedError(RefusalReason.NoPath, noPathRetryAfterMs);
--- a/src/gateway/admission/test/common/modelAdmission.test.ts
+++ b/src/gateway/admission/test/common/modelAdmission.test.ts
@@ -28,6 +28,7 @@
   let clock: FakeClock;
   let ledger: ReservationLedger;
   let endpoints: Endpoint[];
+  let unconfirmed: Set<string>;
   let admission: ModelAdmission;
 
   const createRequest = (changes: object = {}) => ({
@@ -58,7 +59,15 @@
       () => 5,
       clock,
     );
-    admission = new ModelAdmission(finder, () => endpoints, ledger, crossingBudget, clock);
+    unconfirmed = new Set();
+    admission = new ModelAdmission(
+      finder,
+      () => endpoints,
+      ({ address }) => !unconfirmed.has(address),
+      ledger,
+      crossingBudget,
+      clock,
+    );
   });
 
   it('admits a request immediately while capacity is free', async () => {
@@ -68,6 +77,16 @@
     expect(admission.queueLength).to.equal(0);
   });
 
+  it('uses an endpoint that the store lacks only if the others have no capacity', async () => {
+    endpoints.push({ ...allLayersEndpoint, id: 'f', address: 'f' });
+    unconfirmed.add('e');
+    await admit();
+    await admit();
+    expect(ledger.loadAt('f').requests).to.equal(2);
+    await admit();
+    expect(ledger.loadAt('e').requests).to.equal(1);
+  });
+
   it('queues a request without capacity and admits it when capacity is released', async () => {
     const first = await admit();
     await admit();
--- a/src/gateway/directory/common/endpointDirectory.ts
+++ b/src/gateway/directory/common/endpointDirectory.ts
@@ -7,7 +7,7 @@
  * Time after the end of a store outage within which entries that expired during the outage reappear,
  * in milliseconds. The platform states about two seconds.
  */
-export const outageGraceMs = 2_200;
+export const outageGraceMs = 2_000;
 
 /** Time for which a silent endpoint is skipped unless a probe clears it earlier, in milliseconds. */
 export const silentSuspicionMs = 2_500;
@@ -333,16 +333,25 @@
       .filter((endpoint) => endpoint.service === service);
   }
 
-  /** Returns the endpoints of a service that accept new requests and are neither suspect nor reported gone. */
+  /** Returns the endpoints of a service that accept new requests and are neither suspect nor gone. */
   findUsable(service: string): readonly Endpoint[] {
     return this.findByService(service).filter(
       (endpoint) =>
         endpoint.state === EndpointState.Ready &&
         !this.isSuspect(endpoint) &&
-        !this.isReportedGone(endpoint),
+        !this.isReportedGone(endpoint) &&
+        !this.hasExpired(endpoint),
     );
   }
 
+  /**
+   * Returns whether the store lists an endpoint, as far as this process knows. One that it has lacked
+   * since an outage may have left.
+   */
+  isConfirmed(endpoint: Endpoint): boolean {
+    return this.byId.get(endpoint.id)?.expiresAtMs === undefined;
+  }
+
   /** Returns the endpoint that listens at an address: of all entries with it, the one started last. */
   findByAddress(address: string): Endpoint | undefined {
     let newest: Endpoint | undefined;
@@ -369,6 +378,11 @@
       : endpoint;
   }
 
+  private hasExpired(endpoint: Endpoint): boolean {
+    const expiresAtMs = this.byId.get(endpoint.id)?.expiresAtMs;
+    return expiresAtMs !== undefined && expiresAtMs <= this.clock.monotonicMs();
+  }
+
   private logChange(before: Endpoint | undefined, endpoint: Endpoint): void {
     if (
       before?.state === endpoint.state &&
--- a/src/gateway/directory/test/common/endpointDirectory.test.ts
+++ b/src/gateway/directory/test/common/endpointDirectory.test.ts
@@ -69,6 +69,15 @@
     expect(directory.findUsable('s')).to.have.length(0);
   });
 
+  it('does not use an entry whose grace period is over, although it was not dropped yet', () => {
+    directory.update(endpointWith({}));
+    directory.recordStoreRecovery();
+    directory.retainOnly(new Set());
+    expect(directory.isConfirmed(endpointWith({}))).to.equal(false);
+    clock.advance(outageGraceMs);
+    expect(directory.findUsable('s')).to.have.length(0);
+  });
+
   it('keeps an entry that reappeared after it expired during a store outage', () => {
     directory.update(endpointWith({}));
     directory.recordStoreRecovery();
--- /dev/null
+++ b/src/gateway/feeds/common/feedTiming.ts
@@ -0,0 +1,29 @@
+/** How often a feed calls the store: a trade-off between the cost of calls and late updates. */
+export interface FeedTiming {
+  /**
+   * Longest wait of one watch call, in milliseconds. It bounds the time for which a connection that
+   * no longer delivers data goes unnoticed.
+   */
+  readonly watchWaitMs: number;
+  /** Delay after changes, so that further ones arrive in one batch, in milliseconds. */
+  readonly batchDelayMs: number;
+}
+
+/** Initial and maximum interval between the starts of failing calls, in milliseconds; doubled each time. */
+export const minRetryIntervalMs = 100;
+export const maxRetryIntervalMs = 800;
+
+/** A configuration must be applied within two seconds of its write to the store. */
+export const configTiming: FeedTiming = { watchWaitMs: 2_000, batchDelayMs: 0 };
+
+/**
+ * A draining endpoint must get no new requests later than two seconds after the store has recorded its
+ * state.
+ */
+export const endpointTiming: FeedTiming = { watchWaitMs: 2_000, batchDelayMs: 250 };
+
+/** The peers change only when instances are replaced, so their feed may wait longer. */
+export const peerTiming: FeedTiming = { watchWaitMs: 20_000, batchDelayMs: 500 };
+
+/** Peers tell each other of crashes at once; this feed serves those that can't hear each other. */
+export const suspectTiming: FeedTiming = { watchWaitMs: 20_000, batchDelayMs: 100 };
--- a/src/gateway/feeds/node/storeFeed.ts
+++ b/src/gateway/feeds/node/storeFeed.ts
@@ -1,22 +1,7 @@
-import type { IClock } from '../../../base/common/clock.js';
+import type { IClock, ITimers } from '../../../base/common/clock.js';
 import { LogLevel, type ILogger } from '../../../base/common/logger.js';
-import { sleep } from '../../../base/node/systemClock.js';
 import { HistoryLostError, type FeedItem, type IFeedSource } from '../common/feedSource.js';
-
-/** How often a feed calls the store: a trade-off between the cost of calls and late updates. */
-export interface FeedTiming {
-  /**
-   * Longest wait of one watch call, in milliseconds. It bounds the time for which a connection that
-   * no longer delivers data goes unnoticed.
-   */
-  readonly watchWaitMs: number;
-  /** Delay after changes, so that further ones arrive in one batch, in milliseconds. */
-  readonly batchDelayMs: number;
-}
-
-/** Initial and maximum backoff after failed calls, in milliseconds; doubled after each failure. */
-const minBackoffMs = 100;
-const maxBackoffMs = 800;
+import { maxRetryIntervalMs, minRetryIntervalMs, type FeedTiming } from '../common/feedTiming.js';
 
 /** Receives the objects and changes that a feed reads. */
 export interface IFeedSink<T> {
@@ -43,7 +28,10 @@
 
   private isStoreUnavailable = false;
 
-  private backoffMs = minBackoffMs;
+  /** Minimum interval between the start of a failed call and that of the next one, in milliseconds. */
+  private retryIntervalMs = minRetryIntervalMs;
+
+  private callStartedMs = 0;
 
   /** Monotonic time of the store's last answer to this feed, in milliseconds. */
   private lastAnswerMs: number;
@@ -56,7 +44,7 @@
    * @param source - Lists and watches the objects.
    * @param sink - Receives the objects and changes.
    * @param timing - How often the feed calls the store.
-   * @param clock - Source of time.
+   * @param clock - Source of time and timers.
    * @param logger - Receives store failures and objects that can't be decoded.
    */
   constructor(
@@ -64,7 +52,7 @@
     private readonly source: IFeedSource<T>,
     private readonly sink: IFeedSink<T>,
     private readonly timing: FeedTiming,
-    private readonly clock: IClock,
+    private readonly clock: IClock & ITimers,
     private readonly logger: ILogger,
   ) {
     this.lastAnswerMs = clock.monotonicMs();
@@ -84,6 +72,7 @@
     const { signal } = this.abortController;
     let revision: number | undefined;
     while (!signal.aborted) {
+      this.callStartedMs = this.clock.monotonicMs();
       revision = revision === undefined ? await this.list() : await this.watch(revision);
     }
   }
@@ -126,7 +115,7 @@
       }
     }
     if (changes.value.events.length > 0 && this.timing.batchDelayMs > 0) {
-      await sleep(this.timing.batchDelayMs, this.abortController.signal);
+      await this.wait(this.timing.batchDelayMs);
     }
     return changes.value.revision;
   }
@@ -158,15 +147,32 @@
       this.logger.log(LogLevel.Warn, 'store-lost', { feed: this.name, reason });
       this.sink.onLost();
     }
-    await sleep(this.backoffMs, this.abortController.signal);
-    this.backoffMs = Math.min(maxBackoffMs, this.backoffMs * 2);
+    await this.wait(this.callStartedMs + this.retryIntervalMs - this.clock.monotonicMs());
+    this.retryIntervalMs = Math.min(maxRetryIntervalMs, this.retryIntervalMs * 2);
+  }
+
+  /** Waits for a time in milliseconds, or until the feed is closed. */
+  private wait(delayMs: number): Promise<void> {
+    const { signal } = this.abortController;
+    if (delayMs <= 0 || signal.aborted) {
+      return Promise.resolve();
+    }
+    return new Promise((resolve) => {
+      const cancel = this.clock.after(delayMs, finish);
+      function finish(): void {
+        cancel();
+        signal.removeEventListener('abort', finish);
+        resolve();
+      }
+      signal.addEventListener('abort', finish);
+    });
   }
 
   private handleSuccess(): void {
     const nowMs = this.clock.monotonicMs();
     const awayMs = Math.round(nowMs - this.lastAnswerMs);
     this.lastAnswerMs = nowMs;
-    this.backoffMs = minBackoffMs;
+    this.retryIntervalMs = minRetryIntervalMs;
     if (this.isStoreUnavailable) {
       this.isStoreUnavailable = false;
       this.logger.log(LogLevel.Info, 'store-regained', { feed: this.name, awayMs });
--- /dev/null
+++ b/src/gateway/feeds/test/node/storeFeed.test.ts
@@ -0,0 +1,113 @@
+import { expect } from 'chai';
+import { Err, Ok } from 'ts-results-es';
+import { FakeClock } from '../../../../base/test/common/fakeClock.js';
+import { PlatformUnavailableError } from '../../../../services/objects/common/objects.js';
+import type { IFeedSource } from '../../common/feedSource.js';
+import { maxRetryIntervalMs, minRetryIntervalMs } from '../../common/feedTiming.js';
+import { StoreFeed } from '../../node/storeFeed.js';
+
+/** Lets all promises that can settle do so. */
+function settle(): Promise<void> {
+  return new Promise((resolve) => {
+    setImmediate(resolve);
+  });
+}
+
+describe('StoreFeed', () => {
+  let clock: FakeClock;
+  let startedAtMs: number[];
+  let feed: StoreFeed<string>;
+
+  /** Starts a feed whose calls fail after a time; `startedAtMs` receives when each call began. */
+  function startFailingFeed(callMs: number): void {
+    const fail = async () => {
+      startedAtMs.push(clock.monotonicMs());
+      await new Promise<void>((resolve) => {
+        clock.after(callMs, resolve);
+      });
+      return Err(new PlatformUnavailableError('no answer'));
+    };
+    const source: IFeedSource<string> = { list: fail, watch: fail };
+    const ignore = () => undefined;
+    feed = new StoreFeed<string>(
+      'test',
+      source,
+      { onItem: ignore, onRemoved: ignore, onListed: ignore, onLost: ignore, onRecovered: ignore },
+      { watchWaitMs: 1_000, batchDelayMs: 0 },
+      clock,
+      { log: ignore },
+    );
+    feed.start();
+  }
+
+  async function advance(byMs: number): Promise<void> {
+    for (let elapsedMs = 0; elapsedMs < byMs; elapsedMs += 10) {
+      clock.advance(10);
+      await settle();
+    }
+  }
+
+  beforeEach(() => {
+    clock = new FakeClock();
+    startedAtMs = [];
+  });
+
+  afterEach(() => feed.close());
+
+  it('calls again at once after a call that took longer than the retry interval', async () => {
+    startFailingFeed(900);
+    await advance(3_600);
+    expect(startedAtMs).to.deep.equal([0, 900, 1_800, 2_700, 3_600]);
+  });
+
+  it('doubles the interval between calls that fail fast, up to its maximum', async () => {
+    startFailingFeed(10);
+    await advance(4_000);
+    const intervalsMs = startedAtMs.slice(1).map((atMs, index) => atMs - startedAtMs[index]);
+    expect(intervalsMs.slice(0, 3)).to.deep.equal([
+      minRetryIntervalMs,
+      2 * minRetryIntervalMs,
+      4 * minRetryIntervalMs,
+    ]);
+    expect(Math.max(...intervalsMs)).to.equal(maxRetryIntervalMs);
+  });
+
+  it('ends its wait when it is closed', async () => {
+    startFailingFeed(10);
+    await advance(20);
+    feed.close();
+    await advance(4_000);
+    expect(startedAtMs).to.have.length(1);
+  });
+});
+
+describe('StoreFeed with a store that answers', () => {
+  it('lists once and then watches from the revision of each answer', async () => {
+    const calls: string[] = [];
+    const noAnswer = new Promise<void>(() => {});
+    const source: IFeedSource<string> = {
+      list: async () => {
+        calls.push('list');
+        return Ok({ revision: 3, items: [] });
+      },
+      watch: async (revision) => {
+        calls.push(`watch ${revision}`);
+        await (revision === 3 ? undefined : noAnswer);
+        return Ok({ revision: 5, events: [] });
+      },
+    };
+    const ignore = () => undefined;
+    const feed = new StoreFeed<string>(
+      'test',
+      source,
+      { onItem: ignore, onRemoved: ignore, onListed: ignore, onLost: ignore, onRecovered: ignore },
+      { watchWaitMs: 1_000, batchDelayMs: 0 },
+      new FakeClock(),
+      { log: ignore },
+    );
+    feed.start();
+    await settle();
+    expect(calls).to.deep.equal(['list', 'watch 3', 'watch 5']);
+    feed.close();
+  });
+});
--- a/src/gateway/node/gatewayFeeds.ts
+++ b/src/gateway/node/gatewayFeeds.ts
@@ -1,4 +1,4 @@
-import type { IClock } from '../../base/common/clock.js';
+import type { IClock, ITimers } from '../../base/common/clock.js';
 import type { ILogger } from '../../base/common/logger.js';
 import type { IObjectStore, IStoreEra } from '../../services/objects/common/objects.js';
 import type { SuspectRecord } from '../../services/suspects/common/suspectRecord.js';
@@ -7,7 +7,13 @@
 import type { Endpoint } from '../directory/common/endpoint.js';
 import type { EndpointDirectory } from '../directory/common/endpointDirectory.js';
 import type { IFeedSource } from '../feeds/common/feedSource.js';
-import { StoreFeed, type FeedTiming } from '../feeds/node/storeFeed.js';
+import {
+  configTiming,
+  endpointTiming,
+  peerTiming,
+  suspectTiming,
+} from '../feeds/common/feedTiming.js';
+import { StoreFeed } from '../feeds/node/storeFeed.js';
 import type { PeerAddress, PeerExchange } from '../peers/node/peerExchange.js';
 import type { IDialect } from '../relay/common/dialect.js';
 import type { IEndpointControl } from '../relay/common/endpointControl.js';
@@ -24,21 +30,6 @@
   readonly dialect: IDialect;
 }
 
-/** A configuration must be applied within two seconds of its write to the store. */
-const configTiming: FeedTiming = { watchWaitMs: 4_000, batchDelayMs: 0 };
-
-/**
- * A draining endpoint must get no new requests later than two seconds after the store has recorded its
- * state.
- */
-const endpointTiming: FeedTiming = { watchWaitMs: 4_000, batchDelayMs: 250 };
-
-/** The peers change only when instances are replaced, so their feed may wait longer. */
-const peerTiming: FeedTiming = { watchWaitMs: 20_000, batchDelayMs: 500 };
-
-/** Peers tell each other of crashes at once; this feed serves those that can't hear each other. */
-const suspectTiming: FeedTiming = { watchWaitMs: 20_000, batchDelayMs: 100 };
-
 /** Parts of a gateway that the feeds keep up to date. */
 export interface FeedTargets {
   readonly config: ConfigHolder;
@@ -52,14 +43,14 @@
  *
  * @param platform - Adapters that provide the sources of the feeds.
  * @param targets - Receive what the feeds read.
- * @param clock - Source of time.
+ * @param clock - Source of time and timers.
  * @param logger - Receives store failures and objects that can't be decoded.
  * @returns The feeds, not yet started.
  */
 export function createFeeds(
   platform: PlatformAdapters,
   { config, directory, peers, crashProtection }: FeedTargets,
-  clock: IClock,
+  clock: IClock & ITimers,
   logger: ILogger,
 ): readonly StoreFeed<unknown>[] {
   const ignore = () => undefined;
--- a/src/gateway/node/gatewayProgram.ts
+++ b/src/gateway/node/gatewayProgram.ts
@@ -467,6 +467,7 @@
     const created = new ModelAdmission(
       pathFinder,
       () => this.directory.findUsable(service),
+      (endpoint) => this.directory.isConfirmed(endpoint),
       this.ledger,
       crossDataCentreBudget,
       this.dependencies.clock,
--- a/src/gateway/routing/common/plainRouter.ts
+++ b/src/gateway/routing/common/plainRouter.ts
@@ -40,7 +40,8 @@
   ) {}
 
   /**
-   * Picks an endpoint that hasn't been tried. Ejected endpoints are used only if all others are full.
+   * Picks an endpoint that hasn't been tried. Endpoints that the store lacks since an outage, and then
+   * ejected ones, are used only if all others are full.
    *
    * @param service - Name of the service.
    * @param triedAddresses - Addresses to which the request was already sent.
@@ -51,7 +52,8 @@
       .findUsable(service)
       .filter((endpoint) => !triedAddresses.has(endpoint.address));
     const healthy = untried.filter((endpoint) => !this.isEjected(incarnationOf(endpoint)));
-    return this.cheapest(healthy) ?? this.cheapest(untried);
+    const confirmed = healthy.filter((endpoint) => this.directory.isConfirmed(endpoint));
+    return this.cheapest(confirmed) ?? this.cheapest(healthy) ?? this.cheapest(untried);
   }
 
   /**
--- a/src/services/settings/common/settings.ts
+++ b/src/services/settings/common/settings.ts
@@ -132,7 +132,7 @@
   peerPort: port,
   metricsPort: port,
   storeAddress: ipAndPort,
-  storeCallMs: v.optional(milliseconds, 1_000),
+  storeCallMs: v.optional(milliseconds, 800),
   /** Time from SIGTERM to the end of the process, in milliseconds. */
   drainMs: milliseconds,
   leaseMs: v.optional(milliseconds, 6_000),
