Log the limit that an endpoint names in its answers

Nothing read Server-Limit. The dialect reads it into a typed field; endpoint-limited, endpoint-limit-lifted and endpoint-limit-invalid say what an endpoint names and when it stops, a gauge how many endpoints name one. No decision is changed.

--- a/src/gateway/node/gatewayMetrics.ts
+++ b/src/gateway/node/gatewayMetrics.ts
@@ -102,12 +102,20 @@
    * @param countSuspects - Returns their number; called each time the metrics are read.
    */
   observeSuspects(countSuspects: () => number): void {
-    const gauge: Gauge = new Gauge({
-      name: 'ibisspar_suspect_requests',
-      help: 'Requests under which an endpoint crashed',
-      registers: [this.registry],
-      collect: () => gauge.set(countSuspects()),
-    });
+    this.observe(
+      'ibisspar_suspect_requests',
+      'Requests under which an endpoint crashed',
+      countSuspects,
+    );
+  }
+
+  /**
+   * Registers a gauge of the endpoints that name a limit.
+   *
+   * @param countLimited - Returns their number; called each time the metrics are read.
+   */
+  observeLimitedEndpoints(countLimited: () => number): void {
+    this.observe('ibisspar_limited_endpoints', 'Endpoints that name a limit', countLimited);
   }
 
   /**
@@ -116,11 +124,15 @@
    * @param countInFlight - Returns the number of requests; called each time the metrics are read.
    */
   observeInFlight(countInFlight: () => number): void {
+    this.observe('ibisspar_requests_in_flight', 'Requests in flight', countInFlight);
+  }
+
+  private observe(name: string, help: string, read: () => number): void {
     const gauge: Gauge = new Gauge({
-      name: 'ibisspar_requests_in_flight',
-      help: 'Requests in flight',
+      name,
+      help,
       registers: [this.registry],
-      collect: () => gauge.set(countInFlight()),
+      collect: () => gauge.set(read()),
     });
   }
 }
--- a/src/gateway/node/gatewayProgram.ts
+++ b/src/gateway/node/gatewayProgram.ts
@@ -17,6 +17,7 @@
 import type { CallerResponse } from '../http/node/callerResponse.js';
 import { Ingress } from '../http/node/ingress.js';
 import { StatusServers } from '../http/node/statusServers.js';
+import { EndpointLimits } from '../limits/common/endpointLimits.js';
 import type { PeerMessage } from '../peers/common/peerMessage.js';
 import { PeerExchange } from '../peers/node/peerExchange.js';
 import { PeerRegistration } from '../peers/node/peerRegistration.js';
@@ -115,6 +116,8 @@
 
   private readonly ledger: ReservationLedger;
 
+  private readonly limits: EndpointLimits;
+
   private readonly sender: EndpointSender;
 
   private readonly ingress: Ingress;
@@ -171,6 +174,7 @@
     this.config = new ConfigHolder(logger);
     this.directory = new EndpointDirectory(clock, logger);
     this.ledger = new ReservationLedger(clock);
+    this.limits = new EndpointLimits(logger);
     this.sender = new EndpointSender(maxConnectionsPerEndpoint, clock);
     const gatewayIncarnation = `${settings.instance}@${clock.wallMs()}`;
     this.crashProtection = new CrashProtection({
@@ -192,6 +196,7 @@
       sender: this.sender,
       directory: this.directory,
       ledger: this.ledger,
+      limits: this.limits,
       supervisor: this.crashProtection.supervisor,
       retryBudgetOf: (service) => this.retryBudgetOf(service),
     };
@@ -253,6 +258,7 @@
     );
     this.status = new StatusServers(() => this.isReady, metrics.registry);
     metrics.observeSuspects(() => this.crashProtection.suspectCount);
+    metrics.observeLimitedEndpoints(() => this.limits.count);
     metrics.observeInFlight(() => this.ingress.inFlight);
     this.ingress = new Ingress(
       this.config,
@@ -540,6 +546,7 @@
     this.sender.closeConnectionsTo(endpoint.address);
     this.ledger.clearLearnedLimit(endpoint.address);
     this.plainRouter.removeEndpoint(endpoint);
+    this.limits.removeEndpoint(endpoint);
     this.health.forget(incarnationOf(endpoint));
     this.ejectedIncarnations.delete(incarnationOf(endpoint));
   }
--- a/src/gateway/relay/common/dialect.ts
+++ b/src/gateway/relay/common/dialect.ts
@@ -37,6 +37,16 @@
   readonly faultAddress: string | undefined;
   /** Whether an intermediary encoded the body, so that it isn't what the endpoint sent. */
   readonly isEncoded: boolean;
+  /** Rate that the endpoint takes from all gateways together; undefined if it names none. */
+  readonly namedLimit: NamedLimit | undefined;
+}
+
+/** Rate limit that an endpoint in need names in an answer. */
+export interface NamedLimit {
+  /** Requests per second; undefined if the text isn't a rate. */
+  readonly perSecond: number | undefined;
+  /** The limit as the endpoint wrote it. */
+  readonly text: string;
 }
 
 /** Headers by lower-case name. */
--- a/src/gateway/relay/node/plainRelay.ts
+++ b/src/gateway/relay/node/plainRelay.ts
@@ -201,6 +201,7 @@
       this.handlePossibleRun(send, 'answer to another request');
       return;
     }
+    this.context.limits.recordAnswer(send.endpoint, metadata.namedLimit);
     if (metadata.didNotRun) {
       this.handleNotRun(send, `status ${head.status}`);
       return;
--- a/src/gateway/relay/node/relayContext.ts
+++ b/src/gateway/relay/node/relayContext.ts
@@ -1,6 +1,7 @@
 import type { IClock, ITimers } from '../../../base/common/clock.js';
 import type { ILogger } from '../../../base/common/logger.js';
 import type { EndpointDirectory } from '../../directory/common/endpointDirectory.js';
+import type { EndpointLimits } from '../../limits/common/endpointLimits.js';
 import type { RetryBudget } from '../../retries/common/retryBudget.js';
 import type { ReservationLedger } from '../../routing/common/reservationLedger.js';
 import type { IDialect } from '../common/dialect.js';
@@ -17,6 +18,7 @@
   readonly sender: EndpointSender;
   readonly directory: EndpointDirectory;
   readonly ledger: ReservationLedger;
+  readonly limits: EndpointLimits;
   readonly supervisor: RunSupervisor;
   /** Returns the retry budget of a service. */
   readonly retryBudgetOf: (service: string) => RetryBudget;
