Report endpoints that left in turn, so that messages between gateways stay small

Cause, read in the diff: each message listed up to 32 incarnations for a minute, some 800 bytes ten times a second to each peer after a release of many endpoints; more than 32 were never reported.

Change: eight a message, in turn; a report counts for 3 s, in which several dozen have had their turn.

--- a/src/gateway/directory/common/endpointDirectory.ts
+++ b/src/gateway/directory/common/endpointDirectory.ts
@@ -39,8 +39,14 @@
 /** Time for which peers are told that an endpoint left, in milliseconds. */
 const removalMemoryMs = 60_000;
 
-/** Maximum number of endpoints that left in one message to peers, which keeps it to few packets. */
-const maxReportedRemovals = 32;
+/** Maximum number of endpoints that left in one message to peers; more of them take turns. */
+const removalsPerMessage = 8;
+
+/**
+ * Time for which an endpoint counts as gone after a peer reported it, in milliseconds. Several dozen that
+ * left at once are reported in turn within it.
+ */
+export const removalReportMs = 3_000;
 
 /** Why an endpoint is skipped. */
 export enum Suspicion {
@@ -80,6 +86,9 @@
   /** Monotonic time at which each incarnation was dropped, in that order. */
   private readonly droppedAtMs = new Map<string, number>();
 
+  /** Position in `droppedAtMs` at which the next message to the peers begins. */
+  private nextRemoval = 0;
+
   /** Monotonic time until which each incarnation counts as gone because a peer saw it leave the store. */
   private readonly reportedGoneUntilMs = new Map<string, number>();
 
@@ -208,9 +217,15 @@
     }
   }
 
-  /** Returns the incarnations that recently left the store, the last ones first, to be reported to peers. */
-  removedIncarnations(): readonly string[] {
-    return [...this.droppedAtMs.keys()].reverse().slice(0, maxReportedRemovals);
+  /** Returns incarnations that recently left the store, for the next message to the peers. */
+  nextRemovals(): readonly string[] {
+    const dropped = [...this.droppedAtMs.keys()];
+    if (dropped.length <= removalsPerMessage) {
+      return dropped;
+    }
+    const start = this.nextRemoval % dropped.length;
+    this.nextRemoval = start + removalsPerMessage;
+    return [...dropped.slice(start), ...dropped.slice(0, start)].slice(0, removalsPerMessage);
   }
 
   /**
@@ -222,11 +237,12 @@
    */
   handleRemovalReport(peer: string, incarnations: readonly string[]): void {
     const reported = new Set(incarnations);
-    const untilMs = this.clock.monotonicMs() + peerSuspicionMs;
+    const untilMs = this.clock.monotonicMs() + removalReportMs;
     for (const { endpoint, expiresAtMs } of [...this.byId.values()]) {
       const isMissing = expiresAtMs !== undefined;
+      const mayBeGone = isMissing || this.isStoreLost;
       const incarnation = incarnationOf(endpoint);
-      if (!(isMissing || this.isStoreLost) || !reported.has(incarnation)) {
+      if (!mayBeGone || !reported.has(incarnation)) {
         continue;
       }
       if (isMissing) {
--- a/src/gateway/node/gatewayProgram.ts
+++ b/src/gateway/node/gatewayProgram.ts
@@ -526,7 +526,7 @@
       loads: this.ledger.ownLoads(),
       suspects: this.directory.silentAddresses(),
       draining: this.directory.drainingAddresses(),
-      removed: this.directory.removedIncarnations(),
+      removed: this.directory.nextRemovals(),
       limits: this.limits.createReport(),
       full: this.ledger.recentlyFull(),
       placingTerm: this.lease.isConfirmed ? (this.lease.term() ?? 0) : 0,
--- a/src/gateway/peers/common/peerMessage.ts
+++ b/src/gateway/peers/common/peerMessage.ts
@@ -21,7 +21,7 @@
   readonly full: readonly string[];
   /** Addresses of endpoints that drain, according to the store. */
   readonly draining: readonly string[];
-  /** Incarnations of endpoints that recently left the store, as the sender saw it. */
+  /** Some of the incarnations of endpoints that recently left the store, as the sender saw it. */
   readonly removed: readonly string[];
   /** What the sender knows of limits that endpoints name. */
   readonly limits: readonly LimitReport[];
