Learn a limit only from answers that the expected endpoint gave itself

Cause, read in the diff: an answer of another endpoint at the address (421), or one without signature, would have ended the limit of the endpoint that was expected there.

Change: the dialect tells whether an answer is the expected endpoint's own; only these set or end a limit.

--- a/src/gateway/relay/common/dialect.ts
+++ b/src/gateway/relay/common/dialect.ts
@@ -37,6 +37,8 @@
   readonly faultAddress: string | undefined;
   /** Whether an intermediary encoded the body, so that it isn't what the endpoint sent. */
   readonly isEncoded: boolean;
+  /** Whether the answer shows that the expected endpoint gave it itself. */
+  readonly isEndpointsOwn: boolean;
   /** Rate that the endpoint takes from all gateways together; undefined if it names none. */
   readonly namedLimit: NamedLimit | undefined;
 }
--- a/src/gateway/relay/node/plainRelay.ts
+++ b/src/gateway/relay/node/plainRelay.ts
@@ -202,7 +202,9 @@
       this.handlePossibleRun(send, 'answer to another request');
       return;
     }
-    this.context.limits.recordAnswer(send.endpoint, metadata.namedLimit);
+    if (metadata.isEndpointsOwn) {
+      this.context.limits.recordAnswer(send.endpoint, metadata.namedLimit);
+    }
     if (metadata.didNotRun) {
       this.handleNotRun(send, `status ${head.status}`);
       return;
--- a/src/gateway/relay/node/streamRelay.ts
+++ b/src/gateway/relay/node/streamRelay.ts
@@ -374,8 +374,9 @@
       this.handleFailedSend(SendFailure.Interrupted, 'answer to another request');
       return AnswerKind.Ignored;
     }
-    const [firstEndpoint] = this.pathEndpoints;
-    this.context.limits.recordAnswer(firstEndpoint, metadata.namedLimit);
+    if (metadata.isEndpointsOwn) {
+      this.context.limits.recordAnswer(this.pathEndpoints[0], metadata.namedLimit);
+    }
     if (metadata.didNotRun) {
       return AnswerKind.NotRun;
     }
