Play endpoints that name limits or leave without notice in the soak, and judge gateways one by one

Cause: the soak had neither fault, and any disturbance since a change began excused every gateway from acting on it, so that a gateway that uses a removed endpoint after its own cut could not be seen.

Change: naming-limit and remove-entry join the faults; limitsAreKept counts over all gateways by the users' rule; drainingGetsNoWork and keysHoldAsConfigured excuse a gateway only for disturbances of its own, or of the store, in the last 4 s. Each excuse of now was one before.

Two new tests of the checks.

--- a/soak/common/checkers.ts
+++ b/soak/common/checkers.ts
@@ -45,6 +45,18 @@
 /** Time for a process to reconnect after a fault, in milliseconds; required by the users. */
 const reconnectMs = 4_000;
 
+/** Rate that endpoints in need name, in requests per second. */
+export const namedLimitPerSecond = 3;
+
+/** Span in which the requests to such an endpoint are counted, in milliseconds; stated by the users. */
+const limitSpanMs = 4_000;
+
+/** Most requests that it may get in a span; stated by the users. */
+const maxPerLimitSpan = (1.5 * namedLimitPerSecond * limitSpanMs) / 1_000 + 5;
+
+/** Time from which the requests count after it named its limit, in milliseconds; stated by the users. */
+const limitNoticeMs = 3_000;
+
 /** Time limit of a gateway's graceful shutdown, in milliseconds; required by the users. */
 export const shutdownGraceMs = 8_000;
 
@@ -92,6 +104,8 @@
   FaultKind.StopGateway,
   FaultKind.ReloadGateway,
   FaultKind.DrainEndpoint,
+  FaultKind.RemoveEndpointEntry,
+  FaultKind.EndpointNamesLimit,
   FaultKind.AddKey,
   FaultKind.RevokeKey,
   FaultKind.GrowConfig,
@@ -192,16 +206,28 @@
 }
 
 /**
- * Returns whether a fault may have kept gateways or the store from learning of a change in time.
+ * Returns whether a gateway may not have caught up with the store at a time, because its process, its path
+ * to the store or the store itself was disturbed until shortly before.
  */
-function wasDisturbed(history: SoakHistory, fromMs: number, toMs: number): boolean {
+function wasOutOfTouch(
+  history: SoakHistory,
+  gateway: string | undefined,
+  fromMs: number,
+  toMs = fromMs,
+): boolean {
   return history.faults.some(
     (fault) =>
       (storeFaults.has(fault.kind) || gatewayFaults.has(fault.kind)) &&
+      (fault.target === 'store' || gateway === undefined || fault.target === gateway) &&
       overlaps(fault, fromMs - reconnectMs, toMs),
   );
 }
 
+/** Returns the gateway of each call by the id of the call. */
+function gatewaysById({ calls }: SoakHistory): ReadonlyMap<string, string> {
+  return new Map(calls.map(({ id, gateway }) => [id, gateway]));
+}
+
 /**
  * Checks that a key works only while the configuration contains it, and that a process that refused
  * a revoked key never accepts it again.
@@ -219,12 +245,15 @@
     const { fromMs, toMs } = keys.get(call.key) ?? { fromMs: Infinity, toMs: -Infinity };
     const isServed = call.status >= 200 && call.status < 300;
     const isAfterRevocation =
-      call.startMs > toMs + configPropagationMs && !wasDisturbed(history, toMs, call.endMs);
+      call.startMs > toMs + configPropagationMs &&
+      !wasOutOfTouch(history, call.gateway, call.startMs, call.endMs);
     const refusedAtMs = firstRefusalMs.get(`${call.process} ${call.key}`);
     const wasRefusedBefore = refusedAtMs !== undefined && call.startMs > refusedAtMs;
     const isInForce = call.startMs > fromMs + configPropagationMs && call.endMs < toMs;
     const isWronglyRefused =
-      call.status === 401 && isInForce && !wasDisturbed(history, fromMs, call.endMs);
+      call.status === 401 &&
+      isInForce &&
+      !wasOutOfTouch(history, call.gateway, call.startMs, call.endMs);
     return [
       ...(isServed && fromMs === Infinity ? [`${formatCall(call)}: the key never existed`] : []),
       ...(isServed && isAfterRevocation ? [`${formatCall(call)}: the key was revoked`] : []),
@@ -236,25 +265,52 @@
   });
 }
 
-/** Checks that a draining endpoint receives no new requests once gateways can know of the drain. */
+/** Checks that an endpoint that leaves receives no new requests once gateways can know of it. */
 function checkDrains(history: SoakHistory): readonly string[] {
+  const gateways = gatewaysById(history);
   return history.faults
-    .filter(({ kind }) => kind === FaultKind.DrainEndpoint)
+    .filter(
+      ({ kind }) => kind === FaultKind.DrainEndpoint || kind === FaultKind.RemoveEndpointEntry,
+    )
     .flatMap((fault) =>
       history.runs
         .filter(
-          ({ endpoint, atMs }) =>
+          ({ id, endpoint, atMs }) =>
             endpoint === fault.target &&
             atMs > fault.startMs + drainPropagationMs &&
-            !wasDisturbed(history, fault.startMs, atMs),
+            !wasOutOfTouch(history, gateways.get(id), atMs),
         )
         .map(
           ({ id, atMs }) =>
-            `${id} ran at ${fault.target} ${atMs - fault.startMs} ms after its drain began`,
+            `${id} ran at ${fault.target} ${atMs - fault.startMs} ms after it began to leave (${fault.kind})`,
         ),
     );
 }
 
+/** Checks that all gateways together keep the limit that an endpoint names. */
+function checkLimits(history: SoakHistory): readonly string[] {
+  const gateways = gatewaysById(history);
+  return history.faults
+    .filter(({ kind }) => kind === FaultKind.EndpointNamesLimit)
+    .flatMap(({ target, startMs, endMs }) => {
+      const countedTimes = history.runs
+        .filter(
+          ({ id, endpoint, atMs }) =>
+            endpoint === target &&
+            atMs > startMs + limitNoticeMs &&
+            atMs < endMs &&
+            !wasOutOfTouch(history, gateways.get(id), atMs),
+        )
+        .map(({ atMs }) => atMs);
+      return countedTimes.flatMap((fromMs) => {
+        const count = countedTimes.filter(
+          (atMs) => atMs >= fromMs && atMs < fromMs + limitSpanMs,
+        ).length;
+        return count > maxPerLimitSpan ? [`${target} got ${count} requests from ${fromMs} on`] : [];
+      });
+    });
+}
+
 /** Checks that planned operations alone never interrupt a request that a gateway has read. */
 function checkPlannedWork(history: SoakHistory): readonly string[] {
   const unplannedFaults = history.faults.filter(({ kind }) => !plannedFaults.has(kind));
@@ -355,6 +411,7 @@
     layersRunOnceInOrder: checkLayers(history),
     keysHoldAsConfigured: checkKeys(history),
     drainingGetsNoWork: checkDrains(history),
+    limitsAreKept: checkLimits(history),
     plannedWorkCutsNothing: checkPlannedWork(history),
     callsEndInTime: checkTimeouts(history),
     gatewaysKeepRunning: history.incidents,
--- a/soak/common/records.ts
+++ b/soak/common/records.ts
@@ -88,6 +88,10 @@
   ResetEndpointLink = 'reset-endpoint',
   DelayEndpointLink = 'delay-endpoint',
   DrainEndpoint = 'drain-endpoint',
+  /** The entry of an endpoint is removed without notice; it goes on serving for a time. */
+  RemoveEndpointEntry = 'remove-entry',
+  /** An endpoint names a rate limit in its answers. */
+  EndpointNamesLimit = 'naming-limit',
   EndpointShedsLoad = 'shedding',
   EndpointFails = 'failing',
   EndpointClosesWithoutAnswer = 'losing-answers',
--- a/soak/node/faultInjector.ts
+++ b/soak/node/faultInjector.ts
@@ -2,7 +2,7 @@
 import { Behaviour } from '../../platform/test/fakeReplica.js';
 import { StoreMode } from '../../platform/test/fakeStore.js';
 import { PauseDirection } from '../../src/bench/node/faultProxy.js';
-import { crashingPrefix, routeTimeoutMs } from '../common/checkers.js';
+import { crashingPrefix, namedLimitPerSecond, routeTimeoutMs } from '../common/checkers.js';
 import { FaultKind, RequestKind, type FaultRecord, type PlannedFault } from '../common/records.js';
 import {
   permanentKey,
@@ -21,6 +21,12 @@
 /** Pause between the calls of a crashing request, in milliseconds. */
 const crashingRequestPauseMs = 200;
 
+/**
+ * Time for which an endpoint names its limit beyond the duration of the fault, in milliseconds, so that
+ * its requests are also counted after all gateways must keep it.
+ */
+const limitExtraMs = 7_000;
+
 /** Delay of each chunk of data on a slow connection, in milliseconds. */
 const slowLinkMs = 80;
 
@@ -49,6 +55,23 @@
   /** Aspects of targets that an active fault changes, such as the process of a gateway. */
   private readonly busyAspects = new Set<string>();
 
+  /** Faults that change the life of an endpoint, or what it says of it. */
+  private readonly lifeFaults: Partial<
+    Record<FaultKind, (endpoint: SoakEndpoint, fault: PlannedFault) => Promise<void>>
+  > = {
+    [FaultKind.CrashEndpoint]: (endpoint, { durationMs, startOffsetMs }) =>
+      this.fleet.crashEndpoint(endpoint, durationMs, startOffsetMs % 2 === 0),
+    [FaultKind.DrainEndpoint]: (endpoint, { durationMs }) =>
+      this.fleet.drainEndpoint(endpoint, durationMs),
+    [FaultKind.RemoveEndpointEntry]: (endpoint, { durationMs }) =>
+      this.fleet.removeEntry(endpoint, durationMs),
+    [FaultKind.EndpointNamesLimit]: async ({ replica }, { durationMs }) => {
+      replica.limit = String(namedLimitPerSecond);
+      await sleep(durationMs + limitExtraMs);
+      replica.limit = undefined;
+    },
+  };
+
   /** @param fleet - The system under test. */
   constructor(private readonly fleet: SoakFleet) {}
 
@@ -89,12 +112,10 @@
       await this.runExclusively(kind, gateway.name, `${gateway.name} store`, () =>
         this.injectLinkFault(kind, gateway.storeProxy, durationMs),
       );
-    } else if (kind === FaultKind.CrashEndpoint || kind === FaultKind.DrainEndpoint) {
+    } else if (kind in this.lifeFaults) {
       const name = endpoint.replica.options.id;
-      await this.runExclusively(kind, name, `${endpoint.name} replica`, () =>
-        kind === FaultKind.CrashEndpoint
-          ? this.fleet.crashEndpoint(endpoint, durationMs, fault.startOffsetMs % 2 === 0)
-          : this.fleet.drainEndpoint(endpoint, durationMs),
+      await this.runExclusively(kind, name, `${endpoint.name} replica`, async () =>
+        this.lifeFaults[kind]?.(endpoint, fault),
       );
     } else if (kind.endsWith('-endpoint')) {
       const name = endpoint.replica.options.id;
--- a/soak/node/soakFleet.ts
+++ b/soak/node/soakFleet.ts
@@ -31,6 +31,9 @@
 /** Time after which the operator and the endpoints write again what the store has lost, in ms. */
 const rewriteDelayMs = 500;
 
+/** Time for which an endpoint serves after its entry was removed, beyond the fault's, in milliseconds. */
+const serveAfterRemovalMs = 6_000;
+
 /** Time for which an endpoint is down after a request has crashed it, in milliseconds. */
 const crashDownMs = 700;
 
@@ -56,6 +59,8 @@
   replica: FakeReplica;
   /** Number of times that the endpoint was started. */
   startCount: number;
+  /** Whether its entry was removed from the store although it still serves. */
+  hasLeft: boolean;
 }
 
 /**
@@ -190,7 +195,8 @@
     clearTimeout(expiryTimer);
     removeReplica(this.store, id);
     endpoint.startCount += 1;
-    const name = keepsName ? id : `${endpoint.name}-${endpoint.startCount}`;
+    const isSameName = keepsName && !endpoint.hasLeft && endpoint.replica.limit === undefined;
+    const name = isSameName ? id : `${endpoint.name}-${endpoint.startCount}`;
     await this.startReplica(endpoint, name, service, zone, kind);
     await endpoint.proxy.acceptConnections();
     this.downEndpoints.delete(endpoint);
@@ -207,10 +213,13 @@
     this.store.mode = StoreMode.Serving;
     await sleep(rewriteDelayMs);
     this.writeConfig();
-    const running = this.endpoints.filter((endpoint) => !this.downEndpoints.has(endpoint));
+    const running = this.endpoints.filter(
+      (endpoint) => !this.downEndpoints.has(endpoint) && !endpoint.hasLeft,
+    );
     running.forEach(({ replica }) => publishReplica(this.store, replica));
     await sleep(storeEntryExpiryMs);
-    const current = new Set(this.endpoints.map(({ replica }) => replica.options.id));
+    const listed = this.endpoints.filter(({ hasLeft }) => !hasLeft);
+    const current = new Set(listed.map(({ replica }) => replica.options.id));
     this.replicas
       .map(({ options }) => options.id)
       .filter((id) => !current.has(id))
@@ -226,6 +235,17 @@
     await this.crashEndpoint(endpoint, 0, false);
   }
 
+  /** Removes the entry of an endpoint that goes on serving, then replaces it by one with a new name. */
+  async removeEntry(endpoint: SoakEndpoint, durationMs: number): Promise<void> {
+    const { replica } = endpoint;
+    endpoint.hasLeft = true;
+    removeReplica(this.store, replica.options.id);
+    await sleep(durationMs + serveAfterRemovalMs);
+    if (endpoint.replica === replica) {
+      await this.crashEndpoint(endpoint, 0, false);
+    }
+  }
+
   /** Ends all processes and closes all sockets. */
   async close(): Promise<void> {
     this.gateways.forEach(({ process }) => this.expectedExits.add(process));
@@ -264,7 +284,7 @@
     const proxy = new FaultProxy(0, 0);
     await proxy.listen();
     const zone = dataCentres[Math.floor(index / 3) % dataCentres.length];
-    const endpoint = { name, proxy, startCount: 1 } as SoakEndpoint;
+    const endpoint = { name, proxy, startCount: 1, hasLeft: false } as SoakEndpoint;
     await this.startReplica(endpoint, name, service, zone, kind);
     this.endpoints.push(endpoint);
   }
@@ -288,6 +308,7 @@
     endpoint.proxy.targetPort = parsePort(replica.address);
     replica.address = `127.0.0.1:${endpoint.proxy.port}`;
     endpoint.replica = replica;
+    endpoint.hasLeft = false;
     this.replicas.push(replica);
     replica.crashesOn = ({ target }) => {
       if (target.includes(`/${crashingPrefix}`)) {
@@ -295,7 +316,11 @@
       }
       return false;
     };
-    replica.onOrder = () => publishReplica(this.store, replica);
+    replica.onOrder = () => {
+      if (!endpoint.hasLeft) {
+        publishReplica(this.store, replica);
+      }
+    };
     replica.onOrder();
   }
 
--- a/soak/test/checkers.test.ts
+++ b/soak/test/checkers.test.ts
@@ -143,6 +143,41 @@
     expect(violatedGuarantees({ faults })).to.deep.equal(['drainingGetsNoWork']);
   });
 
+  it('fail when an endpoint whose entry was removed receives a request long after a cut has ended', () => {
+    const removal = makeFault(FaultKind.RemoveEndpointEntry, 'e', 90_000, 110_000);
+    const cutUntil = (endMs: number, target: string) =>
+      makeFault(FaultKind.OneWayStoreLink, target, 89_000, endMs);
+    const expected = ['drainingGetsNoWork'];
+    expect(violatedGuarantees({ faults: [removal] })).to.deep.equal(expected);
+    expect(violatedGuarantees({ faults: [removal, cutUntil(95_000, 'g')] })).to.deep.equal(
+      expected,
+    );
+    expect(violatedGuarantees({ faults: [removal, cutUntil(99_000, 'other')] })).to.deep.equal(
+      expected,
+    );
+    expect(violatedGuarantees({ faults: [removal, cutUntil(99_000, 'g')] })).to.deep.equal([]);
+  });
+
+  it('fail when an endpoint gets more requests than the limit that it names allows', () => {
+    const faults = [makeFault(FaultKind.EndpointNamesLimit, 'e', 90_000, 110_000)];
+    const runs = (count: number, fromMs: number) =>
+      Array.from({ length: count }, (_, index) =>
+        makeRun({ id: `l${index}`, target: `/look/l${index}`, atMs: fromMs + 100 * index }),
+      );
+    const calls = runs(30, 0).map(({ id, target }) =>
+      makeCall({ id, target, kind: RequestKind.Lookup }),
+    );
+    expect(violatedGuarantees({ calls, faults, runs: runs(23, 100_000) })).to.deep.equal([]);
+    expect(violatedGuarantees({ calls, faults, runs: runs(24, 100_000) })).to.deep.equal([
+      'limitsAreKept',
+    ]);
+    expect(violatedGuarantees({ calls, faults, runs: runs(24, 90_500) })).to.deep.equal([]);
+    const restart = makeFault(FaultKind.KillGateway, 'g', 99_000, 99_500);
+    expect(
+      violatedGuarantees({ calls, faults: [...faults, restart], runs: runs(24, 100_000) }),
+    ).to.deep.equal([]);
+  });
+
   it('fail when a request that crashes endpoints still runs long after its third crash', () => {
     const runsAt = (times: readonly number[]) =>
       times.map((atMs, index) =>
