--- a/src/gateway/directory/common/endpointDirectory.ts
+++ b/src/gateway/directory/common/endpointDirectory.ts
@@ -1,6 +1,7 @@
 import type { IClock } from '../../../base/common/clock.js';
 import { Emitter } from '../../../base/common/event.js';
 import { LogLevel, type ILogger } from '../../../base/common/logger.js';
+import { Departures } from './departures.js';
 import { EndpointState, incarnationOf, type Endpoint, type LayerRange } from './endpoint.js';
 
 /**
@@ -36,18 +37,6 @@
  */
 const drainMemoryMs = 60_000;
 
-/** Time for which peers are told that an endpoint left, in milliseconds. */
-const removalMemoryMs = 60_000;
-
-/** Maximum number of endpoints that left in one message to peers; more of them take turns. */
-const removalsPerMessage = 8;
-
-/**
- * Time for which an endpoint counts as gone after a peer reported it, in milliseconds. Several dozen that
- * left at once are reported in turn within it.
- */
-export const removalReportMs = 3_000;
-
 /** Why an endpoint is skipped. */
 export enum Suspicion {
   /** It doesn't answer, or earlier stages of a path are waiting for it. */
@@ -83,14 +72,7 @@
   /** Monotonic time at which each incarnation was last seen to drain. */
   private readonly drainedAtMs = new Map<string, number>();
 
-  /** Monotonic time at which each incarnation was dropped, in that order. */
-  private readonly droppedAtMs = new Map<string, number>();
-
-  /** Position in `droppedAtMs` at which the next message to the peers begins. */
-  private nextRemoval = 0;
-
-  /** Monotonic time until which each incarnation counts as gone because a peer saw it leave the store. */
-  private readonly reportedGoneUntilMs = new Map<string, number>();
+  private readonly departures: Departures;
 
   private readonly removals = new Emitter<Endpoint>();
 
@@ -110,7 +92,9 @@
   constructor(
     private readonly clock: IClock,
     private readonly logger: ILogger,
-  ) {}
+  ) {
+    this.departures = new Departures(clock);
+  }
 
   /**
    * Adds or replaces an entry unless a later incarnation is already known. An incarnation that drains
@@ -128,8 +112,7 @@
       this.notifyRemoved(entry.endpoint);
     }
     this.byId.set(endpoint.id, { endpoint, expiresAtMs: undefined });
-    this.droppedAtMs.delete(incarnationOf(endpoint));
-    this.reportedGoneUntilMs.delete(incarnationOf(endpoint));
+    this.departures.forget(incarnationOf(endpoint));
     this.logChange(entry?.endpoint, endpoint);
   }
 
@@ -146,7 +129,7 @@
     if (entry === undefined) {
       return;
     }
-    if (this.isReportedGone(entry.endpoint)) {
+    if (this.departures.isReported(incarnationOf(entry.endpoint))) {
       this.drop(entry.endpoint, 'a peer saw it leave');
       return;
     }
@@ -200,16 +183,7 @@
         this.drainedAtMs.delete(incarnation);
       }
     }
-    for (const [incarnation, atMs] of this.droppedAtMs) {
-      if (nowMs - atMs > removalMemoryMs) {
-        this.droppedAtMs.delete(incarnation);
-      }
-    }
-    for (const [incarnation, untilMs] of this.reportedGoneUntilMs) {
-      if (untilMs <= nowMs) {
-        this.reportedGoneUntilMs.delete(incarnation);
-      }
-    }
+    this.departures.removeExpired();
     for (const { endpoint, expiresAtMs } of [...this.byId.values()]) {
       if (expiresAtMs !== undefined && expiresAtMs <= nowMs) {
         this.drop(endpoint, 'did not reappear after a store outage');
@@ -217,15 +191,9 @@
     }
   }
 
-  /** Returns incarnations that recently left the store, for the next message to the peers. */
-  nextRemovals(): readonly string[] {
-    const dropped = [...this.droppedAtMs.keys()];
-    if (dropped.length <= removalsPerMessage) {
-      return dropped;
-    }
-    const start = this.nextRemoval % dropped.length;
-    this.nextRemoval = start + removalsPerMessage;
-    return [...dropped.slice(start), ...dropped.slice(0, start)].slice(0, removalsPerMessage);
+  /** Returns incarnations that this process saw leave, for the next message to the peers. */
+  nextDepartures(): readonly string[] {
+    return this.departures.nextReport();
   }
 
   /**
@@ -235,9 +203,8 @@
    * @param peer - Instance name of the peer.
    * @param incarnations - Incarnations that the peer saw leave.
    */
-  handleRemovalReport(peer: string, incarnations: readonly string[]): void {
+  handleDepartures(peer: string, incarnations: readonly string[]): void {
     const reported = new Set(incarnations);
-    const untilMs = this.clock.monotonicMs() + removalReportMs;
     for (const { endpoint, expiresAtMs } of [...this.byId.values()]) {
       const isMissing = expiresAtMs !== undefined;
       const mayBeGone = isMissing || this.isStoreLost;
@@ -249,11 +216,11 @@
         this.drop(endpoint, `${peer} saw it leave`);
         continue;
       }
-      if (!this.isReportedGone(endpoint)) {
+      if (!this.departures.isReported(incarnation)) {
         const { id, address } = endpoint;
         this.logger.log(LogLevel.Info, 'endpoint-reported-gone', { endpoint: id, address, peer });
       }
-      this.reportedGoneUntilMs.set(incarnation, untilMs);
+      this.departures.recordReport(incarnation);
     }
   }
 
@@ -355,7 +322,7 @@
       (endpoint) =>
         endpoint.state === EndpointState.Ready &&
         !this.isSuspect(endpoint) &&
-        !this.isReportedGone(endpoint) &&
+        !this.departures.isReported(incarnationOf(endpoint)) &&
         !this.hasExpired(endpoint),
     );
   }
@@ -426,11 +393,6 @@
     });
   }
 
-  private isReportedGone(endpoint: Endpoint): boolean {
-    const untilMs = this.reportedGoneUntilMs.get(incarnationOf(endpoint));
-    return untilMs !== undefined && untilMs > this.clock.monotonicMs();
-  }
-
   private suspicionOf(endpoint: Endpoint): Suspect | undefined {
     const suspect = this.suspicions.get(endpoint.address);
     return suspect !== undefined &&
@@ -464,10 +426,8 @@
   }
 
   private drop(endpoint: Endpoint, reason: string): void {
-    const incarnation = incarnationOf(endpoint);
     this.byId.delete(endpoint.id);
-    this.reportedGoneUntilMs.delete(incarnation);
-    this.droppedAtMs.set(incarnation, this.clock.monotonicMs());
+    this.departures.recordSeen(incarnationOf(endpoint));
     this.logger.log(LogLevel.Info, 'endpoint-gone', {
       endpoint: endpoint.id,
       address: endpoint.address,
--- a/src/gateway/directory/test/common/endpointDirectory.test.ts
+++ b/src/gateway/directory/test/common/endpointDirectory.test.ts
@@ -1,11 +1,11 @@
 import { expect } from 'chai';
 import { FakeClock } from '../../../../base/test/common/fakeClock.js';
+import { departureReportMs } from '../../common/departures.js';
 import { EndpointState, incarnationOf, type Endpoint } from '../../common/endpoint.js';
 import {
   EndpointDirectory,
   outageGraceMs,
   refusalSuspicionMs,
-  removalReportMs,
   silentSuspicionMs,
   Suspicion,
 } from '../../common/endpointDirectory.js';
@@ -101,12 +101,12 @@
 
   it('skips an endpoint that a peer saw leave only while the store is lost', () => {
     directory.update(endpointWith({}));
-    directory.handleRemovalReport('gw', ['e1@10']);
+    directory.handleDepartures('gw', ['e1@10']);
     expect(directory.findUsable('s')).to.have.length(1);
     directory.recordStoreLoss();
-    directory.handleRemovalReport('gw', ['e1@9']);
+    directory.handleDepartures('gw', ['e1@9']);
     expect(directory.findUsable('s')).to.have.length(1);
-    directory.handleRemovalReport('gw', ['e1@10']);
+    directory.handleDepartures('gw', ['e1@10']);
     expect(directory.findUsable('s')).to.have.length(0);
     directory.recordStoreRecovery();
     directory.retainOnly(new Set());
@@ -117,15 +117,15 @@
     directory.update(endpointWith({}));
     directory.recordStoreRecovery();
     directory.retainOnly(new Set());
-    directory.handleRemovalReport('gw', ['e1@10']);
+    directory.handleDepartures('gw', ['e1@10']);
     expect(removed).to.deep.equal(['e1@10']);
   });
 
   it('uses an endpoint again once no peer reports any more that it left', () => {
     directory.update(endpointWith({}));
     directory.recordStoreLoss();
-    directory.handleRemovalReport('gw', ['e1@10']);
-    clock.advance(removalReportMs);
+    directory.handleDepartures('gw', ['e1@10']);
+    clock.advance(departureReportMs);
     expect(directory.findUsable('s')).to.have.length(1);
   });
 
@@ -134,16 +134,16 @@
     directory.update(endpointWith({ id: 'e2' }));
     directory.remove('e1');
     directory.remove('e2');
-    expect(directory.nextRemovals()).to.deep.equal(['e1@10', 'e2@10']);
+    expect(directory.nextDepartures()).to.deep.equal(['e1@10', 'e2@10']);
     directory.update(endpointWith({ id: 'e2' }));
-    expect(directory.nextRemovals()).to.deep.equal(['e1@10']);
+    expect(directory.nextDepartures()).to.deep.equal(['e1@10']);
   });
 
   it('reports many endpoints that left in turn, within the time for which a report counts', () => {
     const ids = Array.from({ length: 60 }, (_, index) => `e${index}`);
     ids.forEach((id) => directory.update(endpointWith({ id })));
     ids.forEach((id) => directory.remove(id));
-    const messages = Array.from({ length: 8 }, () => directory.nextRemovals());
+    const messages = Array.from({ length: 8 }, () => directory.nextDepartures());
     messages.forEach((each) => expect(each.length).to.be.at.most(8));
     expect(new Set(messages.flat()).size).to.equal(60);
   });
--- a/src/gateway/node/gatewayProgram.ts
+++ b/src/gateway/node/gatewayProgram.ts
@@ -526,7 +526,7 @@
       loads: this.ledger.ownLoads(),
       suspects: this.directory.silentAddresses(),
       draining: this.directory.drainingAddresses(),
-      removed: this.directory.nextRemovals(),
+      departed: this.directory.nextDepartures(),
       limits: this.limits.createReport(),
       full: this.ledger.recentlyFull(),
       placingTerm: this.lease.isConfirmed ? (this.lease.term() ?? 0) : 0,
@@ -535,7 +535,7 @@
   }
 
   private handlePeerMessage(message: PeerMessage): void {
-    const { sender, loads, suspects, draining, removed, placingTerm, full } = message;
+    const { sender, loads, suspects, draining, departed, placingTerm, full } = message;
     this.ledger.updatePeer(sender, loads);
     this.admissions.forEach((admission) =>
       full.forEach((address) => admission.recordRefusal(address, false)),
@@ -543,8 +543,8 @@
     for (const address of [...suspects, ...draining]) {
       this.directory.suspect(address, Suspicion.ReportedByPeer, `reported by ${sender}`);
     }
-    if (removed.length > 0) {
-      this.directory.handleRemovalReport(sender, removed);
+    if (departed.length > 0) {
+      this.directory.handleDepartures(sender, departed);
     }
     this.limits.handleReport(sender, message.limits);
     this.crashProtection.handleReport(sender, message);
--- a/src/gateway/peers/common/peerMessage.ts
+++ b/src/gateway/peers/common/peerMessage.ts
@@ -22,7 +22,7 @@
   /** Addresses of endpoints that drain, according to the store. */
   readonly draining: readonly string[];
   /** Some of the incarnations of endpoints that recently left the store, as the sender saw it. */
-  readonly removed: readonly string[];
+  readonly departed: readonly string[];
   /** What the sender knows of limits that endpoints name. */
   readonly limits: readonly LimitReport[];
   /** Lease term under which the sender places layers; 0 if it doesn't hold the lease. */
@@ -60,7 +60,7 @@
     Math.round(load.prefillMs),
   ]);
   const { sender, configVersion, suspects, draining, placingTerm, full } = message;
-  const { suspectRequests, isolated, removed, limits } = message;
+  const { suspectRequests, isolated, departed, limits } = message;
   return [
     sender,
     configVersion,
@@ -71,7 +71,7 @@
     full,
     suspectRequests,
     isolated,
-    removed,
+    departed,
     limits.map(limitReportToWire),
   ];
 }
@@ -89,7 +89,7 @@
   }
   const [sender, configVersion, loads, suspects, draining, placingTerm, full, ...report] =
     parsed.output;
-  const [suspectRequests, isolated, removed, limits] = report;
+  const [suspectRequests, isolated, departed, limits] = report;
   return {
     sender,
     configVersion,
@@ -99,7 +99,7 @@
     full,
     suspectRequests,
     isolated,
-    removed,
+    departed,
     limits,
     loads: new Map(
       loads.map(([address, tokenLayers, requests, firstStageRequests, prefillMs]) => [
--- a/src/gateway/peers/test/common/peerMessage.test.ts
+++ b/src/gateway/peers/test/common/peerMessage.test.ts
@@ -12,7 +12,7 @@
       ]),
       suspects: ['10.0.0.2:80'],
       draining: ['10.0.0.3:80'],
-      removed: ['e@3'],
+      departed: ['e@3'],
       limits: [
         { incarnation: 'e@1', perSecond: 2.5, ageMs: 10, demandPerSecond: 0.5 },
         { incarnation: 'e@2', perSecond: undefined, ageMs: 20, demandPerSecond: 3 },
