Tell entries and agents of a platform that comes back from an older copy

Cause: the client of the product's object API trusted versions that can be given out again. After a drill, an entry could overwrite the claims of others with its cached copy of a shard, under a condition that held by coincidence; a watch continued from a sequence number that now stood for something else; and a cost record that the platform had forgotten was only written again once more work was counted.

Change: all answers give the era (platform-era); the stand-in can take a copy and come back from it. Versions and sequence numbers in the client include the era, as in the users' store; a write of an earlier era is refused, a watch begins anew, cost records are written again. A log line tells of each change.

--- a/src/services/objects/node/httpObjectStore.ts
+++ b/src/services/objects/node/httpObjectStore.ts
@@ -1,12 +1,14 @@
 import { Err, Ok, type Result } from 'ts-results-es';
 import { Agent, request } from 'undici';
 import { toErrorMessage } from '../../../base/common/errors.js';
+import { eraOf, EraTracker, revisionOf, toVersion } from '../common/eraTracker.js';
 import {
   absentVersion,
   PlatformRefusedError,
   PlatformUnavailableError,
   VersionConflictError,
   type IObjectStore,
+  type IStoreEra,
   type ObjectKind,
   type ReadError,
   type StoredObject,
@@ -17,6 +19,8 @@
 interface Reply {
   readonly status: number;
   readonly body: unknown;
+  /** Era of the platform that answered. */
+  readonly era: number;
 }
 
 interface Call {
@@ -39,8 +43,22 @@
   return new PlatformRefusedError(`platform answered status ${reply.status}`);
 }
 
-/** Client of the object API over HTTP. Every call has a timeout. */
-export class HttpObjectStore implements IObjectStore {
+function withEra<T>(object: StoredObject<T>, era: number): StoredObject<T> {
+  return { ...object, version: toVersion(era, object.version) };
+}
+
+/** Header in which all answers give the era of the objects. */
+const eraHeader = 'platform-era';
+
+/**
+ * Client of the object API over HTTP. Every call has a timeout. The versions and sequence numbers that it
+ * hands out include the era of the platform.
+ */
+export class HttpObjectStore implements IObjectStore, IStoreEra {
+  private readonly eraTracker = new EraTracker();
+
+  readonly onDidChangeEra = this.eraTracker.onDidChange;
+
   private readonly agent = new Agent({ connections: 8, connect: { timeout: 1_000 } });
 
   /**
@@ -52,6 +70,10 @@
     private readonly callTimeoutMs: number,
   ) {}
 
+  get era(): number {
+    return this.eraTracker.era;
+  }
+
   async get<T>(
     kind: ObjectKind,
     name: string,
@@ -66,7 +88,7 @@
         return Ok(undefined);
       }
       return answer.status === 200
-        ? Ok(answer.body as StoredObject<T>)
+        ? Ok(withEra(answer.body as StoredObject<T>, answer.era))
         : Err(createRefusedError(answer));
     });
   }
@@ -79,7 +101,11 @@
     });
     return reply.andThen((answer) =>
       answer.status === 200
-        ? Ok((answer.body as { items: StoredObject<T>[] }).items)
+        ? Ok(
+            (answer.body as { items: StoredObject<T>[] }).items.map((item) =>
+              withEra(item, answer.era),
+            ),
+          )
         : Err(createRefusedError(answer)),
     );
   }
@@ -90,8 +116,14 @@
     value: T,
     version: number,
   ): Promise<Result<number, WriteError>> {
-    const condition: Record<string, string> =
-      version === absentVersion ? { 'if-none-match': '*' } : { 'if-match': String(version) };
+    const isNew = version === absentVersion;
+    if (!isNew && eraOf(version) !== this.era) {
+      return Err(new VersionConflictError(`${kind}/${name} was read in era ${eraOf(version)}`));
+    }
+    const eraAtSend = this.era;
+    const condition: Record<string, string> = isNew
+      ? { 'if-none-match': '*' }
+      : { 'if-match': String(revisionOf(version)) };
     const reply = await this.call({
       method: 'PUT',
       path: objectPath(kind, name),
@@ -103,9 +135,13 @@
       if (answer.status === 412) {
         return Err(new VersionConflictError(`${kind}/${name} is no longer at version ${version}`));
       }
-      return answer.status === 200
-        ? Ok((answer.body as { version: number }).version)
-        : Err(createRefusedError(answer));
+      if (answer.status !== 200) {
+        return Err(createRefusedError(answer));
+      }
+      // The version of its condition may have meant another content in the era that executed it.
+      return answer.era !== eraAtSend && eraAtSend > 0
+        ? Err(new PlatformUnavailableError('the era of the platform changed during the write'))
+        : Ok(toVersion(answer.era, (answer.body as { version: number }).version));
     });
   }
 
@@ -115,15 +151,24 @@
     waitMs: number,
     signal: AbortSignal,
   ): Promise<Result<WatchBatch, ReadError>> {
+    const { era } = this;
+    const after = eraOf(sequence) === era ? revisionOf(sequence) : 0;
     const reply = await this.call({
       method: 'GET',
-      path: `/watch/${kind}?after=${sequence}&waitMs=${waitMs}`,
+      path: `/watch/${kind}?after=${after}&waitMs=${waitMs}`,
       timeoutMs: waitMs + watchGraceMs,
       signal,
     });
-    return reply.andThen((answer) =>
-      answer.status === 200 ? Ok(answer.body as WatchBatch) : Err(createRefusedError(answer)),
-    );
+    return reply.andThen((answer): Result<WatchBatch, ReadError> => {
+      if (answer.status !== 200) {
+        return Err(createRefusedError(answer));
+      }
+      const batch = answer.body as WatchBatch;
+      // After a change of era, the next watch begins anew and names all objects.
+      return era > 0 && answer.era !== era
+        ? Ok({ ...batch, sequence: 0 })
+        : Ok({ ...batch, sequence: toVersion(answer.era, batch.sequence) });
+    });
   }
 
   /**
@@ -139,8 +184,9 @@
     );
   }
 
-  /** Closes the connections; calls that are in progress fail. */
+  /** Closes the connections and removes every listener; calls that are in progress fail. */
   async close(): Promise<void> {
+    this.eraTracker.close();
     await this.agent.destroy();
   }
 
@@ -155,10 +201,16 @@
         signal: call.signal ? AbortSignal.any([timeoutSignal, call.signal]) : timeoutSignal,
       });
       const body: unknown = await res.body.json();
+      const era = this.eraTracker.read(res.headers[eraHeader]);
+      if (!this.eraTracker.observe(era)) {
+        return Err(
+          new PlatformUnavailableError(`platform answered from era ${era}, now it is ${this.era}`),
+        );
+      }
       if (res.statusCode >= 500 || res.statusCode === 429) {
         return Err(new PlatformUnavailableError(`platform answered status ${res.statusCode}`));
       }
-      return Ok({ status: res.statusCode, body });
+      return Ok({ status: res.statusCode, body, era });
     } catch (err) {
       return Err(new PlatformUnavailableError(toErrorMessage(err), { cause: err }));
     }
--- a/src/services/program/node/runProgram.ts
+++ b/src/services/program/node/runProgram.ts
@@ -48,6 +48,9 @@
   const logger = new ConsolaLogger(logLevel, { instance });
   const metrics = new StatsdMetrics(statsd, { instance });
   const store = new HttpObjectStore(platformUrl, platformCallMs);
+  store.onDidChangeEra(({ previousEra, era }) => {
+    logger.log(LogLevel.Warn, 'store-era-changed', { previousEra, era });
+  });
   const program = createProgram({ settings, clock: new SystemClock(), logger, metrics, store });
   let isStopping = false;
   const stop = async () => {
--- a/src/services/usage/node/usageWriter.ts
+++ b/src/services/usage/node/usageWriter.ts
@@ -1,4 +1,9 @@
-import { absentVersion, ObjectKind, type IObjectStore } from '../../objects/common/objects.js';
+import {
+  absentVersion,
+  ObjectKind,
+  type IObjectStore,
+  type IStoreEra,
+} from '../../objects/common/objects.js';
 import type { UsageCounters, UsageRecord, UsageSide } from '../common/usage.js';
 
 /** Process whose work is counted. */
@@ -23,6 +28,9 @@
 
   private objectVersion = absentVersion;
 
+  /** Whether the store may have forgotten the last write. */
+  private mustRewrite = false;
+
   private writing: Promise<void> | undefined;
 
   /**
@@ -35,16 +43,19 @@
   constructor(
     private readonly owner: UsageOwner,
     private readonly counters: UsageCounters,
-    private readonly store: IObjectStore,
+    private readonly store: IObjectStore & IStoreEra,
     intervalMs: number,
   ) {
+    store.onDidChangeEra(() => {
+      this.mustRewrite = true;
+    });
     this.timer = setInterval(() => void this.flush(), intervalMs);
   }
 
-  /** Writes the counters if they changed since the last write. */
+  /** Writes the counters if they changed since the last write, or if the store may have forgotten it. */
   async flush(): Promise<void> {
     await this.writing;
-    if (this.counters.version !== this.writtenVersion) {
+    if (this.counters.version !== this.writtenVersion || this.mustRewrite) {
       this.writing = this.write();
       await this.writing;
       this.writing = undefined;
@@ -59,6 +70,7 @@
 
   private async write(): Promise<void> {
     const { version } = this.counters;
+    const { era } = this.store;
     const record: UsageRecord = {
       ...this.owner,
       sinceMs: this.sinceMs,
@@ -70,6 +82,7 @@
     if (put.isOk()) {
       this.objectVersion = put.value;
       this.writtenVersion = version;
+      this.mustRewrite &&= era !== this.store.era;
       return;
     }
     // No other process writes this object. A version conflict or a lost answer therefore only means
--- a/src/standin/common/objectTable.ts
+++ b/src/standin/common/objectTable.ts
@@ -6,21 +6,55 @@
   readonly value: unknown;
 }
 
+interface TableChange {
+  readonly sequence: number;
+  readonly kind: string;
+  readonly name: string;
+}
+
+/** Earlier state of a table, to which it can come back. */
+export interface TableCopy {
+  readonly objects: ReadonlyMap<string, ReadonlyMap<string, TableObject>>;
+  readonly changes: readonly TableChange[];
+}
+
 /** Versioned objects with conditional updates; every change gets the next sequence number. */
 export class ObjectTable {
-  private readonly objects = new Map<string, Map<string, TableObject>>();
+  private objects = new Map<string, Map<string, TableObject>>();
 
   private readonly previousVersions = new Map<string, TableObject | undefined>();
 
-  private readonly changes: { sequence: number; kind: string; name: string }[] = [];
+  private changes: TableChange[] = [];
 
   private lastSequence = 0;
 
+  /** Number of the era, which rises with each return from a copy. */
+  era = 1;
+
   /** Sequence number of the latest change. */
   get sequence(): number {
     return this.lastSequence;
   }
 
+  /** Returns a copy of the current state. */
+  copy(): TableCopy {
+    const objects = new Map([...this.objects].map(([kind, each]) => [kind, new Map(each)]));
+    return { objects, changes: [...this.changes] };
+  }
+
+  /**
+   * Comes back from a copy, in the next era. Versions and sequence numbers since then are given out again.
+   *
+   * @param copy - State to come back from.
+   */
+  comeBackFrom({ objects, changes }: TableCopy): void {
+    this.objects = new Map([...objects].map(([kind, each]) => [kind, new Map(each)]));
+    this.changes = [...changes];
+    this.lastSequence = changes.length;
+    this.previousVersions.clear();
+    this.era += 1;
+  }
+
   /** Returns an object, or undefined; with `isStaleRead`, the version before the newest. */
   get(kind: string, name: string, isStaleRead = false): TableObject | undefined {
     if (isStaleRead && this.previousVersions.has(`${kind}/${name}`)) {
--- a/src/standin/node/platformServer.ts
+++ b/src/standin/node/platformServer.ts
@@ -2,7 +2,7 @@
 import Fastify, { type FastifyInstance } from 'fastify';
 import { SeededRandom } from '../../base/common/random.js';
 import type { InstanceRecord } from '../../services/instances/common/instance.js';
-import { ObjectTable } from '../common/objectTable.js';
+import { ObjectTable, type TableCopy } from '../common/objectTable.js';
 
 /** Faults that the platform stand-in injects until the time `untilMs`. */
 interface PlatformFault {
@@ -29,6 +29,9 @@
   staleRead: 0,
 };
 
+/** Header in which all answers give the era of the objects. */
+const eraHeader = 'platform-era';
+
 /** Stand-in for the platform: object API, watches, instance list and weight store. */
 export class PlatformServer {
   private readonly app: FastifyInstance = Fastify({
@@ -48,6 +51,9 @@
 
   private fault = noActiveFault;
 
+  /** State that the table comes back to in a drill. */
+  private copy: TableCopy;
+
   private weightStoreFreeAtMs = 0;
 
   /**
@@ -61,6 +67,10 @@
     private readonly weightMiBPerSecond: number,
   ) {
     this.random = new SeededRandom(seed);
+    this.copy = this.table.copy();
+    this.app.addHook('onSend', async (_req, reply) => {
+      reply.header(eraHeader, this.table.era);
+    });
     this.addObjectRoutes();
     this.addInstanceControlAndWeightRoutes();
   }
@@ -174,6 +184,15 @@
         return reply.send({});
       },
     );
+    this.app.post('/control/copy', (_req, reply) => {
+      this.copy = this.table.copy();
+      return reply.send({});
+    });
+    this.app.post('/control/come-back', (_req, reply) => {
+      this.table.comeBackFrom(this.copy);
+      this.changeListeners.forEach((notify) => notify());
+      return reply.send({});
+    });
     this.app.get('/control/counts', (_req, reply) => reply.send(this.counts));
     this.app.get<{ Querystring: { mib: string } }>('/weights', async (req, reply) => {
       const now = Date.now();
