Let no key be claimed twice because the platform has forgotten its claim

Cause: after a return from an older copy, a claim of the last seconds is gone, and a second call with the same key, at any entry, claimed and ran it again.

Change: each entry writes the claims of the last minute that it knows again, and checks for six seconds that they stay; meanwhile no key is claimed for the first time, and the caller is told that the outcome is unknown. Of two claims of one attempt, the one written again wins; the other was never confirmed.

--- a/src/services/claims/common/claim.ts
+++ b/src/services/claims/common/claim.ts
@@ -108,6 +108,37 @@
   return { head: { ...head, claims: [...claims.values()] }, applied, rejected };
 }
 
+/**
+ * Adds claims that a shard's head lacks, because the store came back from an older copy.
+ *
+ * @param head - Current head.
+ * @param findCurrent - Looks up a key's claim in the current head and its segments.
+ * @param known - Claims that were stored before, by key.
+ * @returns The head with the forgotten claims; the same head if none is forgotten.
+ */
+export function restoreClaims(
+  head: ShardHead,
+  findCurrent: (key: string) => Claim | undefined,
+  known: ReadonlyMap<string, Claim>,
+): ShardHead {
+  const forgotten = [...known.values()].filter((claim) => isLater(claim, findCurrent(claim.key)));
+  const keys = new Set(forgotten.map(({ key }) => key));
+  return forgotten.length === 0
+    ? head
+    : { ...head, claims: [...head.claims.filter(({ key }) => !keys.has(key)), ...forgotten] };
+}
+
+/**
+ * Whether a known claim goes before the current one. Of two claims of one attempt, the current one was
+ * written after the return of the store and isn't confirmed, unless it says that the attempt ran.
+ */
+function isLater(known: Claim, current: Claim | undefined): boolean {
+  if (current === undefined || known.attempt !== current.attempt) {
+    return known.attempt > (current?.attempt ?? 0);
+  }
+  return known.nonce !== current.nonce && current.state === ClaimState.Claimed;
+}
+
 /** New head and new segment that result from compacting a head. */
 export interface HeadCompaction {
   readonly head: ShardHead;
--- a/src/services/claims/common/claimLedger.ts
+++ b/src/services/claims/common/claimLedger.ts
@@ -1,17 +1,19 @@
 import { Err, Ok, type Result } from 'ts-results-es';
 import { IbissparError } from '../../../base/common/errors.js';
-import type { IClock } from '../../../base/common/clock.js';
+import type { CancelTimer, IClock, ITimers } from '../../../base/common/clock.js';
 import {
   absentVersion,
   ObjectKind,
   VersionConflictError,
   type IObjectStore,
+  type IStoreEra,
 } from '../../objects/common/objects.js';
 import {
   applyChanges,
   dropOldSegments,
   emptyHead,
   compactHead,
+  restoreClaims,
   type Claim,
   type ClaimChange,
   type ShardHead,
@@ -40,6 +42,28 @@
   readonly timeoutMs: number;
 }
 
+/**
+ * Time after the return of the store from an older copy in which no key is claimed for the first time, in
+ * milliseconds. All processes notice the return and write their claims again within it; a watch of each
+ * ends within four seconds.
+ */
+export const restoreMs = 6_000;
+
+/** Era of a store that has never come back from a copy. */
+const firstEra = 1;
+
+/** Pause before another try to write claims again, in milliseconds. */
+const restoreRetryMs = 200;
+
+/**
+ * Interval at which a process checks again that the store holds its claims, in milliseconds, while another
+ * that hasn't noticed the return yet may overwrite them under a version that was given out again.
+ */
+const restoreCheckMs = 1_000;
+
+/** Age up to which claims are written again that the store has forgotten, in milliseconds. */
+const restorableAgeMs = 60_000;
+
 interface PendingChange {
   readonly change: ClaimChange;
   /** Monotonic time at which the change fails if it is not confirmed, in milliseconds. */
@@ -58,6 +82,14 @@
 
   private readonly claimsBySegment = new Map<string, Map<string, Claim>>();
 
+  /** Recent claims of the last head that was read or written, by key. */
+  private known = new Map<string, Claim>();
+
+  /** Whether the store may lack known claims. */
+  private mustRestore = false;
+
+  private cancelCheck: CancelTimer | undefined;
+
   private pending: PendingChange[] = [];
 
   private isCommitting = false;
@@ -66,9 +98,17 @@
     private readonly name: string,
     private readonly options: ClaimLedgerOptions,
     private readonly store: IObjectStore,
-    private readonly clock: IClock,
+    private readonly clock: IClock & ITimers,
+    private readonly mayClaimFirst: () => boolean,
   ) {}
 
+  /** Writes the known claims again that the store has forgotten. */
+  restore(): void {
+    this.cached = undefined;
+    this.mustRestore = this.known.size > 0;
+    this.continueRestoring();
+  }
+
   submit(change: PendingChange): void {
     this.pending.push(change);
     if (!this.isCommitting) {
@@ -78,19 +118,31 @@
 
   private async commitAll(): Promise<void> {
     this.isCommitting = true;
+    if (this.mustRestore) {
+      await this.restoreForgotten();
+    }
     while (this.pending.length > 0) {
       const batch = this.pending;
       this.pending = [];
       await this.commit(batch);
     }
     this.isCommitting = false;
+    if (this.mustRestore) {
+      this.clock.after(restoreRetryMs, () => this.continueRestoring());
+    }
+  }
+
+  private continueRestoring(): void {
+    if (this.mustRestore && !this.isCommitting) {
+      void this.commitAll();
+    }
   }
 
   private async commit(batch: readonly PendingChange[]): Promise<void> {
     let remaining = batch;
     while (remaining.length > 0) {
       remaining = this.rejectExpired(remaining);
-      const cached = this.cached ?? (await this.loadHead());
+      const cached = await this.currentHead();
       if (cached === undefined) {
         remaining.forEach((pending) => resolveUnavailable(pending));
         return;
@@ -99,6 +151,39 @@
     }
   }
 
+  /** Returns the head, once it contains all known claims; undefined if the store can't be read or written. */
+  private async currentHead(): Promise<CachedHead | undefined> {
+    if (this.cached === undefined && !this.mustRestore) {
+      await this.loadHead();
+    }
+    // A read may be the first call that tells of a new era.
+    if (this.mustRestore) {
+      await this.restoreForgotten();
+    }
+    return this.mustRestore ? undefined : this.cached;
+  }
+
+  /** Writes the claims again that the head lacks, unless the store fails or another process is faster. */
+  private async restoreForgotten(): Promise<void> {
+    const cached = await this.loadHead();
+    if (cached === undefined) {
+      return;
+    }
+    const head = restoreClaims(cached.head, (key) => this.findClaim(cached.head, key), this.known);
+    const version =
+      head === cached.head ? cached.version : await this.putHead(head, cached.version);
+    if (version === undefined) {
+      this.cached = undefined;
+      return;
+    }
+    this.remember({ version, head });
+    this.mustRestore = false;
+    this.cancelCheck?.();
+    if (!this.mayClaimFirst()) {
+      this.cancelCheck = this.clock.after(restoreCheckMs, () => this.restore());
+    }
+  }
+
   private rejectExpired(remaining: readonly PendingChange[]): readonly PendingChange[] {
     const nowMs = this.clock.monotonicMs();
     const expired = remaining.filter((pending) => pending.deadlineMs <= nowMs);
@@ -111,7 +196,9 @@
     cached: CachedHead,
     remaining: readonly PendingChange[],
   ): Promise<readonly PendingChange[]> {
-    const unresolved = remaining.filter((pending) => !this.resolveIfApplied(pending));
+    const unresolved = remaining.filter(
+      (pending) => !this.rejectIfRestoring(cached, pending) && !this.resolveIfApplied(pending),
+    );
     const changes = unresolved.map((pending) => pending.change);
     const result = applyChanges(cached.head, (key) => this.findClaim(cached.head, key), changes);
     const rejected = unresolved.filter((pending) => result.rejected.includes(pending.change));
@@ -127,7 +214,7 @@
     const head = await this.compact(result.head);
     const version = head && (await this.putHead(head, cached.version));
     if (head !== undefined && version !== undefined) {
-      this.cached = { version, head };
+      this.remember({ version, head });
       writing.forEach((pending) => this.resolve(pending, true));
       return deferred;
     }
@@ -158,6 +245,32 @@
     return true;
   }
 
+  /**
+   * Rejects a change that relies on the absence of a claim while others may still write it again. A first
+   * claim that took effect in that time isn't confirmed either, and gives way to the one written again.
+   */
+  private rejectIfRestoring({ head }: CachedHead, { change, resolve }: PendingChange): boolean {
+    const current = this.findClaim(head, change.key);
+    const isAbsent = current === undefined || current.nonce === change.next?.nonce;
+    if (change.expected !== undefined || !isAbsent || this.mayClaimFirst()) {
+      return false;
+    }
+    resolve(Err(unconfirmedError()));
+    return true;
+  }
+
+  private remember(cached: CachedHead): void {
+    this.cached = cached;
+    // First claims of this time may give way to claims that others write again.
+    if (!this.mayClaimFirst()) {
+      return;
+    }
+    const oldestMs = this.clock.wallMs() - restorableAgeMs;
+    const inSegments = [...this.claimsBySegment.values()].flatMap((claims) => [...claims.values()]);
+    const recent = [...inSegments, ...cached.head.claims].filter(({ atMs }) => atMs >= oldestMs);
+    this.known = new Map(recent.map((claim) => [claim.key, claim]));
+  }
+
   private resolve(pending: PendingChange, applied: boolean): void {
     const head = this.cached?.head ?? emptyHead;
     pending.resolve(Ok({ applied, claim: this.findClaim(head, pending.change.key) }));
@@ -189,8 +302,10 @@
     [...this.claimsBySegment.keys()]
       .filter((name) => !names.includes(name))
       .forEach((name) => this.claimsBySegment.delete(name));
-    this.cached = { version, head };
-    return this.cached;
+    if (!this.mustRestore) {
+      this.remember({ version, head });
+    }
+    return { version, head };
   }
 
   private async loadSegment(name: string): Promise<boolean> {
@@ -233,10 +348,12 @@
   return new Map(claims.map((claim) => [claim.key, claim]));
 }
 
+function unconfirmedError(): ClaimsUnavailableError {
+  return new ClaimsUnavailableError('the platform did not confirm the claim in time');
+}
+
 function resolveUnavailable(pending: PendingChange): void {
-  pending.resolve(
-    Err(new ClaimsUnavailableError('the platform did not confirm the claim in time')),
-  );
+  pending.resolve(Err(unconfirmedError()));
 }
 
 /**
@@ -248,20 +365,35 @@
 export class ClaimLedger {
   private readonly shards: readonly ClaimShard[];
 
+  /** Monotonic time at which this process began, or noticed the last return from an older copy. */
+  private eraSinceMs: number;
+
   /**
    * @param options - Number of shards, limits and times.
    * @param store - Object store of the platform.
-   * @param clock - Source of monotonic and wall-clock time.
+   * @param clock - Source of monotonic and wall-clock time and of timers.
    */
   constructor(
     private readonly options: ClaimLedgerOptions,
-    store: IObjectStore,
-    private readonly clock: IClock,
+    private readonly store: IObjectStore & IStoreEra,
+    private readonly clock: IClock & ITimers,
   ) {
+    this.eraSinceMs = clock.monotonicMs();
     this.shards = Array.from(
       { length: options.shards },
-      (_unused, index) => new ClaimShard(String(index), options, store, clock),
+      (_unused, index) =>
+        new ClaimShard(String(index), options, store, clock, () => this.mayClaimFirst),
     );
+    store.onDidChangeEra(() => {
+      this.eraSinceMs = clock.monotonicMs();
+      this.shards.forEach((shard) => shard.restore());
+    });
+  }
+
+  /** Whether the absence of a claim shows that its key was never claimed. */
+  private get mayClaimFirst(): boolean {
+    const isFirstEra = this.store.era <= firstEra;
+    return isFirstEra || this.clock.monotonicMs() - this.eraSinceMs >= restoreMs;
   }
 
   /**
--- a/src/services/objects/test/common/drillStore.ts
+++ b/src/services/objects/test/common/drillStore.ts
@@ -1,5 +1,6 @@
 import { Err, Ok, type Result } from 'ts-results-es';
 import { Emitter } from '../../../../base/common/event.js';
+import { eraOf, revisionOf, toVersion } from '../../common/eraTracker.js';
 import {
   absentVersion,
   PlatformUnavailableError,
@@ -23,8 +24,6 @@
   readonly revision: number;
 }
 
-const revisionsPerEra = 2 ** 40;
-
 /** In-memory store that can come back from an older copy of itself and gives out revisions again. */
 export class DrillStore {
   era = 1;
@@ -78,7 +77,7 @@
         object && {
           kind,
           name,
-          version: this.era * revisionsPerEra + object.revision,
+          version: toVersion(this.era, object.revision),
           value: object.value as T,
         },
       ),
@@ -95,19 +94,19 @@
     value: T,
     version: number,
   ): Promise<Result<number, VersionConflictError | PlatformUnavailableError>> {
-    const era = Math.floor(version / revisionsPerEra);
+    const era = eraOf(version);
     if (version !== absentVersion && era !== this.era) {
       return Promise.resolve(Err(new VersionConflictError(`read in era ${era}`)));
     }
     const eraAtSend = this.era;
-    const revision = this.store.write(`${kind}/${name}`, value, version % revisionsPerEra);
+    const revision = this.store.write(`${kind}/${name}`, value, revisionOf(version));
     this.observeEra();
     if (revision === undefined) {
       return Promise.resolve(Err(new VersionConflictError(`${name} has changed`)));
     }
     return Promise.resolve(
       eraAtSend === this.era
-        ? Ok(this.era * revisionsPerEra + revision)
+        ? Ok(toVersion(this.era, revision))
         : Err(new PlatformUnavailableError('the era changed during the write')),
     );
   }
--- a/src/services/objects/test/common/faultyStore.ts
+++ b/src/services/objects/test/common/faultyStore.ts
@@ -1,9 +1,12 @@
 import type { Scheduler } from 'fast-check';
 import { Err, Ok, type Result } from 'ts-results-es';
+import { Emitter } from '../../../../base/common/event.js';
 import {
   PlatformUnavailableError,
   VersionConflictError,
+  type EraChange,
   type IObjectStore,
+  type IStoreEra,
   type ObjectKind,
   type ReadError,
   type StoredObject,
@@ -25,7 +28,11 @@
 }
 
 /** In-memory object store whose calls complete in scheduled order and fail as specified. */
-export class FaultyStore implements IObjectStore {
+export class FaultyStore implements IObjectStore, IStoreEra {
+  readonly era = 0;
+
+  readonly onDidChangeEra = new Emitter<EraChange>().event;
+
   private readonly versionsByObject = new Map<string, StoredObject[]>();
 
   private callCount = 0;
