--- a/soak/node/faultInjector.ts
+++ b/soak/node/faultInjector.ts
@@ -55,8 +55,8 @@
   /** Aspects of targets that an active fault changes, such as the process of a gateway. */
   private readonly busyAspects = new Set<string>();
 
-  /** Faults that change the life of an endpoint, or what it says of it. */
-  private readonly lifeFaults: Partial<
+  /** Faults of an endpoint that end it, take it out of the store or make it name a limit. */
+  private readonly endpointFaults: Partial<
     Record<FaultKind, (endpoint: SoakEndpoint, fault: PlannedFault) => Promise<void>>
   > = {
     [FaultKind.CrashEndpoint]: (endpoint, { durationMs, startOffsetMs }) =>
@@ -112,10 +112,10 @@
       await this.runExclusively(kind, gateway.name, `${gateway.name} store`, () =>
         this.injectLinkFault(kind, gateway.storeProxy, durationMs),
       );
-    } else if (kind in this.lifeFaults) {
+    } else if (kind in this.endpointFaults) {
       const name = endpoint.replica.options.id;
       await this.runExclusively(kind, name, `${endpoint.name} replica`, async () =>
-        this.lifeFaults[kind]?.(endpoint, fault),
+        this.endpointFaults[kind]?.(endpoint, fault),
       );
     } else if (kind.endsWith('-endpoint')) {
       const name = endpoint.replica.options.id;
