--- a/src/gateway/suspects/common/crashDetector.ts
+++ b/src/gateway/suspects/common/crashDetector.ts
@@ -101,6 +101,10 @@
   ): void {
     const watched = endpoints.filter(({ endpoint }) => this.isExpectedToLive(endpoint));
     if (watched.length === 0) {
+      this.logger.log(LogLevel.Info, 'crash-not-examined', {
+        endpoints: endpoints.map(({ endpoint }) => endpoint.id).join(','),
+        reason: 'leaving',
+      });
       onResolved(undefined);
       return;
     }
@@ -215,7 +219,10 @@
     const incarnation = incarnationOf(endpoint);
     const mayHaveCrashedIt = ({ wasAlive }: WatchedRun) => !isSilent || wasAlive;
     runs.filter(mayHaveCrashedIt).forEach(({ run }) => resolveRun(run, incarnation));
-    runs.filter((run) => !mayHaveCrashedIt(run)).forEach(({ run }) => excludeEndpoint(run));
+    const excused = runs.filter((run) => !mayHaveCrashedIt(run));
+    if (excused.length > 0) {
+      this.resolveWithoutCrash('crash-before-run', endpoint, excused);
+    }
   }
 
   /** Resolves the runs that were lost before the probe was sent; the endpoint outlived them. */
--- a/src/gateway/suspects/common/supervisedRequest.ts
+++ b/src/gateway/suspects/common/supervisedRequest.ts
@@ -25,7 +25,7 @@
   admit(request: GuardedRequest): void;
   /** Withdraws a request that waits for its admission. */
   withdraw(request: GuardedRequest): void;
-  /** Logs that a request was admitted as a suspect or refused. */
+  /** Logs a decision about a suspect, or about one of its runs. */
   logDecision(event: string, request: SupervisedRequest): void;
   /** Returns the rest of a request's quarantine, in milliseconds. */
   quarantineRemainingMs(fingerprint: string): number;
@@ -164,6 +164,9 @@
    * @param wasConnectionLost - Whether the run ended with its connection, rather than by a timeout.
    */
   recordLoss(endpoints: readonly Endpoint[], wasConnectionLost: boolean): void {
+    if (this.hasSurvived && endpoints.length > 0) {
+      this.supervisor.logDecision('run-lost-after-survival', this);
+    }
     if (this.hasSurvived || endpoints.length === 0) {
       return;
     }
--- a/src/services/suspects/common/suspectGuard.ts
+++ b/src/services/suspects/common/suspectGuard.ts
@@ -154,8 +154,11 @@
    * @param fingerprint - Fingerprint of the request.
    */
   clear(fingerprint: string): void {
+    const previousVerdict = this.suspects.verdict(fingerprint);
     if (this.suspects.clear(fingerprint)) {
       this.hasUnsharedChanges = true;
+      const verdict = this.suspects.verdict(fingerprint);
+      this.logger.log(LogLevel.Warn, 'crash-cleared', { fingerprint, previousVerdict, verdict });
     }
     this.release(fingerprint);
   }
