Clear no request because its endpoint failed it, and examine no run that its endpoint answered

Cause: PlainRelay and StreamRelay took any answer of the endpoint for a sign that it had survived the request, also its own 5xx, which an endpoint in trouble gives before it runs anything; each cleared all crashes of the request, for good and at all gateways. Only a signed success counts as survival now; any other answer of a stream ends its run without being a loss either.

--- a/src/gateway/relay/node/plainRelay.ts
+++ b/src/gateway/relay/node/plainRelay.ts
@@ -213,7 +213,9 @@
       this.handlePossibleRun(send, 'answer without signature');
       return;
     }
-    this.run.recordSurvival();
+    if (head.status < 300) {
+      this.run.recordSurvival();
+    }
     const isFailure = head.status >= 500;
     this.health.record(incarnationOf(send.endpoint), isFailure);
     if (isFailure && (this.hasRunningSend() || this.tryConsumeRetry())) {
--- a/src/gateway/relay/node/streamRelay.ts
+++ b/src/gateway/relay/node/streamRelay.ts
@@ -453,7 +453,7 @@
       return;
     }
     this.recordPossibleRun();
-    this.run.recordSurvival();
+    this.run.recordAnswer();
     if (
       this.hasBegunAnswer ||
       (head.status >= 500 && this.req.route.isResumable && this.mayRunElsewhere)
--- a/src/gateway/suspects/common/supervisedRequest.ts
+++ b/src/gateway/suspects/common/supervisedRequest.ts
@@ -65,6 +65,9 @@
 
   private hasSurvived = false;
 
+  /** Whether the endpoint has answered the current run itself, so that the run can't be lost any more. */
+  private isAnswered = false;
+
   private startedMs = 0;
 
   private isIsolatedRun = false;
@@ -129,6 +132,7 @@
    */
   begin(endpoints: readonly Endpoint[]): void {
     this.hasSurvived = false;
+    this.isAnswered = false;
     this.startedMs = this.supervisor.nowMs();
     this.move(endpoints);
   }
@@ -147,7 +151,10 @@
     }
   }
 
-  /** Called when the endpoint survived the start of the current run: it made progress or answered. */
+  /**
+   * Called when the endpoint survived the start of the current run: it made progress or answered with
+   * success. Any other answer may come from an endpoint that did not begin to run the request.
+   */
   recordSurvival(): void {
     if (!this.hasSurvived) {
       this.hasSurvived = true;
@@ -156,6 +163,11 @@
     }
   }
 
+  /** Called when the endpoint has answered the only current run completely, with whatever status. */
+  recordAnswer(): void {
+    this.isAnswered = true;
+  }
+
   /**
    * Called when the current run ended without an answer. A run that an endpoint survived is not
    * suspected: requests that crash endpoints do so when they begin to run.
@@ -167,7 +179,7 @@
     if (this.hasSurvived && endpoints.length > 0) {
       this.supervisor.logDecision('run-lost-after-survival', this);
     }
-    if (this.hasSurvived || endpoints.length === 0) {
+    if (this.hasSurvived || this.isAnswered || endpoints.length === 0) {
       return;
     }
     this.unresolvedLosses += 1;
