Suspect a stream that ends its endpoint soon after its first events

Cause: three events cleared a request of all its crashes and hid the crash of the run itself, so a prompt that ends its endpoints just after it began to run was never suspected. Progress clears nothing now, and hides a loss only later than 500 ms after the start of the run, so that long streams of neighbours stay unsuspected.

--- a/src/gateway/relay/node/streamRelay.ts
+++ b/src/gateway/relay/node/streamRelay.ts
@@ -61,8 +61,8 @@
  */
 const slowRefusalMs = 1_200;
 
-/** Number of events of one run after which its endpoints have survived the request. */
-const survivalEvents = 3;
+/** Number of events of one run that show that its endpoints run the request. */
+const progressEvents = 3;
 
 const misdirectedStatus = 421;
 
@@ -418,8 +418,8 @@
     this.lastEventId = batch.lastId ?? this.lastEventId;
     this.eventCount += batch.count;
     this.runEventCount += batch.count;
-    if (this.runEventCount >= survivalEvents) {
-      this.run.recordSurvival();
+    if (this.runEventCount >= progressEvents) {
+      this.run.recordProgress();
     }
     if (this.caller.write(batch.bytes)) {
       return true;
--- a/src/gateway/suspects/common/supervisedRequest.ts
+++ b/src/gateway/suspects/common/supervisedRequest.ts
@@ -3,6 +3,12 @@
 import type { CallerRequest } from '../../relay/common/callerRequest.js';
 import { fingerprintOf } from './requestFingerprint.js';
 
+/**
+ * Time after its start within which a run that makes progress is still suspected when it is lost, in
+ * milliseconds. Requests that crash endpoints do so soon after they begin to run.
+ */
+const startPhaseMs = 500;
+
 /** Receives the decisions on whether a request may run. */
 export interface IRunObserver {
   /** Called when a run may start; possibly before `requestRun` returns. */
@@ -43,7 +49,7 @@
    * @param onResolved - Called once this is known.
    */
   resolveLostRun(request: SupervisedRequest, run: LostRun, onResolved: () => void): void;
-  /** Records that an endpoint survived running a request. */
+  /** Records that an endpoint ran a request to its end. */
   recordSurvival(request: SupervisedRequest): void;
 }
 
@@ -63,7 +69,7 @@
 
   private guarded: GuardedRequest | undefined;
 
-  private hasSurvived = false;
+  private hasProgressed = false;
 
   /** Whether the endpoint has answered the current run itself, so that the run can't be lost any more. */
   private isAnswered = false;
@@ -131,7 +137,7 @@
    * @param endpoints - Endpoints of its path.
    */
   begin(endpoints: readonly Endpoint[]): void {
-    this.hasSurvived = false;
+    this.hasProgressed = false;
     this.isAnswered = false;
     this.startedMs = this.supervisor.nowMs();
     this.move(endpoints);
@@ -151,16 +157,18 @@
     }
   }
 
+  /** Called when the current run makes progress. */
+  recordProgress(): void {
+    this.hasProgressed = true;
+  }
+
   /**
-   * Called when the endpoint survived the start of the current run: it made progress or answered with
-   * success. Any other answer may come from an endpoint that did not begin to run the request.
+   * Called when the endpoint has run the request to its end and answered with success. Any other answer
+   * may come from an endpoint that did not begin to run it.
    */
   recordSurvival(): void {
-    if (!this.hasSurvived) {
-      this.hasSurvived = true;
-      this.supervisor.recordSurvival(this);
-      this.endRun();
-    }
+    this.supervisor.recordSurvival(this);
+    this.endRun();
   }
 
   /** Called when the endpoint has answered the only current run completely, with whatever status. */
@@ -169,17 +177,18 @@
   }
 
   /**
-   * Called when the current run ended without an answer. A run that an endpoint survived is not
-   * suspected: requests that crash endpoints do so when they begin to run.
+   * Called when the current run ended without an answer. A run is not suspected if it has made progress
+   * for longer than the start of a run takes.
    *
    * @param endpoints - Endpoints that may have crashed.
    * @param wasConnectionLost - Whether the run ended with its connection, rather than by a timeout.
    */
   recordLoss(endpoints: readonly Endpoint[], wasConnectionLost: boolean): void {
-    if (this.hasSurvived && endpoints.length > 0) {
-      this.supervisor.logDecision('run-lost-after-survival', this);
+    if (this.isAnswered || endpoints.length === 0) {
+      return;
     }
-    if (this.hasSurvived || this.isAnswered || endpoints.length === 0) {
+    if (this.hasProgressed && this.supervisor.nowMs() - this.startedMs > startPhaseMs) {
+      this.supervisor.logDecision('run-lost-after-progress', this);
       return;
     }
     this.unresolvedLosses += 1;
