Let one survived run outweigh one crash, not all that a request has caused

Cause: a success cleared every crash that was known of a request, so one that ends two of three endpoints that run it started from nothing after each success. Each survival clears the oldest crash that still counts, so merges still commute; the property test compares verdicts with the balance of crashes and survivals over 500 sequences. A popular request that coincides with crashes and is served between them stays clear, as its test shows.

--- a/src/entry/chat/common/chatRunner.ts
+++ b/src/entry/chat/common/chatRunner.ts
@@ -311,7 +311,7 @@
     }
     if (session.isIsolated && (epochTokens >= suspectClearTokens || session.assembler.isComplete)) {
       session.isIsolated = false;
-      this.guard.clear(session.request.fingerprint);
+      this.guard.recordSurvival(session.request.fingerprint);
     }
     if (session.assembler.isComplete) {
       this.finish(session);
--- a/src/gateway/suspects/common/runSupervisor.ts
+++ b/src/gateway/suspects/common/runSupervisor.ts
@@ -155,7 +155,7 @@
 
   recordSurvival(request: SupervisedRequest): void {
     if (this.hasSuspects) {
-      this.guard.clear(request.fingerprint);
+      this.guard.recordSurvival(request.fingerprint);
     }
   }
 }
--- a/src/services/suspects/common/crashSuspects.ts
+++ b/src/services/suspects/common/crashSuspects.ts
@@ -43,8 +43,9 @@
   return [...new Set([...a, ...b])];
 }
 
-function countingCrashes({ crashes, cleared }: SuspectRecord): number {
-  return crashes.filter((crash) => !cleared.includes(crash)).length;
+/** Returns the crashes that count against a request, the oldest one first. */
+function countingCrashes({ crashes, cleared }: SuspectRecord): readonly string[] {
+  return crashes.filter((crash) => !cleared.includes(crash));
 }
 
 /** Returns a record with at most {@link maxCrashesPerRecord} crashes. */
@@ -112,7 +113,7 @@
    */
   verdict(fingerprint: string): Verdict {
     const record = this.records.get(fingerprint);
-    const crashes = record === undefined ? 0 : countingCrashes(record);
+    const crashes = record === undefined ? 0 : countingCrashes(record).length;
     if (crashes < this.policy.isolationCrashes) {
       return Verdict.Clear;
     }
@@ -134,17 +135,23 @@
   }
 
   /**
-   * Clears a request that ran past the point at which an endpoint died.
+   * Clears a request of its oldest crash because it ran past the point at which an endpoint died. The
+   * others go on counting: a request may crash some of the endpoints that run it and spare others.
    *
    * @param fingerprint - Fingerprint of the request.
    * @returns Whether any crash counted against it.
    */
-  clear(fingerprint: string): boolean {
+  clearOldestCrash(fingerprint: string): boolean {
     const record = this.records.get(fingerprint);
-    if (record === undefined || countingCrashes(record) === 0) {
+    const oldest = record && countingCrashes(record).at(0);
+    if (record === undefined || oldest === undefined) {
       return false;
     }
-    this.records.set(fingerprint, { ...record, cleared: record.crashes, runner: '' });
+    this.records.set(fingerprint, {
+      ...record,
+      cleared: union(record.cleared, [oldest]),
+      runner: '',
+    });
     return true;
   }
 
@@ -244,8 +251,9 @@
     for (const record of this.records.values()) {
       const isLess =
         least === undefined ||
-        countingCrashes(record) < countingCrashes(least) ||
-        (countingCrashes(record) === countingCrashes(least) && record.atMs < least.atMs);
+        countingCrashes(record).length < countingCrashes(least).length ||
+        (countingCrashes(record).length === countingCrashes(least).length &&
+          record.atMs < least.atMs);
       if (isLess && record.fingerprint !== keptFingerprint) {
         least = record;
       }
--- a/src/services/suspects/common/suspectGuard.ts
+++ b/src/services/suspects/common/suspectGuard.ts
@@ -149,13 +149,13 @@
   }
 
   /**
-   * Records that a suspect ran past the point at which an endpoint died.
+   * Records that a suspect ran past the point at which an endpoint died, which outweighs one crash.
    *
    * @param fingerprint - Fingerprint of the request.
    */
-  clear(fingerprint: string): void {
+  recordSurvival(fingerprint: string): void {
     const previousVerdict = this.suspects.verdict(fingerprint);
-    if (this.suspects.clear(fingerprint)) {
+    if (this.suspects.clearOldestCrash(fingerprint)) {
       this.hasUnsharedChanges = true;
       const verdict = this.suspects.verdict(fingerprint);
       this.logger.log(LogLevel.Warn, 'crash-cleared', { fingerprint, previousVerdict, verdict });
--- a/src/services/suspects/common/suspectRecord.ts
+++ b/src/services/suspects/common/suspectRecord.ts
@@ -8,7 +8,7 @@
   fingerprint: v.string(),
   /** Ids of the crashes during which the request ran. */
   crashes: ids,
-  /** Those of `crashes` that no longer count, since an endpoint has survived the request after them. */
+  /** Those of `crashes` that no longer count, since an endpoint survived the request once for each. */
   cleared: v.optional(ids, []),
   /** Process that may run the request again; empty if none has claimed it. */
   runner: v.string(),
--- a/src/services/suspects/test/common/crashSuspects.test.ts
+++ b/src/services/suspects/test/common/crashSuspects.test.ts
@@ -42,7 +42,7 @@
     const suspects = new CrashSuspects('a');
     suspects.recordCrash('e#1', ['f'], 0);
     const older = suspects.snapshot();
-    suspects.clear('f');
+    suspects.clearOldestCrash('f');
     suspects.merge(older, 1);
     expect(suspects.verdict('f')).to.equal(Verdict.Clear);
     suspects.recordCrash('e#2', ['f'], 2);
@@ -64,7 +64,7 @@
     const suspects = new CrashSuspects('a');
     for (let index = 0; index < 500; index += 1) {
       suspects.recordCrash(`e#${index}`, [`f${index}`], 0);
-      suspects.clear(`f${index}`);
+      suspects.clearOldestCrash(`f${index}`);
     }
     suspects.merge([], 1_000 * dayMs);
     expect(suspects.size).to.equal(0);
@@ -91,13 +91,34 @@
     for (let round = 0; round < 5; round += 1) {
       first.recordCrash(`e#${round}`, ['popular'], round);
       second.merge(first.snapshot(), round);
-      second.clear('popular');
+      second.clearOldestCrash('popular');
       first.merge(second.snapshot(), round);
       expect(first.verdict('popular')).to.equal(Verdict.Clear);
       expect(second.verdict('popular')).to.equal(Verdict.Clear);
     }
   });
 
+  it('weighs one survived run against one crash, whatever their order', () => {
+    const policy = { isolationCrashes: 2, quarantineCrashes: 3, runnerTimeoutMs: 5_000 };
+    fc.assert(
+      fc.property(fc.array(fc.boolean(), { maxLength: 14 }), (runs) => {
+        const suspects = new CrashSuspects('a', policy);
+        let balance = 0;
+        runs.forEach((hasCrashed, index) => {
+          if (hasCrashed) {
+            suspects.recordCrash(`e#${index}`, ['f'], index);
+          } else {
+            suspects.clearOldestCrash('f');
+          }
+          balance = Math.max(0, balance + (hasCrashed ? 1 : -1));
+          const expected = [Verdict.Clear, Verdict.Clear, Verdict.Suspect, Verdict.Quarantined];
+          expect(suspects.verdict('f')).to.equal(expected[Math.min(balance, 3)]);
+        });
+      }),
+      { seed: 114, numRuns: 500 },
+    );
+  });
+
   it('lets another process run a suspect as soon as its runner releases it', () => {
     const [first, second] = [new CrashSuspects('a'), new CrashSuspects('b')];
     first.recordCrash('e#1', ['f'], 0);
--- a/src/services/suspects/test/common/suspectGuard.test.ts
+++ b/src/services/suspects/test/common/suspectGuard.test.ts
@@ -60,7 +60,7 @@
     shares[0].done();
     await nextTurn();
     expect(events).to.deep.equal(['isolated']);
-    guard.clear('f');
+    guard.recordSurvival('f');
     await nextTurn();
     shares.slice(1).forEach((share) => share.done());
     await nextTurn();
