Rule no crash of a plain endpoint out because the next incarnation accepts connections

Cause: plain endpoints have no report, so a probe only connects; once it was answered, the lost run counted as no crash, also if the process that answered had just started in the place of the crashed one and the store didn't list it yet. Evidence: 'takes no answer of an unknown incarnation after a restart for that of the lost one' fails before and passes now. An answer without a start time counts only right after the loss, before a restart is possible, or once the store would list a new incarnation.

--- a/src/gateway/suspects/common/crashDetector.ts
+++ b/src/gateway/suspects/common/crashDetector.ts
@@ -17,6 +17,15 @@
  */
 const decisionTimeoutMs = 10_000;
 
+/**
+ * Time after a lost run within which no next incarnation can listen at the address yet, in milliseconds.
+ * An answer without a start time then comes from the incarnation that lost the run.
+ */
+const minRestartMs = 200;
+
+/** Time after which the store lists an incarnation that has started, in milliseconds. */
+const listingDelayMs = 4_000;
+
 /** How a crash was detected. */
 enum CrashEvidence {
   /** No process listens at the address. */
@@ -162,7 +171,7 @@
     if (evidence !== undefined) {
       this.resolveAsCrash(watch, evidence);
     } else if (outcome === ProbeOutcome.Answered) {
-      this.resolveAsAlive(watch, probedAtMs);
+      this.resolveAsAlive(watch, probedAtMs, startedMs !== undefined);
     } else if (this.clock.monotonicMs() - watch.startedMs > decisionTimeoutMs) {
       this.resolveAsUnknown(watch);
     }
@@ -225,11 +234,22 @@
     }
   }
 
-  /** Resolves the runs that were lost before the probe was sent; the endpoint outlived them. */
-  private resolveAsAlive(watch: Watch, probedAtMs: number): void {
-    const outlived = watch.runs.filter(({ run }) => run.lostAtMs <= probedAtMs);
-    watch.runs = watch.runs.filter(({ run }) => run.lostAtMs > probedAtMs);
-    this.resolveWithoutCrash('crash-ruled-out', watch.endpoint, outlived);
+  /**
+   * Resolves the runs that were lost before the probe was sent; the endpoint outlived them. An answer
+   * that doesn't tell the incarnation counts unless it may be the next one, which isn't listed yet.
+   */
+  private resolveAsAlive(watch: Watch, probedAtMs: number, isIncarnationKnown: boolean): void {
+    const isOutlived = ({ run }: WatchedRun) => {
+      const sinceLossMs = probedAtMs - run.lostAtMs;
+      const isSameIncarnation =
+        isIncarnationKnown || sinceLossMs <= minRestartMs || sinceLossMs >= listingDelayMs;
+      return sinceLossMs >= 0 && isSameIncarnation;
+    };
+    const outlived = watch.runs.filter(isOutlived);
+    watch.runs = watch.runs.filter((run) => !isOutlived(run));
+    if (outlived.length > 0) {
+      this.resolveWithoutCrash('crash-ruled-out', watch.endpoint, outlived);
+    }
   }
 
   private resolveAsUnknown(watch: Watch): void {
--- a/src/gateway/suspects/test/common/crashDetector.test.ts
+++ b/src/gateway/suspects/test/common/crashDetector.test.ts
@@ -98,6 +98,31 @@
     expect(resolved).to.have.members(['e@7', 'ff@7']);
   });
 
+  it('takes no answer of an unknown incarnation after a restart for that of the lost one', async () => {
+    const { directory, resolved, lose, answer, pass } = create();
+    const endpoint = endpointOf('e');
+    directory.update(endpoint);
+    lose([endpoint]);
+    await nextTurn();
+    answer(endpoint, ProbeOutcome.Answered);
+    await pass(1_500);
+    expect(resolved).to.deep.equal([]);
+    directory.update({ ...endpoint, startedMs: 8 });
+    await pass(2_000);
+    expect(resolved).to.deep.equal(['e@7']);
+  });
+
+  it('rules a crash out if an endpoint that was silent answers and no other incarnation is listed', async () => {
+    const { directory, resolved, lose, answer, pass } = create();
+    const endpoint = endpointOf('e');
+    directory.update(endpoint);
+    lose([endpoint]);
+    await nextTurn();
+    answer(endpoint, ProbeOutcome.Answered);
+    await pass(6_000);
+    expect(resolved).to.deep.equal([undefined]);
+  });
+
   it('finds the crash of a silent endpoint that the store no longer lists', async () => {
     const { directory, resolved, lose, pass } = create();
     const endpoint = endpointOf('e');
