Send lookups on connections in use while endpoints of their service crash, so that a silent crash can be attributed

Cause: a run that a silent machine lost counts only if the endpoint gave a sign of life when the run started, and small services give few: a lookup on a connection that was idle for more than 0.3 s was excused, each time. After an endpoint ended without announcing it, lookups of its service use only connections that were used within 250 ms for a minute, as bookings always do; the new connection is itself the sign of life. Streams are as before: their endpoints are heard of all the time and tell their incarnation when probed.

--- a/src/gateway/node/gatewayProgram.ts
+++ b/src/gateway/node/gatewayProgram.ts
@@ -279,6 +279,7 @@
     platform.store.onDidChangeEra((change) => this.handleEraChange(change));
     this.config.onDidChange(({ config: { version } }) => metrics.configVersion.set(version));
     this.directory.onDidRemove((endpoint) => this.releaseEndpoint(endpoint));
+    this.directory.onDidRemove((endpoint) => this.crashProtection.handleRemoval(endpoint));
   }
 
   /** Ports of the load balancer's readiness check and of the metrics. */
--- a/src/gateway/relay/node/plainRelay.ts
+++ b/src/gateway/relay/node/plainRelay.ts
@@ -29,10 +29,11 @@
 const maxReuseIdleMs = 3_000;
 
 /**
- * The same limit for requests that may run only once, in milliseconds. If the endpoint had closed the
- * connection in the meantime, it would be unknown whether such a request ran.
+ * The same limit for requests that may run only once, in milliseconds, and while endpoints of the service
+ * crash. If the endpoint had closed the connection in the meantime, or its machine had fallen silent, it
+ * would be unknown whether the request ran.
  */
-const submissionMaxReuseIdleMs = 250;
+const certainMaxReuseIdleMs = 250;
 
 /** Time after which a caller may retry a request that found no endpoint, in milliseconds. */
 const retryAfterMs = 500;
@@ -148,7 +149,9 @@
     });
     const { method, target, body } = this.req;
     const sink = new PlainAnswerSink(send, this);
-    const maxIdleMs = this.isIdempotent ? maxReuseIdleMs : submissionMaxReuseIdleMs;
+    const mustBeCertain =
+      !this.isIdempotent || this.context.supervisor.isWatchful(this.req.service);
+    const maxIdleMs = mustBeCertain ? certainMaxReuseIdleMs : maxReuseIdleMs;
     send.exchange = sender.send(
       endpoint.address,
       { method, target, headers, body, maxIdleMs },
--- a/src/gateway/suspects/common/crashProtection.ts
+++ b/src/gateway/suspects/common/crashProtection.ts
@@ -13,6 +13,7 @@
   type SuspectRecord,
 } from '../../../services/suspects/common/suspectRecord.js';
 import { SuspectStore } from '../../../services/suspects/common/suspectStore.js';
+import { EndpointState, type Endpoint } from '../../directory/common/endpoint.js';
 import type { EndpointDirectory } from '../../directory/common/endpointDirectory.js';
 import type { IEndpointControl } from '../../relay/common/endpointControl.js';
 import { CrashDetector } from './crashDetector.js';
@@ -107,6 +108,17 @@
     );
   }
 
+  /**
+   * Called when an endpoint was removed or replaced.
+   *
+   * @param endpoint - The endpoint as it was last known.
+   */
+  handleRemoval({ service, state }: Endpoint): void {
+    if (state === EndpointState.Ready) {
+      this.supervisor.recordUnplannedEnd(service);
+    }
+  }
+
   /** Number of requests under which an endpoint crashed. */
   get suspectCount(): number {
     return this.suspects.size;
--- a/src/gateway/suspects/common/runSupervisor.ts
+++ b/src/gateway/suspects/common/runSupervisor.ts
@@ -25,6 +25,9 @@
  */
 const recentSignMs = 300;
 
+/** Time after an endpoint ended unplanned within which others may crash of the same cause, in milliseconds. */
+const watchfulMs = 60_000;
+
 interface PeerReport {
   readonly addresses: readonly string[];
   readonly receivedMs: number;
@@ -40,6 +43,9 @@
 
   private readonly peerReports = new Map<string, PeerReport>();
 
+  /** Monotonic time at which an endpoint of each service last ended unplanned. */
+  private readonly lastEndMs = new Map<string, number>();
+
   /**
    * @param guard - Records crashes for each fingerprint and admits requests.
    * @param detector - Tells crashes of endpoints from other losses.
@@ -87,6 +93,27 @@
     }
   }
 
+  /**
+   * Records that an endpoint ended without having announced it.
+   *
+   * @param service - Service of the endpoint.
+   */
+  recordUnplannedEnd(service: string): void {
+    this.lastEndMs.set(service, this.clock.monotonicMs());
+  }
+
+  /**
+   * Returns whether requests to a service should use only connections that were just used. A request that
+   * is lost on an idle one may have been sent to a machine that was silent already, so that its loss shows
+   * nothing about it.
+   *
+   * @param service - Service of the request.
+   */
+  isWatchful(service: string): boolean {
+    const endMs = this.lastEndMs.get(service);
+    return endMs !== undefined && this.clock.monotonicMs() - endMs < watchfulMs;
+  }
+
   nowMs(): number {
     return this.clock.monotonicMs();
   }
