Break off answers of endpoints that never end, at named bounds

Past it the connection is closed, the answer counts as broken and the request as one that may have run, and the caller gets the final answer at once.

--- a/src/gateway/node/gatewayMetrics.ts
+++ b/src/gateway/node/gatewayMetrics.ts
@@ -52,6 +52,14 @@
     registers: [this.registry],
   });
 
+  /** Answers of endpoints that were broken off here, by reason. */
+  readonly brokenAnswers = new Counter({
+    name: 'ibisspar_broken_answers_total',
+    help: 'Answers of endpoints that the gateway broke off',
+    labelNames: ['reason'],
+    registers: [this.registry],
+  });
+
   /** Retries that the budget of their service denied, by what the retry was for. */
   readonly deniedRetries = new Counter({
     name: 'ibisspar_denied_retries_total',
--- a/src/gateway/node/gatewayProgram.ts
+++ b/src/gateway/node/gatewayProgram.ts
@@ -204,6 +204,7 @@
       ledger: this.ledger,
       limits: this.limits,
       supervisor: this.crashProtection.supervisor,
+      maxAnswerBytes: settings.maxAnswerBytes,
       retryBudgetOf: (service) => this.retryBudgetOf(service),
     };
     this.lease = new LeaseCandidate(
--- a/src/gateway/relay/node/endpointSender.ts
+++ b/src/gateway/relay/node/endpointSender.ts
@@ -54,6 +54,9 @@
 /** Idle time in milliseconds after which a connection is closed, unless the endpoint asks for less. */
 const idleTimeoutMs = 4_000;
 
+/** Maximum size of the head of an answer, in bytes. */
+const maxHeadBytes = 16_384;
+
 const openSocket = buildConnector({ timeout: connectTimeoutMs });
 
 /** Connection to an endpoint that carries one exchange at a time. */
@@ -82,6 +85,7 @@
       pipelining: 1,
       keepAliveTimeout: idleTimeoutMs,
       keepAliveMaxTimeout: idleTimeoutMs,
+      maxHeaderSize: maxHeadBytes,
       headersTimeout: 0,
       bodyTimeout: 0,
       connect: (options, callback) =>
--- a/src/gateway/relay/node/plainRelay.ts
+++ b/src/gateway/relay/node/plainRelay.ts
@@ -12,6 +12,7 @@
   type CallerRequest,
   type ICallerSink,
 } from '../common/callerRequest.js';
+import { BoundedBody } from '../common/boundedBody.js';
 import type { PlainRouter } from '../../routing/common/plainRouter.js';
 import type { AnswerHead, IAnswerSink, IExchange } from './endpointSender.js';
 import type { RelayContext } from './relayContext.js';
@@ -148,7 +149,7 @@
       lastEventId: this.req.metadata.lastEventId,
     });
     const { method, target, body } = this.req;
-    const sink = new PlainAnswerSink(send, this);
+    const sink = new PlainAnswerSink(send, this, new BoundedBody(this.context.maxAnswerBytes));
     const mustBeCertain =
       !this.isIdempotent || this.context.supervisor.isWatchful(this.req.service);
     const maxIdleMs = mustBeCertain ? certainMaxReuseIdleMs : maxReuseIdleMs;
@@ -250,6 +251,18 @@
     }
   }
 
+  /** @internal Called when the body of a send's answer exceeds the maximum size. */
+  onOversizedAnswer(send: Send): void {
+    if (this.isFinished || send.isFinished) {
+      return;
+    }
+    send.exchange?.abort();
+    this.finishSend(send);
+    this.health.record(incarnationOf(send.endpoint), true);
+    this.context.metrics.brokenAnswers.inc({ reason: 'too-large' });
+    this.handlePossibleRun(send, `answer exceeds ${this.context.maxAnswerBytes} bytes`);
+  }
+
   private handlePossibleRun(send: Send, reason: string): void {
     this.possibleRunCount += 1;
     this.log('run-broken', { endpoint: send.endpoint.id, reason });
@@ -385,11 +398,10 @@
 class PlainAnswerSink implements IAnswerSink {
   private head: AnswerHead | undefined;
 
-  private readonly chunks: Buffer[] = [];
-
   constructor(
     private readonly send: Send,
     private readonly relay: PlainRelay,
+    private readonly body: BoundedBody,
   ) {}
 
   onHead(head: AnswerHead): void {
@@ -397,13 +409,15 @@
   }
 
   onData(chunk: Buffer): boolean {
-    this.chunks.push(chunk);
+    if (!this.body.append(chunk)) {
+      this.relay.onOversizedAnswer(this.send);
+    }
     return true;
   }
 
   onEnd(): void {
     if (this.head) {
-      this.relay.onAnswer(this.send, this.head, Buffer.concat(this.chunks));
+      this.relay.onAnswer(this.send, this.head, this.body.toBuffer());
     }
   }
 
--- a/src/gateway/relay/node/relayContext.ts
+++ b/src/gateway/relay/node/relayContext.ts
@@ -20,6 +20,8 @@
   readonly ledger: ReservationLedger;
   readonly limits: EndpointLimits;
   readonly supervisor: RunSupervisor;
+  /** Maximum size of an answer that is not an event stream, in bytes. */
+  readonly maxAnswerBytes: number;
   /** Returns the retry budget of a service. */
   readonly retryBudgetOf: (service: string) => RetryBudget;
 }
--- a/src/gateway/relay/node/streamAnswerSink.ts
+++ b/src/gateway/relay/node/streamAnswerSink.ts
@@ -1,3 +1,4 @@
+import type { BoundedBody } from '../common/boundedBody.js';
 import type { AnswerHead, IAnswerSink } from './endpointSender.js';
 
 /** How the body of an answer is handled, decided from the answer's status and headers. */
@@ -24,6 +25,12 @@
   onComplete(): void;
   /** Called with the whole body of an answer that is not an event stream. */
   onWholeAnswer(kind: AnswerKind, head: AnswerHead, body: Buffer): void;
+  /**
+   * Called when the body of an answer that is not an event stream exceeds the maximum size.
+   *
+   * @param sendNumber - Number of the send, counted from 1.
+   */
+  onOversizedAnswer(sendNumber: number): void;
   /**
    * Called when the exchange of a send failed.
    *
@@ -43,11 +50,15 @@
 
   private head: AnswerHead | undefined;
 
-  private readonly chunks: Buffer[] = [];
-
+  /**
+   * @param sendNumber - Number of the send, counted from 1.
+   * @param relay - Receives the answer.
+   * @param body - Collects the body of an answer that is not an event stream.
+   */
   constructor(
     private readonly sendNumber: number,
     private readonly relay: IStreamReceiver,
+    private readonly body: BoundedBody,
   ) {}
 
   onHead(head: AnswerHead): void {
@@ -59,7 +70,9 @@
     if (this.kind === AnswerKind.Events) {
       return this.relay.onEvents(chunk);
     }
-    this.chunks.push(chunk);
+    if (this.kind !== AnswerKind.Ignored && !this.body.append(chunk)) {
+      this.relay.onOversizedAnswer(this.sendNumber);
+    }
     return true;
   }
 
@@ -67,7 +80,7 @@
     if (this.kind === AnswerKind.Events) {
       this.relay.onComplete();
     } else if (this.kind !== AnswerKind.Ignored && this.head) {
-      this.relay.onWholeAnswer(this.kind, this.head, Buffer.concat(this.chunks));
+      this.relay.onWholeAnswer(this.kind, this.head, this.body.toBuffer());
     }
   }
 
--- a/src/gateway/relay/node/streamRelay.ts
+++ b/src/gateway/relay/node/streamRelay.ts
@@ -17,6 +17,7 @@
   type ICallerSink,
 } from '../common/callerRequest.js';
 import type { AnswerMetadata } from '../common/dialect.js';
+import { BoundedBody } from '../common/boundedBody.js';
 import { EventSplitter } from '../common/eventSplitter.js';
 import type { AnswerHead, IExchange } from './endpointSender.js';
 import type { RelayContext } from './relayContext.js';
@@ -64,6 +65,9 @@
 /** Number of events of one run that show that its endpoints run the request. */
 const progressEvents = 3;
 
+/** Maximum size of one event of a stream, in bytes; an event holds a few tokens. */
+const maxEventBytes = 262_144;
+
 const misdirectedStatus = 421;
 
 /** State of a relay. */
@@ -356,7 +360,11 @@
       lastEventId: this.lastEventId,
     });
     const { method, target, body } = this.req;
-    const answerSink = new StreamAnswerSink(this.sendCount, this);
+    const answerSink = new StreamAnswerSink(
+      this.sendCount,
+      this,
+      new BoundedBody(this.context.maxAnswerBytes),
+    );
     this.exchange = sender.send(
       firstEndpoint.address,
       { method, target, headers, body, maxIdleMs: maxReuseIdleMs },
@@ -399,8 +407,15 @@
   }
 
   onEvents(chunk: Buffer): boolean {
+    if (this.phase !== Phase.Streaming) {
+      return true;
+    }
     const batch = this.splitter.push(chunk);
-    if (batch === undefined || this.phase !== Phase.Streaming) {
+    if (this.splitter.partial.length > maxEventBytes) {
+      this.abortOversizedAnswer(`event exceeds ${maxEventBytes} bytes`);
+      return true;
+    }
+    if (batch === undefined) {
       return true;
     }
     const nowMs = this.context.clock.monotonicMs();
@@ -465,6 +480,13 @@
     this.finish('endpoint-failure', head.status);
   }
 
+  onOversizedAnswer(sendNumber: number): void {
+    if (sendNumber === this.sendCount && this.phase === Phase.Sent) {
+      this.recordPossibleRun();
+      this.abortOversizedAnswer(`answer exceeds ${this.context.maxAnswerBytes} bytes`);
+    }
+  }
+
   onFailure(sendNumber: number, reason: string, wasSent: boolean): void {
     if (
       sendNumber !== this.sendCount ||
@@ -484,6 +506,18 @@
     this.handleFailedSend(wasSent ? SendFailure.Interrupted : SendFailure.NotSent, reason);
   }
 
+  private abortOversizedAnswer(reason: string): void {
+    this.context.metrics.brokenAnswers.inc({ reason: 'too-large' });
+    this.exchange?.abort();
+    // The endpoint lives; its connection was ended here.
+    this.run.recordAnswer();
+    const { firstAddress } = this;
+    if (firstAddress !== undefined) {
+      this.excludedAddresses.add(firstAddress);
+    }
+    this.handleFailedSend(SendFailure.Interrupted, reason);
+  }
+
   private handleNotRun(metadata: AnswerMetadata, status: number): void {
     const address = metadata.faultAddress ?? this.firstAddress;
     if (address !== undefined) {
--- a/src/services/settings/common/settings.ts
+++ b/src/services/settings/common/settings.ts
@@ -142,6 +142,8 @@
   retryWindowMs: milliseconds,
   /** Retries of all gateways that a window allows regardless of the number of requests. */
   retrySlack: v.pipe(v.number(), v.minValue(0)),
+  /** Maximum size of an answer of an endpoint that is not an event stream, in bytes. */
+  maxAnswerBytes: v.optional(positiveInteger, 2_097_152),
   /** Whether the whole system starts for the first time, so that the store can't have lost anything. */
   isFirstStart: v.optional(v.boolean(), false),
 });
