Keep to what an endpoint says of itself: it leaves, or wants nothing for a while

Change: src/gateway/signals is the one home that the plain router, the path finder, placement and the retries ask; limits keep their policy behind it. Server-Leaving, from any answer to a request, a report request or an order, makes the incarnation count as draining in the directory, whatever the store or an older copy lists, and peers hear of it with the other draining ones. Retry-After of a 503 pauses the endpoint for this gateway alone; after the pause one request tries it until it answers. Neither ejects, raises a suspicion or enters the mean latency. A 408, 421, 429 or 503 without the proof that the request did not run is no longer passed on, as callers take it for that proof: the caller gets 502. If no endpoint takes requests, callers are refused before a send, with the earliest time, spread over a second. A retry that no send follows is given back to the budget.

--- a/src/gateway/admission/common/modelAdmission.ts
+++ b/src/gateway/admission/common/modelAdmission.ts
@@ -2,7 +2,7 @@
 import type { CancelTimer, IClock, ITimers } from '../../../base/common/clock.js';
 import { IbissparError } from '../../../base/common/errors.js';
 import type { Endpoint } from '../../directory/common/endpoint.js';
-import type { EndpointLimits } from '../../limits/common/endpointLimits.js';
+import type { ISendPermission } from '../../signals/common/endpointSignals.js';
 import type { LayerPath, PathFinder, PathRequest } from '../../routing/common/pathFinder.js';
 import type { CrossDataCentreBudget } from '../../routing/common/crossDataCentreBudget.js';
 import type { ReservationLedger } from '../../routing/common/reservationLedger.js';
@@ -11,7 +11,7 @@
 export enum RefusalReason {
   /** The available endpoints don't cover all layers of the model. */
   NoPath = 'no-path',
-  /** The limits that endpoints name leave no path. */
+  /** The endpoints that take requests now by their own word leave no path. */
   Limited = 'limited',
   /** The queue is too long for the request to be served within its maximum wait. */
   QueueFull = 'queue-full',
@@ -111,7 +111,8 @@
    * @param finder - Finds paths with free capacity.
    * @param endpoints - Endpoints that accept new requests.
    * @param isConfirmed - Whether the store lists an endpoint; others are used only if those lack capacity.
-   * @param limits - Limits that endpoints name; each request counts at all endpoints of its path.
+   * @param permission - Whether endpoints take requests, by their own word; each request counts at all
+   *   endpoints of its path.
    * @param ledger - Records the reservations of admitted requests.
    * @param crossingBudget - Limits paths that cross data centres.
    * @param clock - Source of time and timers.
@@ -120,7 +121,7 @@
     private readonly finder: PathFinder,
     private readonly endpoints: () => readonly Endpoint[],
     private readonly isConfirmed: (endpoint: Endpoint) => boolean,
-    private readonly limits: EndpointLimits,
+    private readonly permission: ISendPermission,
     private readonly ledger: ReservationLedger,
     private readonly crossingBudget: CrossDataCentreBudget,
     private readonly clock: IClock & ITimers,
@@ -244,14 +245,14 @@
       this.ledger.reserve(path.reservations);
       path.stages
         .filter(({ endpoint }) => !req.runningAddresses?.has(endpoint.address))
-        .forEach(({ endpoint }) => this.limits.recordSend(endpoint));
+        .forEach(({ endpoint }) => this.permission.recordSend(endpoint));
       this.crossingBudget.consume(req.reservedTokens, path.crossings);
     }
     return path;
   }
 
   private findPath(req: PathRequest): LayerPath | undefined {
-    const endpoints = this.endpointsWithinLimits(req);
+    const endpoints = this.permittedEndpoints(req);
     const confirmed = endpoints.filter((endpoint) => this.isConfirmed(endpoint));
     if (confirmed.length < endpoints.length) {
       const path = this.finder.find(confirmed, { ...req, staysInDataCentre: true });
@@ -263,22 +264,22 @@
     return this.finder.find(endpoints, { ...req, staysInDataCentre });
   }
 
-  private endpointsWithinLimits({ runningAddresses }: PathRequest): readonly Endpoint[] {
+  private permittedEndpoints({ runningAddresses }: PathRequest): readonly Endpoint[] {
     return this.endpoints().filter(
-      (endpoint) => runningAddresses?.has(endpoint.address) || this.limits.mayUse(endpoint),
+      (endpoint) => runningAddresses?.has(endpoint.address) || this.permission.mayUse(endpoint),
     );
   }
 
   private immediateRefusal(req: AdmissionRequest): AdmissionRefusedError | undefined {
     const endpoints = this.endpoints();
-    const withinLimits = this.endpointsWithinLimits(req);
+    const permitted = this.permittedEndpoints(req);
     const hasPath = (pool: readonly Endpoint[]) =>
       this.finder.find(pool, { ...req, ignoresCapacity: true }) !== undefined;
     if (!hasPath(endpoints)) {
       return new AdmissionRefusedError(RefusalReason.NoPath, noPathRetryAfterMs);
     }
-    if (withinLimits.length < endpoints.length && !hasPath(withinLimits)) {
-      const retryAfterMs = this.limits.retryAfterMs(endpoints[0].service);
+    if (permitted.length < endpoints.length && !hasPath(permitted)) {
+      const retryAfterMs = this.permission.retryAfterMs(endpoints[0].service);
       return new AdmissionRefusedError(RefusalReason.Limited, retryAfterMs);
     }
     const now = this.clock.monotonicMs();
--- a/src/gateway/directory/common/endpointDirectory.ts
+++ b/src/gateway/directory/common/endpointDirectory.ts
@@ -72,6 +72,9 @@
   /** Monotonic time at which each incarnation was last seen to drain. */
   private readonly drainedAtMs = new Map<string, number>();
 
+  /** Monotonic time at which incarnations last said themselves that they leave. */
+  private readonly leavingSeenMs = new Map<string, number>();
+
   private readonly departures: Departures;
 
   private readonly removals = new Emitter<Endpoint>();
@@ -183,6 +186,11 @@
         this.drainedAtMs.delete(incarnation);
       }
     }
+    for (const [incarnation, atMs] of this.leavingSeenMs) {
+      if (nowMs - atMs > drainMemoryMs && this.findIncarnation(incarnation) === undefined) {
+        this.leavingSeenMs.delete(incarnation);
+      }
+    }
     this.departures.removeExpired();
     for (const { endpoint, expiresAtMs } of [...this.byId.values()]) {
       if (expiresAtMs !== undefined && expiresAtMs <= nowMs) {
@@ -224,6 +232,27 @@
     }
   }
 
+  /**
+   * Records that an endpoint said itself that it leaves. Whatever the store lists, that incarnation counts
+   * as draining from now on.
+   *
+   * @param endpoint - Incarnation that answered.
+   */
+  recordLeaving(endpoint: Endpoint): void {
+    const incarnation = incarnationOf(endpoint);
+    const isKnown = this.leavingSeenMs.has(incarnation);
+    this.leavingSeenMs.set(incarnation, this.clock.monotonicMs());
+    if (isKnown) {
+      return;
+    }
+    const { id, address } = endpoint;
+    this.logger.log(LogLevel.Info, 'endpoint-leaving', { endpoint: id, address });
+    const entry = this.byId.get(id);
+    if (entry && incarnationOf(entry.endpoint) === incarnation) {
+      this.update(entry.endpoint);
+    }
+  }
+
   /**
    * Skips an endpoint for a time that depends on the kind of suspicion. Never shortens an existing
    * suspicion of the same incarnation.
@@ -362,7 +391,7 @@
     if (endpoint.state === EndpointState.Draining) {
       this.drainedAtMs.set(incarnation, this.clock.monotonicMs());
     }
-    return this.drainedAtMs.has(incarnation)
+    return this.drainedAtMs.has(incarnation) || this.leavingSeenMs.has(incarnation)
       ? { ...endpoint, state: EndpointState.Draining }
       : endpoint;
   }
--- a/src/gateway/node/gatewayMetrics.ts
+++ b/src/gateway/node/gatewayMetrics.ts
@@ -126,6 +126,15 @@
     this.observe('ibisspar_limited_endpoints', 'Endpoints that name a limit', countLimited);
   }
 
+  /**
+   * Registers a gauge of the endpoints that want no requests of this gateway for a while.
+   *
+   * @param countPaused - Returns their number; called each time the metrics are read.
+   */
+  observePausedEndpoints(countPaused: () => number): void {
+    this.observe('ibisspar_paused_endpoints', 'Endpoints that want no requests', countPaused);
+  }
+
   /**
    * Registers a gauge of the requests in flight.
    *
--- a/src/gateway/node/gatewayProgram.ts
+++ b/src/gateway/node/gatewayProgram.ts
@@ -23,6 +23,7 @@
 import { PeerRegistration } from '../peers/node/peerRegistration.js';
 import { LeaseScheduler } from '../placement/common/leaseScheduler.js';
 import { PlacementLoop } from '../placement/node/placementLoop.js';
+import type { LeavingNotice } from '../relay/common/endpointControl.js';
 import { RefusalStatus, type CallerRequest } from '../relay/common/callerRequest.js';
 import { EndpointSender } from '../relay/node/endpointSender.js';
 import { PlainRelay } from '../relay/node/plainRelay.js';
@@ -31,6 +32,7 @@
 import { StreamRelay } from '../relay/node/streamRelay.js';
 import { RetryBudget } from '../retries/common/retryBudget.js';
 import { CrossDataCentreBudget } from '../routing/common/crossDataCentreBudget.js';
+import { EndpointSignals } from '../signals/common/endpointSignals.js';
 import { PathFinder } from '../routing/common/pathFinder.js';
 import { PlainRouter } from '../routing/common/plainRouter.js';
 import { ReservationLedger } from '../routing/common/reservationLedger.js';
@@ -118,6 +120,8 @@
 
   private readonly limits: EndpointLimits;
 
+  private readonly signals: EndpointSignals;
+
   private readonly sender: EndpointSender;
 
   private readonly ingress: Ingress;
@@ -181,6 +185,13 @@
       clock,
       logger,
     });
+    this.signals = new EndpointSignals({
+      limits: this.limits,
+      directory: this.directory,
+      random: dependencies.random,
+      clock,
+      logger,
+    });
     this.sender = new EndpointSender(maxConnectionsPerEndpoint, clock);
     const gatewayIncarnation = `${settings.instance}@${clock.wallMs()}`;
     this.crashProtection = new CrashProtection({
@@ -202,7 +213,7 @@
       sender: this.sender,
       directory: this.directory,
       ledger: this.ledger,
-      limits: this.limits,
+      signals: this.signals,
       supervisor: this.crashProtection.supervisor,
       maxAnswerBytes: settings.maxAnswerBytes,
       retryBudgetOf: (service) => this.retryBudgetOf(service),
@@ -230,6 +241,7 @@
       this.directory,
       this.ledger,
       platform.control,
+      (endpoint) => this.signals.isPaused(endpoint),
       clock,
       logger,
     );
@@ -241,7 +253,7 @@
       this.directory,
       this.ledger,
       (incarnation) => this.ejectedIncarnations.has(incarnation),
-      this.limits,
+      this.signals,
       clock,
     );
     const { instance, host, peerPort: port } = settings;
@@ -267,6 +279,7 @@
     this.status = new StatusServers(() => this.isReady, metrics.registry);
     metrics.observeSuspects(() => this.crashProtection.suspectCount);
     metrics.observeLimitedEndpoints(() => this.limits.count);
+    metrics.observePausedEndpoints(() => this.signals.pausedCount);
     metrics.observeInFlight(() => this.ingress.inFlight);
     this.ingress = new Ingress(
       this.config,
@@ -277,6 +290,7 @@
       clock,
       logger,
     );
+    platform.control.onDidHearLeaving((notice) => this.handleLeaving(notice));
     platform.store.onDidChangeEra((change) => this.handleEraChange(change));
     this.config.onDidChange(({ config: { version } }) => metrics.configVersion.set(version));
     this.directory.onDidRemove((endpoint) => this.releaseEndpoint(endpoint));
@@ -484,7 +498,7 @@
       pathFinder,
       () => this.directory.findUsable(service),
       (endpoint) => this.directory.isConfirmed(endpoint),
-      this.limits,
+      this.signals,
       this.ledger,
       crossDataCentreBudget,
       this.dependencies.clock,
@@ -555,11 +569,18 @@
     }
   }
 
+  private handleLeaving({ address, startedMs }: LeavingNotice): void {
+    const endpoint = this.directory.findByAddress(address);
+    if (endpoint && (startedMs === undefined || startedMs === endpoint.startedMs)) {
+      this.directory.recordLeaving(endpoint);
+    }
+  }
+
   private releaseEndpoint(endpoint: Endpoint): void {
     this.sender.closeConnectionsTo(endpoint.address);
     this.ledger.clearLearnedLimit(endpoint.address);
     this.plainRouter.removeEndpoint(endpoint);
-    this.limits.removeEndpoint(endpoint);
+    this.signals.removeEndpoint(endpoint);
     this.health.forget(incarnationOf(endpoint));
     this.ejectedIncarnations.delete(incarnationOf(endpoint));
   }
--- a/src/gateway/placement/node/placementLoop.ts
+++ b/src/gateway/placement/node/placementLoop.ts
@@ -68,6 +68,7 @@
    * @param directory - Known endpoints.
    * @param ledger - Active requests of each endpoint.
    * @param control - Reads reports of endpoints and sends them orders.
+   * @param isPaused - Whether an endpoint wants nothing of this gateway now; it gets no orders.
    * @param clock - Source of time and timers.
    * @param logger - Receives each order.
    */
@@ -77,6 +78,7 @@
     private readonly directory: EndpointDirectory,
     private readonly ledger: ReservationLedger,
     private readonly control: IEndpointControl,
+    private readonly isPaused: (endpoint: Endpoint) => boolean,
     private readonly clock: IClock & ITimers,
     private readonly logger: ILogger,
   ) {}
@@ -125,8 +127,9 @@
     for (const assignment of new RangePlanner(engine).plan(placed)) {
       const endpoint = byAddress.get(assignment.address);
       const isBackingOff = (this.retryAtMs.get(assignment.address) ?? 0) > nowMs;
+      const isPaused = endpoint !== undefined && this.isPaused(endpoint);
       const hasLoadSlot = this.countPendingOrders(service.name) < engine.maxConcurrentLoads;
-      if (endpoint && !isBackingOff && hasLoadSlot) {
+      if (endpoint && !isBackingOff && !isPaused && hasLoadSlot) {
         void this.order(endpoint, assignment, fencingToken);
       }
     }
--- a/src/gateway/placement/test/node/placementLoop.test.ts
+++ b/src/gateway/placement/test/node/placementLoop.test.ts
@@ -47,7 +47,16 @@
     } as unknown as IEndpointControl;
     const lease = { fencingToken: () => 1 } as LeaseCandidate;
     const ledger = new ReservationLedger(clock);
-    const loop = new PlacementLoop(lease, config, directory, ledger, control, clock, nullLogger);
+    const loop = new PlacementLoop(
+      lease,
+      config,
+      directory,
+      ledger,
+      control,
+      () => false,
+      clock,
+      nullLogger,
+    );
     loop.start();
     for (let passedMs = 0; passedMs < 2_000; passedMs += 200) {
       clock.advance(200);
--- a/src/gateway/relay/common/callerRequest.ts
+++ b/src/gateway/relay/common/callerRequest.ts
@@ -54,6 +54,9 @@
   readonly retryAfterMs?: number;
 }
 
+/** Status codes that promise that a request was not run and will not be run. */
+export const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
 /** Status codes of the gateway's own error answers. */
 export enum RefusalStatus {
   BadRequest = 400,
--- a/src/gateway/relay/common/dialect.ts
+++ b/src/gateway/relay/common/dialect.ts
@@ -41,6 +41,10 @@
   readonly isEndpointsOwn: boolean;
   /** Rate that the endpoint takes from all gateways together; undefined if it names none. */
   readonly namedLimit: NamedLimit | undefined;
+  /** Whether the endpoint says that it leaves. */
+  readonly isLeaving: boolean;
+  /** Time for which the endpoint wants nothing from this gateway; undefined if it names none. */
+  readonly namedPause: NamedPause | undefined;
 }
 
 /** Rate limit that an endpoint in need names in an answer. */
@@ -51,6 +55,14 @@
   readonly text: string;
 }
 
+/** Time for which an endpoint that turned a request away wants nothing more. */
+export interface NamedPause {
+  /** Duration in milliseconds; undefined if the text isn't one. */
+  readonly durationMs: number | undefined;
+  /** The duration as the endpoint wrote it. */
+  readonly text: string;
+}
+
 /** Headers by lower-case name. */
 export type HeaderMap = Readonly<Record<string, string | string[] | undefined>>;
 
--- a/src/gateway/relay/common/endpointControl.ts
+++ b/src/gateway/relay/common/endpointControl.ts
@@ -1,4 +1,5 @@
 import type { Result } from 'ts-results-es';
+import type { Event } from '../../../base/common/event.js';
 import { IbissparError } from '../../../base/common/errors.js';
 import type { Endpoint, LayerRange } from '../../directory/common/endpoint.js';
 import type { LayerPath } from '../../routing/common/pathFinder.js';
@@ -93,8 +94,17 @@
   readonly startedMs: number | undefined;
 }
 
+/** An answer in which an endpoint says that it leaves. */
+export interface LeavingNotice {
+  readonly address: string;
+  /** Start time of the process that answered, in Unix milliseconds; undefined if it doesn't tell. */
+  readonly startedMs: number | undefined;
+}
+
 /** Reads the reports of model endpoints and sends orders to them. */
 export interface IEndpointControl {
+  /** Fires for each answer to a report request or an order in which an endpoint says that it leaves. */
+  readonly onDidHearLeaving: Event<LeavingNotice>;
   /** Requests the report of an endpoint. */
   report(address: string): Promise<Result<EndpointReport, EndpointSilentError>>;
   /**
--- a/src/gateway/relay/node/plainRelay.ts
+++ b/src/gateway/relay/node/plainRelay.ts
@@ -8,6 +8,7 @@
 import type { Reservation } from '../../routing/common/reservationLedger.js';
 import {
   deadlineOf,
+  notRunStatuses,
   RefusalStatus,
   type CallerRequest,
   type ICallerSink,
@@ -57,6 +58,9 @@
   /** Number of failed sends whose endpoint may have run the request. */
   private possibleRunCount = 0;
 
+  /** Whether a retry was taken from the budget for a send that hasn't followed yet. */
+  private hasUnusedRetry = false;
+
   private cancelHedge: CancelTimer | undefined;
 
   private readonly cancelDeadline: CancelTimer;
@@ -123,7 +127,8 @@
       this.refuseWithoutEndpoint(excludedAddresses);
       return;
     }
-    this.context.limits.recordSend(endpoint);
+    this.hasUnusedRetry = false;
+    this.context.signals.recordSend(endpoint);
     const reservation = {
       address: endpoint.address,
       tokenLayers: 0,
@@ -187,7 +192,9 @@
   /** Consumes one retry of the budget of the service, or counts that the budget denied it. */
   private tryConsumeBudget(reason: string): boolean {
     const hasBudget = this.context.retryBudgetOf(this.req.service).tryConsume();
-    if (!hasBudget) {
+    if (hasBudget) {
+      this.hasUnusedRetry = true;
+    } else {
       this.context.metrics.deniedRetries.inc({ reason });
     }
     return hasBudget;
@@ -201,18 +208,27 @@
     const { clock, dialect } = this.context;
     const metadata = dialect.readAnswer(head.status, head.headers);
     this.finishSend(send);
-    this.router.recordLatency(send.endpoint, clock.monotonicMs() - send.sentAtMs);
+    const isPausing = metadata.namedPause !== undefined;
+    if (!isPausing) {
+      this.router.recordLatency(send.endpoint, clock.monotonicMs() - send.sentAtMs);
+    }
     if (metadata.requestId !== undefined && metadata.requestId !== this.req.metadata.requestId) {
       this.handlePossibleRun(send, 'answer to another request');
       return;
     }
-    if (metadata.isEndpointsOwn) {
-      this.context.limits.recordAnswer(send.endpoint, metadata.namedLimit);
-    }
+    this.context.signals.recordAnswer(send.endpoint, metadata);
     if (metadata.didNotRun) {
       this.handleNotRun(send, `status ${head.status}`);
       return;
     }
+    if (notRunStatuses.has(head.status)) {
+      // The caller would take the status for a proof that the request was not run.
+      if (!isPausing) {
+        this.health.record(incarnationOf(send.endpoint), true);
+      }
+      this.handlePossibleRun(send, `status ${head.status} without a proof`);
+      return;
+    }
     if (head.status < 300 && (!metadata.hasSignature || metadata.isEncoded)) {
       this.handlePossibleRun(send, 'answer without signature');
       return;
@@ -311,22 +327,21 @@
 
   private refuseWithoutEndpoint(excludedAddresses: ReadonlySet<string>): void {
     const { service } = this.req;
-    if (this.router.isLimited(service, excludedAddresses)) {
-      const delayMs = this.context.limits.retryAfterMs(service);
-      this.refuseUnlessRunning('the limits of the endpoints are used up', 'limited', delayMs);
+    if (this.router.lacksPermission(service, excludedAddresses)) {
+      this.refuseUnlessRunning('endpoints want fewer requests', 'limited');
     } else {
       this.refuseUnlessRunning('no endpoint has room');
     }
   }
 
-  private refuseUnlessRunning(
-    detail: string,
-    reason = 'no-endpoint',
-    delayMs = retryAfterMs,
-  ): void {
+  private refuseUnlessRunning(detail: string, reason = 'no-endpoint'): void {
     if (this.hasRunningSend()) {
       return;
     }
+    const { service } = this.req;
+    const delayMs = this.router.lacksPermission(service, new Set())
+      ? this.context.signals.retryAfterMs(service)
+      : retryAfterMs;
     const hasRun = this.possibleRunCount > 0;
     const status = hasRun ? RefusalStatus.BadGateway : RefusalStatus.Unavailable;
     this.context.metrics.refusals.inc({ reason: hasRun ? 'failed' : reason });
@@ -365,6 +380,9 @@
 
   private finish(outcome: string, status: number): void {
     this.isFinished = true;
+    if (this.hasUnusedRetry) {
+      this.context.retryBudgetOf(this.req.service).refund();
+    }
     this.cancelDeadline();
     this.cancelHedge?.();
     this.run.close();
--- a/src/gateway/relay/node/relayContext.ts
+++ b/src/gateway/relay/node/relayContext.ts
@@ -1,9 +1,9 @@
 import type { IClock, ITimers } from '../../../base/common/clock.js';
 import type { ILogger } from '../../../base/common/logger.js';
 import type { EndpointDirectory } from '../../directory/common/endpointDirectory.js';
-import type { EndpointLimits } from '../../limits/common/endpointLimits.js';
 import type { RetryBudget } from '../../retries/common/retryBudget.js';
 import type { ReservationLedger } from '../../routing/common/reservationLedger.js';
+import type { EndpointSignals } from '../../signals/common/endpointSignals.js';
 import type { IDialect } from '../common/dialect.js';
 import type { EndpointSender } from './endpointSender.js';
 import type { RunSupervisor } from '../../suspects/common/runSupervisor.js';
@@ -18,7 +18,7 @@
   readonly sender: EndpointSender;
   readonly directory: EndpointDirectory;
   readonly ledger: ReservationLedger;
-  readonly limits: EndpointLimits;
+  readonly signals: EndpointSignals;
   readonly supervisor: RunSupervisor;
   /** Maximum size of an answer that is not an event stream, in bytes. */
   readonly maxAnswerBytes: number;
--- a/src/gateway/relay/node/streamRelay.ts
+++ b/src/gateway/relay/node/streamRelay.ts
@@ -12,6 +12,7 @@
 import type { LayerPath } from '../../routing/common/pathFinder.js';
 import {
   deadlineOf,
+  notRunStatuses,
   RefusalStatus,
   type CallerRequest,
   type ICallerSink,
@@ -127,6 +128,9 @@
    */
   private readonly possibleRunAddresses = new Set<string>();
 
+  /** Whether a retry was taken from the budget for a send that hasn't followed yet. */
+  private hasUnusedRetry = false;
+
   private isPrefilling = false;
 
   private sentAtMs = 0;
@@ -338,6 +342,7 @@
     const firstEndpoint = path.stages[0].endpoint;
     const nowMs = clock.monotonicMs();
     this.path = path;
+    this.hasUnusedRetry = false;
     this.isPrefilling = true;
     this.phase = Phase.Sent;
     this.sentAtMs = nowMs;
@@ -382,9 +387,7 @@
       this.handleFailedSend(SendFailure.Interrupted, 'answer to another request');
       return AnswerKind.Ignored;
     }
-    if (metadata.isEndpointsOwn) {
-      this.context.limits.recordAnswer(this.pathEndpoints[0], metadata.namedLimit);
-    }
+    this.context.signals.recordAnswer(this.pathEndpoints[0], metadata);
     if (metadata.didNotRun) {
       return AnswerKind.NotRun;
     }
@@ -471,6 +474,8 @@
     this.run.recordAnswer();
     if (
       this.hasBegunAnswer ||
+      // The caller would take the status for a proof that the request was not run.
+      notRunStatuses.has(head.status) ||
       (head.status >= 500 && this.req.route.isResumable && this.mayRunElsewhere)
     ) {
       this.handleFailedSend(SendFailure.Interrupted, `status ${head.status}`);
@@ -523,7 +528,8 @@
     if (address !== undefined) {
       const waitedMs = this.context.clock.monotonicMs() - this.sentAtMs;
       const kind = suspicionOf(status, waitedMs);
-      if (kind === Suspicion.Silent) {
+      const isPaused = metadata.namedPause !== undefined && metadata.faultAddress === undefined;
+      if (!isPaused && kind === Suspicion.Silent) {
         this.run.recordLoss(
           this.pathEndpoints.filter((endpoint) => endpoint.address === address),
           false,
@@ -533,7 +539,7 @@
       this.releasePath();
       const isWithinLimits =
         metadata.namedLimit !== undefined && metadata.faultAddress === undefined;
-      if (kind === Suspicion.Refusing && isWithinLimits) {
+      if (isPaused || (kind === Suspicion.Refusing && isWithinLimits)) {
         this.log('endpoint-refused-limited', { address, status });
       } else if (kind === Suspicion.Refusing && this.admission.recordRefusal(address, true)) {
         const reserved = this.context.ledger.loadAt(address).tokenLayers;
@@ -571,8 +577,9 @@
       failure === SendFailure.NotSent ||
       failure === SendFailure.NotRun ||
       this.req.route.isResumable;
-    const hasBudget =
-      failure === SendFailure.NotSent || retryBudgetOf(this.req.service).tryConsume();
+    const needsBudget = failure !== SendFailure.NotSent;
+    const hasBudget = !needsBudget || retryBudgetOf(this.req.service).tryConsume();
+    this.hasUnusedRetry = needsBudget && hasBudget;
     if (!hasBudget) {
       metrics.deniedRetries.inc({ reason: failure });
     }
@@ -635,6 +642,9 @@
 
   private finish(outcome: string, status: number): void {
     this.phase = Phase.Finished;
+    if (this.hasUnusedRetry) {
+      this.context.retryBudgetOf(this.req.service).refund();
+    }
     this.cancelDeadline();
     this.run.close();
     this.ticket?.cancel();
--- a/src/gateway/retries/common/retryBudget.ts
+++ b/src/gateway/retries/common/retryBudget.ts
@@ -72,6 +72,14 @@
     return true;
   }
 
+  /** Returns a retry that was consumed and not sent. */
+  refund(): void {
+    const bucket = [...this.buckets].reverse().find(({ retries }) => retries > 0);
+    if (bucket) {
+      bucket.retries -= 1;
+    }
+  }
+
   private currentBucket(): Bucket {
     const nowMs = this.clock.monotonicMs();
     const { windowMs } = this.options;
--- a/src/gateway/retries/test/common/retryBudget.test.ts
+++ b/src/gateway/retries/test/common/retryBudget.test.ts
@@ -61,4 +61,17 @@
     }
     expect(mostRetries).to.be.greaterThan(100);
   });
+
+  it('does not charge a retry that was not sent', () => {
+    const clock = new FakeClock();
+    const budget = new RetryBudget(options, () => 5, -20_000, clock);
+    let consumed = 0;
+    while (budget.tryConsume()) {
+      consumed += 1;
+    }
+    budget.refund();
+    expect(consumed).to.be.greaterThan(0);
+    expect(budget.tryConsume()).to.equal(true);
+    expect(budget.tryConsume()).to.equal(false);
+  });
 });
--- a/src/gateway/routing/common/plainRouter.ts
+++ b/src/gateway/routing/common/plainRouter.ts
@@ -1,7 +1,7 @@
 import type { IClock } from '../../../base/common/clock.js';
 import { incarnationOf, type Endpoint } from '../../directory/common/endpoint.js';
 import type { EndpointDirectory } from '../../directory/common/endpointDirectory.js';
-import type { EndpointLimits } from '../../limits/common/endpointLimits.js';
+import type { ISendPermission } from '../../signals/common/endpointSignals.js';
 import type { ReservationLedger } from './reservationLedger.js';
 
 /** Weight of the newest latency in the exponential moving average. */
@@ -30,7 +30,7 @@
    * @param directory - Known endpoints.
    * @param ledger - Active requests of each endpoint.
    * @param isEjected - Whether outlier ejection excludes an incarnation.
-   * @param limits - Limits that endpoints name.
+   * @param permission - Whether endpoints take requests, by their own word.
    * @param clock - Source of time.
    */
   constructor(
@@ -38,13 +38,13 @@
     private readonly directory: EndpointDirectory,
     private readonly ledger: ReservationLedger,
     private readonly isEjected: (incarnation: string) => boolean,
-    private readonly limits: EndpointLimits,
+    private readonly permission: ISendPermission,
     private readonly clock: IClock,
   ) {}
 
   /**
-   * Picks an endpoint that hasn't been tried and whose limit, if it names one, has room. Endpoints that the store lacks since an outage, and then
-   * ejected ones, are used only if all others are full.
+   * Picks an endpoint that hasn't been tried and that takes requests by its own word. Endpoints that the
+   * store lacks since an outage, and then ejected ones, are used only if all others are full.
    *
    * @param service - Name of the service.
    * @param triedAddresses - Addresses to which the request was already sent.
@@ -52,17 +52,17 @@
    */
   pick(service: string, triedAddresses: ReadonlySet<string>): Endpoint | undefined {
     const untried = this.untriedOf(service, triedAddresses).filter((endpoint) =>
-      this.limits.mayUse(endpoint),
+      this.permission.mayUse(endpoint),
     );
     const healthy = untried.filter((endpoint) => !this.isEjected(incarnationOf(endpoint)));
     const confirmed = healthy.filter((endpoint) => this.directory.isConfirmed(endpoint));
     return this.cheapest(confirmed) ?? this.cheapest(healthy) ?? this.cheapest(untried);
   }
 
-  /** Returns whether a limit keeps a request from an endpoint that it hasn't been sent to. */
-  isLimited(service: string, triedAddresses: ReadonlySet<string>): boolean {
+  /** Returns whether an endpoint that a request hasn't been sent to takes none now by its own word. */
+  lacksPermission(service: string, triedAddresses: ReadonlySet<string>): boolean {
     const untried = this.untriedOf(service, triedAddresses);
-    return untried.some((endpoint) => !this.limits.mayUse(endpoint));
+    return untried.some((endpoint) => !this.permission.mayUse(endpoint));
   }
 
   /**
