Play endpoints that say they leave, pause, or answer without end in the soak, and judge each gateway by itself

Two checkers: no request of a gateway 2 s after it passed on that an endpoint leaves; at most two in a pause from half a second after the rejection on; a kill or freeze of that gateway, or a disturbed link, excuses.

--- a/soak/common/checkers.ts
+++ b/soak/common/checkers.ts
@@ -4,9 +4,10 @@
   FaultKind,
   RequestKind,
   type CallRecord,
-  type FaultRecord,
   type SoakHistory,
 } from './records.js';
+import { gatewayFaults, gatewaysById, overlaps } from './faultTimes.js';
+import { checkLeaving, checkPauses } from './signalCheckers.js';
 
 /** Statuses that state that the request was not run and will not be run later. */
 const notRunStatuses = new Set([408, 421, 429, 503]);
@@ -94,27 +95,19 @@
   FaultKind.DelayCallerLinks,
 ]);
 
-const gatewayFaults = new Set([
-  FaultKind.KillGateway,
-  FaultKind.StopGateway,
-  FaultKind.FreezeGateway,
-]);
-
 const plannedFaults = new Set([
   FaultKind.StopGateway,
   FaultKind.ReloadGateway,
   FaultKind.DrainEndpoint,
   FaultKind.RemoveEndpointEntry,
   FaultKind.EndpointNamesLimit,
+  FaultKind.EndpointSaysLeaving,
+  FaultKind.EndpointPauses,
   FaultKind.AddKey,
   FaultKind.RevokeKey,
   FaultKind.GrowConfig,
 ]);
 
-function overlaps(fault: FaultRecord, fromMs: number, toMs: number): boolean {
-  return fault.startMs <= toMs && fault.endMs >= fromMs;
-}
-
 function formatCall(call: CallRecord): string {
   return `${call.kind} ${call.id} at ${call.gateway}: ${call.status} ${call.outcome} ${call.detail}`;
 }
@@ -223,11 +216,6 @@
   );
 }
 
-/** Returns the gateway of each call by the id of the call. */
-function gatewaysById({ calls }: SoakHistory): ReadonlyMap<string, string> {
-  return new Map(calls.map(({ id, gateway }) => [id, gateway]));
-}
-
 /**
  * Checks that a key works only while the configuration contains it, and that a process that refused
  * a revoked key never accepts it again.
@@ -412,6 +400,8 @@
     keysHoldAsConfigured: checkKeys(history),
     drainingGetsNoWork: checkDrains(history),
     limitsAreKept: checkLimits(history),
+    leavingGetsNoWork: checkLeaving(history),
+    pausesAreKept: checkPauses(history),
     plannedWorkCutsNothing: checkPlannedWork(history),
     callsEndInTime: checkTimeouts(history),
     gatewaysKeepRunning: history.incidents,
--- a/soak/common/records.ts
+++ b/soak/common/records.ts
@@ -1,4 +1,4 @@
-import type { ObservedRun } from '../../platform/test/wireViews.js';
+import type { ObservedArrival, ObservedRun } from '../../platform/test/wireViews.js';
 
 /** Kinds of requests that the callers send; each value is the first segment of the path. */
 export enum RequestKind {
@@ -92,12 +92,17 @@
   RemoveEndpointEntry = 'remove-entry',
   /** An endpoint names a rate limit in its answers. */
   EndpointNamesLimit = 'naming-limit',
+  /** An endpoint says in its answers that it leaves, while the store lists it as ready. */
+  EndpointSaysLeaving = 'saying-leaving',
+  /** An endpoint rejects requests and names a time for which it wants none. */
+  EndpointPauses = 'pausing',
   EndpointShedsLoad = 'shedding',
   EndpointFails = 'failing',
   EndpointClosesWithoutAnswer = 'losing-answers',
   EndpointCutsStreams = 'cutting-answers',
   EndpointResetsDuringAnswer = 'resetting-answers',
   EndpointNeverAnswers = 'hanging',
+  EndpointAnswersWithoutEnd = 'answering-without-end',
   EndpointAnswersWrongRequest = 'misanswering',
   AddKey = 'add-key',
   RevokeKey = 'revoke-key',
@@ -125,6 +130,7 @@
 export interface SoakHistory {
   readonly calls: readonly CallRecord[];
   readonly runs: readonly ObservedRun[];
+  readonly arrivals: readonly ObservedArrival[];
   readonly orders: readonly OrderRecord[];
   readonly keys: readonly KeyRecord[];
   readonly faults: readonly FaultRecord[];
--- a/soak/node/faultInjector.ts
+++ b/soak/node/faultInjector.ts
@@ -3,6 +3,7 @@
 import { StoreMode } from '../../platform/test/fakeStore.js';
 import { PauseDirection } from '../../src/bench/node/faultProxy.js';
 import { crashingPrefix, namedLimitPerSecond, routeTimeoutMs } from '../common/checkers.js';
+import { pauseMs } from '../common/signalCheckers.js';
 import { FaultKind, RequestKind, type FaultRecord, type PlannedFault } from '../common/records.js';
 import {
   permanentKey,
@@ -27,6 +28,8 @@
  */
 const limitExtraMs = 7_000;
 
+const millisecondsPerSecond = 1_000;
+
 /** Delay of each chunk of data on a slow connection, in milliseconds. */
 const slowLinkMs = 80;
 
@@ -45,6 +48,7 @@
   [FaultKind.EndpointCutsStreams]: Behaviour.CutStream,
   [FaultKind.EndpointResetsDuringAnswer]: Behaviour.ResetDuringAnswer,
   [FaultKind.EndpointNeverAnswers]: Behaviour.NeverAnswer,
+  [FaultKind.EndpointAnswersWithoutEnd]: Behaviour.AnswerWithoutEnd,
   [FaultKind.EndpointAnswersWrongRequest]: Behaviour.AnswerWrongRequest,
 };
 
@@ -65,6 +69,14 @@
       this.fleet.drainEndpoint(endpoint, durationMs),
     [FaultKind.RemoveEndpointEntry]: (endpoint, { durationMs }) =>
       this.fleet.removeEntry(endpoint, durationMs),
+    [FaultKind.EndpointSaysLeaving]: (endpoint, { durationMs }) =>
+      this.fleet.sayLeaving(endpoint, durationMs),
+    [FaultKind.EndpointPauses]: async ({ replica }, { durationMs, startOffsetMs }) => {
+      replica.pauseSaysNotRun = startOffsetMs % 3 > 0;
+      replica.pauseText = String(pauseMs / millisecondsPerSecond);
+      await sleep(durationMs + pauseMs);
+      replica.pauseText = undefined;
+    },
     [FaultKind.EndpointNamesLimit]: async ({ replica }, { durationMs }) => {
       replica.limit = String(namedLimitPerSecond);
       await sleep(durationMs + limitExtraMs);
--- a/soak/node/soakFleet.ts
+++ b/soak/node/soakFleet.ts
@@ -4,9 +4,11 @@
 import {
   publishReplica,
   orderedLayers,
+  observedArrivals,
   observedRuns,
   removeReplica,
   writeConfig,
+  type ObservedArrival,
   type ObservedRun,
 } from '../../platform/test/wireViews.js';
 import { ProcessGroup, type RunningProcess } from '../../src/bench/node/processes.js';
@@ -127,6 +129,11 @@
     return this.replicas.flatMap(observedRuns);
   }
 
+  /** Returns the requests that reached the endpoints, also those that they rejected. */
+  arrivals(): readonly ObservedArrival[] {
+    return this.replicas.flatMap(observedArrivals);
+  }
+
   /** Returns the orders that the endpoints accepted. */
   orders(): readonly OrderRecord[] {
     return this.replicas.flatMap((replica) =>
@@ -195,7 +202,9 @@
     clearTimeout(expiryTimer);
     removeReplica(this.store, id);
     endpoint.startCount += 1;
-    const isSameName = keepsName && !endpoint.hasLeft && endpoint.replica.limit === undefined;
+    const { limit, isLeaving, pauseText } = endpoint.replica;
+    const saysNothing = limit === undefined && !isLeaving && pauseText === undefined;
+    const isSameName = keepsName && !endpoint.hasLeft && saysNothing;
     const name = isSameName ? id : `${endpoint.name}-${endpoint.startCount}`;
     await this.startReplica(endpoint, name, service, zone, kind);
     await endpoint.proxy.acceptConnections();
@@ -246,6 +255,16 @@
     }
   }
 
+  /** Lets an endpoint say in its answers that it leaves, then replaces it by one with a new name. */
+  async sayLeaving(endpoint: SoakEndpoint, durationMs: number): Promise<void> {
+    const { replica } = endpoint;
+    replica.isLeaving = true;
+    await sleep(durationMs + serveAfterRemovalMs);
+    if (endpoint.replica === replica) {
+      await this.crashEndpoint(endpoint, 0, false);
+    }
+  }
+
   /** Ends all processes and closes all sockets. */
   async close(): Promise<void> {
     this.gateways.forEach(({ process }) => this.expectedExits.add(process));
--- a/soak/node/soakRun.ts
+++ b/soak/node/soakRun.ts
@@ -62,6 +62,7 @@
   const history = (): SoakHistory => ({
     calls: callers.calls,
     runs: fleet.runs(),
+    arrivals: fleet.arrivals(),
     orders: fleet.orders(),
     keys: fleet.keys,
     faults: injector.faults,
--- a/soak/test/checkers.test.ts
+++ b/soak/test/checkers.test.ts
@@ -62,6 +62,7 @@
   const history = {
     calls: [makeCall()],
     runs: [makeRun()],
+    arrivals: [],
     orders: [],
     keys: [key],
     faults: [],
@@ -178,6 +179,51 @@
     ).to.deep.equal([]);
   });
 
+  it('fail when a gateway that passed on that an endpoint leaves uses it again', () => {
+    const leaving = makeFault(FaultKind.EndpointSaysLeaving, 'e', 90_000, 120_000);
+    const restart = makeFault(FaultKind.KillGateway, 'g', 99_000, 99_500);
+    const call = (id: string, startMs: number, gateway = 'g') =>
+      makeCall({ id, gateway, startMs, endMs: startMs + 50, kind: RequestKind.Lookup });
+    const check = (calls: readonly CallRecord[], faults: readonly FaultRecord[]) =>
+      violatedGuarantees({
+        calls: calls.map((each) => ({ ...each, target: `/look/${each.id}` })),
+        faults,
+        runs: calls.map(({ id, startMs }) =>
+          makeRun({ id, target: `/look/${id}`, atMs: startMs + 1 }),
+        ),
+      });
+    const first = call('a', 95_000);
+    expect(check([first, call('b', 97_051)], [leaving])).to.deep.equal(['leavingGetsNoWork']);
+    expect(check([first, call('b', 97_049)], [leaving])).to.deep.equal([]);
+    expect(check([first, call('b', 99_900, 'other')], [leaving])).to.deep.equal([]);
+    expect(check([first, call('b', 99_900)], [leaving, restart])).to.deep.equal([]);
+  });
+
+  it('fail when a gateway sends more than two requests to an endpoint in its pause', () => {
+    const arrivalsAt = (times: readonly number[]) =>
+      times.map((atMs, index) => ({
+        id: `p${index}`,
+        endpoint: 'e',
+        atMs,
+        isRejected: index === 0,
+      }));
+    const check = (times: readonly number[], faults: readonly FaultRecord[] = []) => {
+      const arrivals = arrivalsAt(times);
+      const calls = arrivals.map(({ id }) =>
+        makeCall({ id, kind: RequestKind.Lookup, target: `/look/${id}` }),
+      );
+      return violatedGuarantees({ arrivals, calls, faults });
+    };
+    const start = 100_000;
+    expect(check([start, start + 600, start + 700, start + 1_900])).to.deep.equal([
+      'pausesAreKept',
+    ]);
+    expect(check([start, start + 499, start + 600, start + 1_900])).to.deep.equal([]);
+    expect(check([start, start + 600, start + 700, start + 2_001])).to.deep.equal([]);
+    const lost = makeFault(FaultKind.SilenceEndpointLink, 'e', 99_900, 100_100);
+    expect(check([start, start + 600, start + 700, start + 1_900], [lost])).to.deep.equal([]);
+  });
+
   it('fail when a request that crashes endpoints still runs long after its third crash', () => {
     const runsAt = (times: readonly number[]) =>
       times.map((atMs, index) =>
