Split the gateway's program and the stream relay along their subjects

The program's drain, its retry budgets and its admission queues are classes of their own (DrainSequence, RetryBudgets, ModelAdmissions), as are the progress of a stream and what a failed send tells (StreamProgress, sendFailure.ts).

--- /dev/null
+++ b/src/gateway/admission/common/modelAdmissions.ts
@@ -0,0 +1,66 @@
+import type { IClock, ITimers } from '../../../base/common/clock.js';
+import type { ConfigHolder } from '../../config/common/configHolder.js';
+import type { EngineProfile } from '../../config/common/configSnapshot.js';
+import type { EndpointDirectory } from '../../directory/common/endpointDirectory.js';
+import { CrossDataCentreBudget } from '../../routing/common/crossDataCentreBudget.js';
+import { PathFinder } from '../../routing/common/pathFinder.js';
+import type { ReservationLedger } from '../../routing/common/reservationLedger.js';
+import type { ISendPermission } from '../../signals/common/endpointSignals.js';
+import { ModelAdmission } from './modelAdmission.js';
+
+/** What the admission queues depend on. */
+export interface ModelAdmissionsDependencies {
+  readonly config: ConfigHolder;
+  readonly directory: EndpointDirectory;
+  readonly permission: ISendPermission;
+  readonly ledger: ReservationLedger;
+  /** Returns the number of gateways that share the links between data centres. */
+  readonly gatewayCount: () => number;
+  readonly clock: IClock & ITimers;
+}
+
+/** Admission queues of all model services. */
+export class ModelAdmissions {
+  private readonly admissions = new Map<string, ModelAdmission>();
+
+  /** @param dependencies - Shared objects. */
+  constructor(private readonly dependencies: ModelAdmissionsDependencies) {}
+
+  /**
+   * Returns the queue of a service.
+   *
+   * @param service - Name of the service.
+   * @param engine - Its engine profile, used while the configuration has none.
+   */
+  of(service: string, engine: EngineProfile): ModelAdmission {
+    const existing = this.admissions.get(service);
+    if (existing) {
+      return existing;
+    }
+    const { config, directory, permission, ledger, gatewayCount, clock } = this.dependencies;
+    const currentEngine = () => config.current?.config.services.get(service)?.engine ?? engine;
+    const created = new ModelAdmission(
+      new PathFinder(currentEngine, ledger),
+      () => directory.findUsable(service),
+      (endpoint) => directory.isConfirmed(endpoint),
+      permission,
+      ledger,
+      new CrossDataCentreBudget(currentEngine, gatewayCount, clock),
+      clock,
+    );
+    this.admissions.set(service, created);
+    return created;
+  }
+
+  /** Records that endpoints refused requests of a peer for lack of capacity. */
+  recordPeerRefusals(addresses: readonly string[]): void {
+    this.admissions.forEach((admission) =>
+      addresses.forEach((address) => admission.recordRefusal(address, false)),
+    );
+  }
+
+  /** Refuses all waiting requests and stops the timers. */
+  close(): void {
+    this.admissions.forEach((admission) => admission.close());
+  }
+}
--- /dev/null
+++ b/src/gateway/node/drainSequence.ts
@@ -0,0 +1,90 @@
+import type { IClock } from '../../base/common/clock.js';
+import { LogLevel, type ILogger } from '../../base/common/logger.js';
+import { sleep } from '../../base/node/systemClock.js';
+import type { LeaseCandidate } from '../../services/lease/common/lease.js';
+import type { Ingress } from '../http/node/ingress.js';
+
+/**
+ * Time after SIGTERM during which the load balancer may still send callers here, in milliseconds.
+ */
+const loadBalancerDelayMs = 2_500;
+
+/** Margin between aborting unfinished requests and the end of the grace period, in milliseconds. */
+const abortMarginMs = 500;
+
+/**
+ * Time after SIGTERM during which new streams are accepted, in milliseconds. The rest of the grace
+ * period is left for them to finish.
+ */
+const drainAcceptStreamsMs = 2_800;
+
+/**
+ * Margin between the last accepted plain request and the end of the grace period, in milliseconds.
+ */
+const drainPlainMarginMs = 2_000;
+
+/** Interval between checks whether requests are in flight, in milliseconds. */
+const pollIntervalMs = 50;
+
+/** Moves callers of a gateway that stops to others, and lets its requests finish. */
+export class DrainSequence {
+  /** Monotonic time of the start; undefined while the gateway serves normally. */
+  private startedMs: number | undefined;
+
+  /**
+   * @param graceMs - Time from SIGTERM to the end of the process, in milliseconds.
+   * @param ingress - Accepts the callers.
+   * @param lease - Placement lease, released once no more callers arrive.
+   * @param clock - Source of time.
+   * @param logger - Receives the start and the end.
+   */
+  constructor(
+    private readonly graceMs: number,
+    private readonly ingress: Ingress,
+    private readonly lease: LeaseCandidate,
+    private readonly clock: IClock,
+    private readonly logger: ILogger,
+  ) {}
+
+  /** Whether the gateway drains. */
+  get hasStarted(): boolean {
+    return this.startedMs !== undefined;
+  }
+
+  /**
+   * Returns whether the gateway drains and has too little of the grace period left for a new request.
+   *
+   * @param isStream - Whether the request is a stream.
+   */
+  mustRefuse(isStream: boolean): boolean {
+    if (this.startedMs === undefined) {
+      return false;
+    }
+    const acceptMs = isStream ? drainAcceptStreamsMs : this.graceMs - drainPlainMarginMs;
+    return this.clock.monotonicMs() - this.startedMs > acceptMs;
+  }
+
+  /** Resolves once all requests have ended or the grace period is almost over. */
+  async run(): Promise<void> {
+    const startedMs = this.clock.monotonicMs();
+    this.startedMs = startedMs;
+    this.ingress.drain();
+    this.logger.log(LogLevel.Info, 'draining', { inFlight: this.ingress.inFlight });
+    const deadlineMs = startedMs + this.graceMs - abortMarginMs;
+    await sleep(Math.min(loadBalancerDelayMs, this.graceMs / 2));
+    void this.lease.release();
+    await this.waitForRequests(deadlineMs);
+    this.ingress.closeIdle();
+    await this.waitForRequests(deadlineMs);
+    this.logger.log(LogLevel.Info, 'drained', {
+      cut: this.ingress.inFlight,
+      tookMs: Math.round(this.clock.monotonicMs() - startedMs),
+    });
+  }
+
+  private async waitForRequests(deadlineMs: number): Promise<void> {
+    while (this.ingress.inFlight > 0 && this.clock.monotonicMs() < deadlineMs) {
+      await sleep(pollIntervalMs);
+    }
+  }
+}
--- a/src/gateway/node/gatewayProgram.ts
+++ b/src/gateway/node/gatewayProgram.ts
@@ -8,9 +8,8 @@
 import { SequentialTest } from '../../services/ejection/common/failureDetector.js';
 import type { EraChange } from '../../services/objects/common/objects.js';
 import type { GatewaySettings } from '../../services/settings/common/settings.js';
-import { ModelAdmission } from '../admission/common/modelAdmission.js';
+import { ModelAdmissions } from '../admission/common/modelAdmissions.js';
 import { ConfigHolder } from '../config/common/configHolder.js';
-import type { EngineProfile } from '../config/common/configSnapshot.js';
 import { incarnationOf, type Endpoint } from '../directory/common/endpoint.js';
 import { EndpointDirectory, Suspicion } from '../directory/common/endpointDirectory.js';
 import type { StoreFeed } from '../feeds/node/storeFeed.js';
@@ -30,13 +29,12 @@
 import type { RelayContext } from '../relay/node/relayContext.js';
 import { StallMonitor } from '../relay/node/stallMonitor.js';
 import { StreamRelay } from '../relay/node/streamRelay.js';
-import { RetryBudget } from '../retries/common/retryBudget.js';
-import { CrossDataCentreBudget } from '../routing/common/crossDataCentreBudget.js';
+import { RetryBudgets } from '../retries/common/retryBudgets.js';
 import { EndpointSignals } from '../signals/common/endpointSignals.js';
-import { PathFinder } from '../routing/common/pathFinder.js';
 import { PlainRouter } from '../routing/common/plainRouter.js';
 import { ReservationLedger } from '../routing/common/reservationLedger.js';
 import { CrashProtection } from '../suspects/common/crashProtection.js';
+import { DrainSequence } from './drainSequence.js';
 import { EndpointProber } from './endpointProber.js';
 import { createFeeds, type PlatformAdapters } from './gatewayFeeds.js';
 import type { GatewayMetrics } from './gatewayMetrics.js';
@@ -63,34 +61,12 @@
  */
 const maxConnectionsPerEndpoint = 128;
 
-/** Minimum number of gateways assumed to share a budget, even while no peer has sent a message. */
-const minGatewayCount = 5;
-
 /** Longest time that a request waits for the first complete read of the store, in milliseconds. */
 const syncWaitMs = 400;
 
 /** Interval between checks whether the store has been read, in milliseconds. */
 const syncPollMs = 15;
 
-/**
- * Time after SIGTERM during which the load balancer may still send callers here, in milliseconds.
- */
-const loadBalancerDelayMs = 2_500;
-
-/** Margin between aborting unfinished requests and the end of the grace period, in milliseconds. */
-const abortMarginMs = 500;
-
-/**
- * Time after SIGTERM during which new streams are accepted, in milliseconds. The rest of the grace
- * period is left for them to finish.
- */
-const drainAcceptStreamsMs = 2_800;
-
-/**
- * Margin between the last accepted plain request and the end of the grace period, in milliseconds.
- */
-const drainPlainMarginMs = 2_000;
-
 /**
  * Delay after which a caller refused by a draining gateway may try another one, in milliseconds.
  */
@@ -144,9 +120,9 @@
 
   private readonly ejectedIncarnations = new Set<string>();
 
-  private readonly admissions = new Map<string, ModelAdmission>();
+  private readonly admissions: ModelAdmissions;
 
-  private readonly retryBudgets = new Map<string, RetryBudget>();
+  private readonly retryBudgets: RetryBudgets;
 
   private readonly feeds: readonly StoreFeed<unknown>[];
 
@@ -162,19 +138,14 @@
 
   private readonly leaseScheduler: LeaseScheduler;
 
-  /** Monotonic time at which this process began to share budgets. */
-  private readonly createdMs: number;
-
   /** Port on which peers send their messages; known once the socket is bound. */
   private peerPort = 0;
 
-  /** Monotonic time at which the drain started; undefined while the gateway serves normally. */
-  private drainStartedMs: number | undefined;
+  private readonly drainSequence: DrainSequence;
 
   /** @param dependencies - Settings and shared objects. */
   constructor(private readonly dependencies: GatewayDependencies) {
     const { settings, platform, clock, logger, metrics } = dependencies;
-    this.createdMs = clock.monotonicMs();
     this.config = new ConfigHolder(logger);
     this.directory = new EndpointDirectory(clock, logger);
     this.ledger = new ReservationLedger(clock);
@@ -185,6 +156,7 @@
       clock,
       logger,
     });
+    this.retryBudgets = new RetryBudgets(settings, () => this.peers, clock);
     this.signals = new EndpointSignals({
       limits: this.limits,
       directory: this.directory,
@@ -216,8 +188,16 @@
       signals: this.signals,
       supervisor: this.crashProtection.supervisor,
       maxAnswerBytes: settings.maxAnswerBytes,
-      retryBudgetOf: (service) => this.retryBudgetOf(service),
+      retryBudgetOf: (service) => this.retryBudgets.of(service),
     };
+    this.admissions = new ModelAdmissions({
+      config: this.config,
+      directory: this.directory,
+      permission: this.signals,
+      ledger: this.ledger,
+      gatewayCount: () => this.retryBudgets.assumedGatewayCount,
+      clock,
+    });
     this.lease = new LeaseCandidate(
       {
         name: 'placement',
@@ -290,6 +270,13 @@
       clock,
       logger,
     );
+    this.drainSequence = new DrainSequence(
+      settings.drainMs,
+      this.ingress,
+      this.lease,
+      clock,
+      logger,
+    );
     platform.control.onDidHearLeaving((notice) => this.handleLeaving(notice));
     platform.store.onDidChangeEra((change) => this.handleEraChange(change));
     this.config.onDidChange(({ config: { version } }) => metrics.configVersion.set(version));
@@ -336,25 +323,7 @@
    * Moves callers to other gateways and lets the requests in flight finish within the grace period.
    */
   async drain(): Promise<void> {
-    const { clock, settings, logger } = this.dependencies;
-    const startedMs = clock.monotonicMs();
-    this.drainStartedMs = startedMs;
-    this.ingress.drain();
-    logger.log(LogLevel.Info, 'draining', { inFlight: this.ingress.inFlight });
-    const deadlineMs = startedMs + settings.drainMs - abortMarginMs;
-    await sleep(Math.min(loadBalancerDelayMs, settings.drainMs / 2));
-    void this.lease.release();
-    while (this.ingress.inFlight > 0 && clock.monotonicMs() < deadlineMs) {
-      await sleep(50);
-    }
-    this.ingress.closeIdle();
-    while (this.ingress.inFlight > 0 && clock.monotonicMs() < deadlineMs) {
-      await sleep(50);
-    }
-    logger.log(LogLevel.Info, 'drained', {
-      cut: this.ingress.inFlight,
-      tookMs: Math.round(clock.monotonicMs() - startedMs),
-    });
+    await this.drainSequence.run();
   }
 
   /** Aborts what still runs and releases all connections, servers and timers. */
@@ -370,14 +339,14 @@
     this.prober.close();
     this.stallMonitor.close();
     this.crashProtection.close();
-    this.admissions.forEach((admission) => admission.close());
+    this.admissions.close();
     this.directory.close();
     this.config.close();
     await this.sender.close();
   }
 
   private get isReady(): boolean {
-    return this.drainStartedMs === undefined && this.isSynced;
+    return !this.drainSequence.hasStarted && this.isSynced;
   }
 
   private get isSynced(): boolean {
@@ -432,7 +401,7 @@
 
   private startRelay(req: CallerRequest, caller: CallerResponse): () => void {
     const service = this.config.current?.config.services.get(req.service);
-    if (this.mustRefuseWhileDraining(service?.engine !== undefined)) {
+    if (this.drainSequence.mustRefuse(service?.engine !== undefined)) {
       this.dependencies.metrics.refusals.inc({ reason: 'draining' });
       caller.refuse({
         status: RefusalStatus.Unavailable,
@@ -441,11 +410,11 @@
       });
       return () => undefined;
     }
-    this.retryBudgetOf(req.service).countRequest();
+    this.retryBudgets.of(req.service).countRequest();
     this.limits.countRequest(req.service);
     let relay: IRelay;
     if (service?.engine) {
-      const admission = this.admissionOf(req.service, service.engine);
+      const admission = this.admissions.of(req.service, service.engine);
       const stream = new StreamRelay(
         req,
         caller,
@@ -470,71 +439,6 @@
     return () => relay.cancel();
   }
 
-  /** Whether the gateway drains and has too little of the grace period left for a new request. */
-  private mustRefuseWhileDraining(isStream: boolean): boolean {
-    if (this.drainStartedMs === undefined) {
-      return false;
-    }
-    const acceptMs = isStream
-      ? drainAcceptStreamsMs
-      : this.dependencies.settings.drainMs - drainPlainMarginMs;
-    return this.dependencies.clock.monotonicMs() - this.drainStartedMs > acceptMs;
-  }
-
-  private admissionOf(service: string, engine: EngineProfile): ModelAdmission {
-    const existing = this.admissions.get(service);
-    if (existing) {
-      return existing;
-    }
-    const currentEngine = () => this.config.current?.config.services.get(service)?.engine ?? engine;
-    const gatewayCount = () => this.assumedGatewayCount;
-    const pathFinder = new PathFinder(currentEngine, this.ledger);
-    const crossDataCentreBudget = new CrossDataCentreBudget(
-      currentEngine,
-      gatewayCount,
-      this.dependencies.clock,
-    );
-    const created = new ModelAdmission(
-      pathFinder,
-      () => this.directory.findUsable(service),
-      (endpoint) => this.directory.isConfirmed(endpoint),
-      this.signals,
-      this.ledger,
-      crossDataCentreBudget,
-      this.dependencies.clock,
-    );
-    this.admissions.set(service, created);
-    return created;
-  }
-
-  /**
-   * Number of gateways among which budgets are divided. Peers may not have sent a message for a
-   * while, so it has a lower bound.
-   */
-  private get assumedGatewayCount(): number {
-    return Math.max(minGatewayCount, this.peers.aliveCount);
-  }
-
-  private retryBudgetOf(service: string): RetryBudget {
-    const existing = this.retryBudgets.get(service);
-    if (existing) {
-      return existing;
-    }
-    const {
-      retryRatio: retriesPerRequest,
-      retrySlack: minRetriesPerWindow,
-      retryWindowMs: windowMs,
-    } = this.dependencies.settings;
-    const created = new RetryBudget(
-      { retriesPerRequest, minRetriesPerWindow, windowMs },
-      () => Math.max(this.assumedGatewayCount, this.peers.knownCount),
-      this.createdMs,
-      this.dependencies.clock,
-    );
-    this.retryBudgets.set(service, created);
-    return created;
-  }
-
   private createPeerMessage(): PeerMessage {
     return {
       sender: this.dependencies.settings.instance,
@@ -553,9 +457,7 @@
   private handlePeerMessage(message: PeerMessage): void {
     const { sender, loads, suspects, draining, departed, placingTerm, full } = message;
     this.ledger.updatePeer(sender, loads);
-    this.admissions.forEach((admission) =>
-      full.forEach((address) => admission.recordRefusal(address, false)),
-    );
+    this.admissions.recordPeerRefusals(full);
     for (const address of [...suspects, ...draining]) {
       this.directory.suspect(address, Suspicion.ReportedByPeer, `reported by ${sender}`);
     }
@@ -616,7 +518,7 @@
 
   private async keepLease(): Promise<void> {
     let loggedTerm: number | undefined;
-    while (!this.abortController.signal.aborted && this.drainStartedMs === undefined) {
+    while (!this.abortController.signal.aborted && !this.drainSequence.hasStarted) {
       await this.leaseScheduler.step();
       const term = this.lease.term();
       if (term !== loggedTerm) {
--- a/src/gateway/relay/node/streamRelay.ts
+++ b/src/gateway/relay/node/streamRelay.ts
@@ -6,7 +6,7 @@
   type ModelAdmission,
 } from '../../admission/common/modelAdmission.js';
 import { RouteKind } from '../../config/common/configSnapshot.js';
-import { incarnationOf, type Endpoint } from '../../directory/common/endpoint.js';
+import type { Endpoint } from '../../directory/common/endpoint.js';
 import { Suspicion } from '../../directory/common/endpointDirectory.js';
 import type { SupervisedRequest } from '../../suspects/common/supervisedRequest.js';
 import type { LayerPath } from '../../routing/common/pathFinder.js';
@@ -21,6 +21,8 @@
 import { BoundedBody } from '../common/boundedBody.js';
 import { EventSplitter } from '../common/eventSplitter.js';
 import type { AnswerHead, IExchange } from './endpointSender.js';
+import { describePath, SendFailure, suspicionOf } from '../common/sendFailure.js';
+import { StreamProgress } from '../common/streamProgress.js';
 import type { RelayContext } from './relayContext.js';
 import { AnswerKind, StreamAnswerSink, type IStreamReceiver } from './streamAnswerSink.js';
 
@@ -57,20 +59,12 @@
 /** Longest idle time after which a kept-alive connection is reused, in milliseconds. */
 const maxReuseIdleMs = 3_000;
 
-/**
- * Response time above which a refusal means that the endpoint at fault is silent, in milliseconds. After
- * a faster refusal, that endpoint counts as alive but refusing requests.
- */
-const slowRefusalMs = 1_200;
-
 /** Number of events of one run that show that its endpoints run the request. */
 const progressEvents = 3;
 
 /** Maximum size of one event of a stream, in bytes; an event holds a few tokens. */
 const maxEventBytes = 262_144;
 
-const misdirectedStatus = 421;
-
 /** State of a relay. */
 enum Phase {
   Waiting,
@@ -79,18 +73,6 @@
   Finished,
 }
 
-/** Why a send did not give a complete answer. */
-enum SendFailure {
-  /** No byte of the request reached the endpoint. */
-  NotSent = 'not-sent',
-  /** The endpoint's answer proves that it didn't run the request. */
-  NotRun = 'not-run',
-  /** The answer was interrupted, reports an error, or isn't the endpoint's unaltered answer. */
-  Interrupted = 'cut',
-  /** An endpoint of the path does not respond. */
-  EndpointSilent = 'dead',
-}
-
 /**
  * Relays one stream: waits for capacity on a path, sends the request, forwards the events, and resumes
  * the stream on another path if the current one fails.
@@ -110,10 +92,7 @@
 
   private lastEventId: string | undefined;
 
-  private eventCount = 0;
-
-  /** Number of events of the current send. */
-  private runEventCount = 0;
+  private readonly progress: StreamProgress;
 
   private readonly run: SupervisedRequest;
 
@@ -135,12 +114,6 @@
 
   private sentAtMs = 0;
 
-  private lastEventAtMs = 0;
-
-  private firstEventMs: number | undefined;
-
-  private longestPauseMs = 0;
-
   private readonly excludedAddresses = new Set<string>();
 
   private readonly cancelDeadline: CancelTimer;
@@ -162,6 +135,7 @@
     private readonly onDidFinish: (relay: StreamRelay) => void,
   ) {
     this.lastEventId = req.metadata.lastEventId;
+    this.progress = new StreamProgress(req.arrivedMs);
     this.run = context.supervisor.supervise(req, {
       onAdmitted: () => void this.acquirePath(),
       onQuarantined: (remainingMs) => this.refuseQuarantined(remainingMs),
@@ -197,7 +171,7 @@
     if (this.phase === Phase.Sent) {
       return now - this.sentAtMs - (this.path?.firstEventMs ?? 0);
     }
-    return this.phase === Phase.Streaming ? now - this.lastEventAtMs : 0;
+    return this.phase === Phase.Streaming ? now - this.progress.lastSignMs : 0;
   }
 
   /** Returns whether the current path includes the endpoint at an address. */
@@ -213,7 +187,7 @@
   /** Aborts the relay because the caller disconnected. */
   cancel(): void {
     if (this.phase !== Phase.Finished) {
-      this.log('stream-cancelled', { events: this.eventCount });
+      this.log('stream-cancelled', { events: this.progress.eventCount });
       this.finish('cancelled', 0);
     }
   }
@@ -257,8 +231,8 @@
     this.path = path;
     this.isPrefilling = true;
     this.run.move(this.pathEndpoints);
-    this.lastEventAtMs = this.context.clock.monotonicMs();
-    this.log('stream-repathed', { path: describePath(path), events: this.eventCount });
+    this.progress.recordSign(this.context.clock.monotonicMs());
+    this.log('stream-repathed', { path: describePath(path), events: this.progress.eventCount });
   }
 
   /**
@@ -347,7 +321,7 @@
     this.phase = Phase.Sent;
     this.sentAtMs = nowMs;
     this.sendCount += 1;
-    this.runEventCount = 0;
+    this.progress.beginRun();
     this.run.begin(this.pathEndpoints);
     this.splitter = new EventSplitter();
     this.log('stream-sent', {
@@ -401,7 +375,7 @@
     }
     this.recordPossibleRun();
     this.phase = Phase.Streaming;
-    this.lastEventAtMs = this.context.clock.monotonicMs();
+    this.progress.recordSign(this.context.clock.monotonicMs());
     if (!this.hasBegunAnswer) {
       this.hasBegunAnswer = true;
       this.caller.begin(head.status, this.context.dialect.callerHeaders(head.rawHeaders));
@@ -422,21 +396,18 @@
       return true;
     }
     const nowMs = this.context.clock.monotonicMs();
-    if (this.firstEventMs === undefined) {
-      this.firstEventMs = nowMs - this.req.arrivedMs;
-      this.context.metrics.latency.observe({ kind: RouteKind.Stream }, this.firstEventMs);
-    } else {
-      this.longestPauseMs = Math.max(this.longestPauseMs, nowMs - this.lastEventAtMs);
+    const isFirst = this.progress.firstEventMs === undefined;
+    this.progress.recordEvents(batch.count, nowMs);
+    if (isFirst) {
+      const firstEventMs = this.progress.firstEventMs ?? 0;
+      this.context.metrics.latency.observe({ kind: RouteKind.Stream }, firstEventMs);
     }
     if (this.isPrefilling && this.path) {
       this.isPrefilling = false;
       this.context.ledger.finishPrefill(this.path.reservations);
     }
-    this.lastEventAtMs = nowMs;
     this.lastEventId = batch.lastId ?? this.lastEventId;
-    this.eventCount += batch.count;
-    this.runEventCount += batch.count;
-    if (this.runEventCount >= progressEvents) {
+    if (this.progress.runEventCount >= progressEvents) {
       this.run.recordProgress();
     }
     if (this.caller.write(batch.bytes)) {
@@ -588,7 +559,7 @@
     this.log('run-broken', {
       why: failure,
       reason,
-      events: this.eventCount,
+      events: this.progress.eventCount,
       goesOn: willRetry,
       sends: this.sendCount,
       hasBudget,
@@ -653,14 +624,15 @@
     this.releasePath();
     const { metrics, clock } = this.context;
     metrics.answers.inc({ kind: RouteKind.Stream, status, source: outcome.split(':')[0] });
-    metrics.longestPause.observe(this.longestPauseMs);
+    const { firstEventMs, longestPauseMs } = this.progress;
+    metrics.longestPause.observe(longestPauseMs);
     this.log('stream-over', {
       outcome,
       status,
-      events: this.eventCount,
+      events: this.progress.eventCount,
       sends: this.sendCount,
-      firstEventMs: this.firstEventMs && Math.round(this.firstEventMs),
-      longestPauseMs: Math.round(this.longestPauseMs),
+      firstEventMs: firstEventMs && Math.round(firstEventMs),
+      longestPauseMs: Math.round(longestPauseMs),
       totalMs: Math.round(clock.monotonicMs() - this.req.arrivedMs),
     });
     this.onDidFinish(this);
@@ -679,23 +651,3 @@
     this.context.logger.log(LogLevel.Info, event, { request: this.requestId, ...fields });
   }
 }
-
-/** Returns the suspicion that a refusal raises against the endpoint at fault. */
-function suspicionOf(status: number, waitedMs: number): Suspicion {
-  if (status === misdirectedStatus) {
-    return Suspicion.Misdirected;
-  }
-  return waitedMs > slowRefusalMs ? Suspicion.Silent : Suspicion.Refusing;
-}
-
-/**
- * Formats a path for a log line.
- *
- * @param path - Path to format.
- * @returns The incarnation of each stage with its layer range, separated by commas.
- */
-function describePath(path: LayerPath): string {
-  return path.stages
-    .map(({ endpoint, from, to }) => `${incarnationOf(endpoint)}:${from}-${to}`)
-    .join(',');
-}
