Tell peers of every changed suspicion once before repeating any

Cause: the first four changed records were sent five times before the next four. When an endpoint crashes under dozens of neighbours, the record of the request that crashed it could wait for seconds, and two gateways with one crash each on record could not add them up. Evidence: with 40 neighbours the culprit came first in the 51st message (201 records sent before), now in the 11th; the test fails before. A record now goes behind the others after it was sent.

--- a/src/gateway/suspects/common/suspicionGossip.ts
+++ b/src/gateway/suspects/common/suspicionGossip.ts
@@ -31,15 +31,12 @@
   /** Returns the records for the next message. */
   next(): readonly SuspectRecord[] {
     const chosen = new Map<string, SuspectRecord>();
-    for (const [fingerprint, remaining] of this.changed) {
-      if (chosen.size === recordsPerMessage) {
-        break;
-      }
+    for (const [fingerprint, remaining] of [...this.changed].slice(0, recordsPerMessage)) {
       this.suspects.recordsOf(fingerprint).forEach((record) => chosen.set(fingerprint, record));
+      // Behind the others, so that a record that changed later isn't kept waiting by repetitions.
+      this.changed.delete(fingerprint);
       if (remaining > 1) {
         this.changed.set(fingerprint, remaining - 1);
-      } else {
-        this.changed.delete(fingerprint);
       }
     }
     const restricted = this.suspects.restricted();
--- a/src/gateway/suspects/test/common/suspicionGossip.test.ts
+++ b/src/gateway/suspects/test/common/suspicionGossip.test.ts
@@ -26,6 +26,22 @@
     }
   });
 
+  it('sends each of many changed records once before it repeats any', () => {
+    const suspects = new CrashSuspects('gw', { ...strictPolicy, isolationCrashes: 2 });
+    const gossip = new SuspicionGossip(suspects);
+    const fingerprints = Array.from({ length: 40 }, (_unused, index) => `neighbour-${index}`);
+    for (const fingerprint of [...fingerprints, 'culprit']) {
+      suspects.recordCrash('e@1', [fingerprint], 0);
+      gossip.prioritise(suspects.recordsOf(fingerprint));
+    }
+    const sent: string[] = [];
+    while (!sent.includes('culprit')) {
+      sent.push(...gossip.next().map(({ fingerprint }) => fingerprint));
+    }
+    const firstSent = sent.slice(0, sent.indexOf('culprit') + 1);
+    expect(firstSent).to.have.length(new Set(firstSent).size);
+  });
+
   it('sends nothing while nothing is suspected', () => {
     expect(new SuspicionGossip(new CrashSuspects('gw')).next()).to.deep.equal([]);
   });
