Keep a suspect apart only while a crash would be attributed to it

Cause: since progress clears nothing, an isolated stream kept its endpoints from other suspects until it ended, for seconds instead of some hundred milliseconds, at the cost of neighbours that are isolated too.

--- a/src/gateway/suspects/common/supervisedRequest.ts
+++ b/src/gateway/suspects/common/supervisedRequest.ts
@@ -157,9 +157,12 @@
     }
   }
 
-  /** Called when the current run makes progress. */
+  /** Called when the current run makes progress. Past its start, it need not be kept apart any more. */
   recordProgress(): void {
     this.hasProgressed = true;
+    if (this.isIsolatedRun && this.isPastStart) {
+      this.endRun();
+    }
   }
 
   /**
@@ -187,7 +190,7 @@
     if (this.isAnswered || endpoints.length === 0) {
       return;
     }
-    if (this.hasProgressed && this.supervisor.nowMs() - this.startedMs > startPhaseMs) {
+    if (this.hasProgressed && this.isPastStart) {
       this.supervisor.logDecision('run-lost-after-progress', this);
       return;
     }
@@ -208,6 +211,10 @@
     this.endRun();
   }
 
+  private get isPastStart(): boolean {
+    return this.supervisor.nowMs() - this.startedMs > startPhaseMs;
+  }
+
   private handleAdmission(isIsolated: boolean): void {
     this.isIsolatedRun = isIsolated;
     if (isIsolated) {
