--- a/src/gateway/admission/common/modelAdmission.ts
+++ b/src/gateway/admission/common/modelAdmission.ts
@@ -11,7 +11,7 @@
 export enum RefusalReason {
   /** The available endpoints don't cover all layers of the model. */
   NoPath = 'no-path',
-  /** The endpoints that take requests now by their own word leave no path. */
+  /** Endpoints that asked for fewer or no requests leave no path. */
   Limited = 'limited',
   /** The queue is too long for the request to be served within its maximum wait. */
   QueueFull = 'queue-full',
@@ -111,8 +111,8 @@
    * @param finder - Finds paths with free capacity.
    * @param endpoints - Endpoints that accept new requests.
    * @param isConfirmed - Whether the store lists an endpoint; others are used only if those lack capacity.
-   * @param permission - Whether endpoints take requests, by their own word; each request counts at all
-   *   endpoints of its path.
+   * @param permission - Whether endpoints may be sent requests; each request counts at all endpoints of
+   *   its path.
    * @param ledger - Records the reservations of admitted requests.
    * @param crossingBudget - Limits paths that cross data centres.
    * @param clock - Source of time and timers.
--- a/src/gateway/routing/common/plainRouter.ts
+++ b/src/gateway/routing/common/plainRouter.ts
@@ -30,7 +30,7 @@
    * @param directory - Known endpoints.
    * @param ledger - Active requests of each endpoint.
    * @param isEjected - Whether outlier ejection excludes an incarnation.
-   * @param permission - Whether endpoints take requests, by their own word.
+   * @param permission - Whether endpoints may be sent requests, as far as they asked for fewer.
    * @param clock - Source of time.
    */
   constructor(
@@ -43,8 +43,8 @@
   ) {}
 
   /**
-   * Picks an endpoint that hasn't been tried and that takes requests by its own word. Endpoints that the
-   * store lacks since an outage, and then ejected ones, are used only if all others are full.
+   * Picks an endpoint that hasn't been tried and may be sent a request. Endpoints that the store lacks
+   * since an outage, and then ejected ones, are used only if all others are full.
    *
    * @param service - Name of the service.
    * @param triedAddresses - Addresses to which the request was already sent.
@@ -59,7 +59,7 @@
     return this.cheapest(confirmed) ?? this.cheapest(healthy) ?? this.cheapest(untried);
   }
 
-  /** Returns whether an endpoint that a request hasn't been sent to takes none now by its own word. */
+  /** Returns whether an untried endpoint must not be sent a request because it asked for fewer. */
   lacksPermission(service: string, triedAddresses: ReadonlySet<string>): boolean {
     const untried = this.untriedOf(service, triedAddresses);
     return untried.some((endpoint) => !this.permission.mayUse(endpoint));
