Log and count each answer that the gateway itself breaks off

Cause: whether a caller's connection was ended by the gateway, with or without a status, beside a drain or a change of the configuration, could be read from no line: streams log broken, plain requests and the end of the grace period nothing. Nor did anything show that an endpoint given up as silent went on.

Change: answer-cut with the age of request and configuration, the counter ibisspar_cut_answers_total, and endpoint-responds-again. No logic changes.

--- a/src/gateway/http/node/callerResponse.ts
+++ b/src/gateway/http/node/callerResponse.ts
@@ -45,6 +45,8 @@
 
 /** Sends the answer to one request on the caller's connection. */
 export class CallerResponse implements ICallerSink {
+  private wasAborted = false;
+
   /**
    * @param req - Request of the caller.
    * @param res - Response to write to.
@@ -60,6 +62,16 @@
     return this.res.destroyed || this.res.closed;
   }
 
+  /** Whether a status was sent to the caller. */
+  get hasStatus(): boolean {
+    return this.res.headersSent;
+  }
+
+  /** Whether this gateway has broken off the answer. */
+  get isAborted(): boolean {
+    return this.wasAborted;
+  }
+
   answer(status: number, rawHeaders: readonly string[], body: Buffer): void {
     if (this.isDisconnected || this.res.headersSent) {
       return;
@@ -92,6 +104,7 @@
   }
 
   abort(): void {
+    this.wasAborted = true;
     // In HTTP/1.0 an orderly end of the connection marks the answer as complete, so reset it instead.
     if (this.req.httpVersionMinor === 0) {
       this.res.socket?.resetAndDestroy();
--- a/src/gateway/http/node/ingress.ts
+++ b/src/gateway/http/node/ingress.ts
@@ -13,6 +13,7 @@
   type Refusal,
 } from '../../relay/common/callerRequest.js';
 import type { IDialect } from '../../relay/common/dialect.js';
+import type { GatewayMetrics } from '../../node/gatewayMetrics.js';
 import { CallerResponse } from './callerResponse.js';
 
 /** Starts to relay a request; returns a function to call when the caller's connection closes. */
@@ -40,16 +41,22 @@
 
   private isDraining = false;
 
+  private isClosed = false;
+
   private readonly createdMs: number;
 
+  /** Monotonic time at which the current configuration came into force, in milliseconds. */
+  private configChangedMs: number;
+
   /**
    * @param config - Holds the current configuration.
    * @param dialect - Reads callers' headers.
    * @param random - Chooses between the services of split routes.
    * @param whenSynced - Resolves once the store was read, or after a short timeout.
    * @param startRelay - Starts to relay an accepted request.
+   * @param metrics - Counts the answers that this gateway breaks off.
    * @param clock - Source of time.
-   * @param logger - Receives refused and failed requests.
+   * @param logger - Receives refused and failed requests, and answers that were broken off.
    */
   constructor(
     private readonly config: ConfigHolder,
@@ -57,20 +64,27 @@
     private readonly random: IRandom,
     private readonly whenSynced: () => Promise<void>,
     private readonly startRelay: StartRelay,
+    private readonly metrics: GatewayMetrics,
     private readonly clock: IClock,
     private readonly logger: ILogger,
   ) {
     this.createdMs = clock.monotonicMs();
+    this.configChangedMs = this.createdMs;
     this.server = createServer(
       { maxHeaderSize: maxParsedHeaderBytes, noDelay: true, requestTimeout: 0 },
       (req, res) => {
         this.accept(req, res).catch((err: unknown) => {
-          this.logger.log(LogLevel.Error, 'request-failed', { reason: toErrorMessage(err) });
+          const { requestId } = this.dialect.readRequest(req.headers);
+          const reason = toErrorMessage(err);
+          this.logger.log(LogLevel.Error, 'request-failed', { request: requestId, reason });
           res.destroy();
         });
       },
     );
-    config.onDidChange(({ config: { limits } }) => this.applyLimits(limits));
+    config.onDidChange(({ config: { limits } }) => {
+      this.configChangedMs = clock.monotonicMs();
+      this.applyLimits(limits);
+    });
   }
 
   /** Number of requests whose answer hasn't ended. */
@@ -110,6 +124,7 @@
 
   /** Stops accepting connections, and closes all open ones. */
   close(): void {
+    this.isClosed = true;
     this.server.close();
     this.server.closeAllConnections();
   }
@@ -126,6 +141,9 @@
     let cancelRelay: (() => void) | undefined;
     res.once('close', () => {
       this.openRequests -= 1;
+      if (!res.writableFinished && (caller.isAborted || this.isClosed)) {
+        this.recordCut(req, caller, arrivedMs);
+      }
       cancelRelay?.();
     });
     await this.whenSynced();
@@ -203,6 +221,22 @@
     );
   }
 
+  /** Records that this gateway ended a caller's connection before the answer was complete. */
+  private recordCut(req: IncomingMessage, caller: CallerResponse, arrivedMs: number): void {
+    const nowMs = this.clock.monotonicMs();
+    const reason = this.isClosed ? 'stopped' : 'broken-off';
+    this.metrics.cutAnswers.inc({ reason, status: caller.hasStatus ? 'sent' : 'none' });
+    this.logger.log(LogLevel.Warn, 'answer-cut', {
+      request: this.dialect.readRequest(req.headers).requestId,
+      reason,
+      hasStatus: caller.hasStatus,
+      ageMs: Math.round(nowMs - arrivedMs),
+      isDraining: this.isDraining,
+      configVersion: this.config.current?.config.version,
+      configAgeMs: Math.round(nowMs - this.configChangedMs),
+    });
+  }
+
   private startupRetryAfterMs(nowMs: number): number {
     const uptimeMs = nowMs - this.createdMs;
     return Math.min(maxStartupRetryAfterMs, Math.max(minStartupRetryAfterMs, 2 * uptimeMs));
--- a/src/gateway/node/gatewayMetrics.ts
+++ b/src/gateway/node/gatewayMetrics.ts
@@ -60,6 +60,14 @@
     registers: [this.registry],
   });
 
+  /** Answers to callers that this gateway broke off, by reason and whether a status was sent. */
+  readonly cutAnswers = new Counter({
+    name: 'ibisspar_cut_answers_total',
+    help: 'Answers to callers that the gateway broke off',
+    labelNames: ['reason', 'status'],
+    registers: [this.registry],
+  });
+
   /** Retries that the budget of their service denied, by what the retry was for. */
   readonly deniedRetries = new Counter({
     name: 'ibisspar_denied_retries_total',
--- a/src/gateway/node/gatewayProgram.ts
+++ b/src/gateway/node/gatewayProgram.ts
@@ -267,6 +267,7 @@
       dependencies.random,
       () => this.whenSynced(),
       (req, caller) => this.startRelay(req, caller),
+      metrics,
       clock,
       logger,
     );
--- a/src/gateway/relay/node/stallMonitor.ts
+++ b/src/gateway/relay/node/stallMonitor.ts
@@ -94,7 +94,9 @@
       }
       return;
     }
-    this.failedReports.delete(firstAddress);
+    if (this.failedReports.delete(firstAddress)) {
+      this.context.logger.log(LogLevel.Info, 'endpoint-responds-again', { address: firstAddress });
+    }
     const byId = new Map(affectedStreams.map((stream) => [stream.requestId, stream]));
     for (const { requestId, address } of report.value.stalled) {
       this.context.directory.suspect(
