Keep a stream's run until another path is reserved for it

Callers saw their stream broken off, or got 502, from an endpoint that fell silent for a second and then went on.

Cause: the stall monitor abandoned a run after two reports without an answer, 1.1 s after the last event, and only then asked for a retry and for another path. Without retry budget (smallest in the first ten seconds of a process), without capacity, without another holder of the layers, or on a route that must not be resumed, the answer was broken off although its endpoint was sound. The class: a run is given up before it is known that anything better can be had.

Ruled out: longer report timeouts; they delay the resumption of streams whose endpoint is dead, whose callers leave after two seconds.

Change: a silent endpoint makes the relay ask for another path while the run goes on; the path that it holds counts as free for that. It switches once the path and a retry are its own, and stays if the run makes progress first. Only an endpoint that the directory no longer knows is given up at once. A path that the first endpoint refused isn't ordered again, and an order that is answered after the run has ended changes nothing.

--- a/src/gateway/admission/common/modelAdmission.ts
+++ b/src/gateway/admission/common/modelAdmission.ts
@@ -5,7 +5,7 @@
 import type { ISendPermission } from '../../signals/common/endpointSignals.js';
 import type { LayerPath, PathFinder, PathRequest } from '../../routing/common/pathFinder.js';
 import type { CrossDataCentreBudget } from '../../routing/common/crossDataCentreBudget.js';
-import type { ReservationLedger } from '../../routing/common/reservationLedger.js';
+import type { Reservation, ReservationLedger } from '../../routing/common/reservationLedger.js';
 
 /** Why a request was refused. */
 export enum RefusalReason {
@@ -47,6 +47,8 @@
   readonly maxWaitMs: number;
   /** Whether this is a running stream that lost its path; it is admitted before new requests. */
   readonly isResumed: boolean;
+  /** Reservations that the request holds until it has another path; they count as free for it. */
+  readonly heldReservations?: readonly Reservation[];
 }
 
 /** Handle of a request for admission. */
@@ -232,15 +234,18 @@
   }
 
   private tryAdmit(req: AdmissionRequest): LayerPath | undefined {
-    const path = this.reserve(req);
+    const path = this.reserve(req, req.heldReservations);
     if (path) {
       this.admittedAtMs.push(this.clock.monotonicMs());
     }
     return path;
   }
 
-  private reserve(req: PathRequest): LayerPath | undefined {
-    const path = this.findPath(req);
+  private reserve(
+    req: PathRequest,
+    heldReservations: readonly Reservation[] = [],
+  ): LayerPath | undefined {
+    const path = this.ledger.without(heldReservations, () => this.findPath(req));
     if (path) {
       this.ledger.reserve(path.reservations);
       path.stages
--- a/src/gateway/admission/test/common/modelAdmission.test.ts
+++ b/src/gateway/admission/test/common/modelAdmission.test.ts
@@ -120,6 +120,16 @@
     expect(path?.stages.map(({ endpoint }) => endpoint.address)).to.deep.equal(['e', 'f']);
   });
 
+  it('counts what a running request holds as free for its next path, and as taken for others', async () => {
+    const { reservations } = await admit();
+    await admit();
+    const resumed = createRequest({ isResumed: true, heldReservations: reservations });
+    expect((await admission.request(resumed).outcome).isOk()).to.equal(true);
+    expect(ledger.loadAt('e').firstStageRequests).to.equal(3);
+    admission.request(createRequest());
+    expect(admission.queueLength).to.equal(1);
+  });
+
   it('queues a request without capacity and admits it when capacity is released', async () => {
     const first = await admit();
     await admit();
--- a/src/gateway/relay/node/stallMonitor.ts
+++ b/src/gateway/relay/node/stallMonitor.ts
@@ -31,6 +31,9 @@
 
   private readonly repathing = new Set<StreamRelay>();
 
+  /** Address of the endpoint at fault for which a stream's first endpoint refused another path. */
+  private readonly refusedRepaths = new WeakMap<StreamRelay, string>();
+
   private cancelTimer: CancelTimer | undefined;
 
   /**
@@ -90,7 +93,7 @@
           Suspicion.Silent,
           'endpoint did not answer report requests',
         );
-        affectedStreams.forEach((stream) => stream.abandonSend(firstAddress));
+        affectedStreams.forEach((stream) => stream.handleSilence(firstAddress));
       }
       return;
     }
@@ -112,8 +115,8 @@
   }
 
   /**
-   * Moves a stalled stream to a path that avoids the endpoint at fault. If this fails, aborts the send so
-   * that the stream resumes on another path, unless the first endpoint no longer knows the request.
+   * Moves a stalled stream to a path that avoids the endpoint at fault. If this fails, lets the stream
+   * resume on another path, unless the first endpoint no longer knows the request.
    */
   private async repath(
     stream: StreamRelay,
@@ -123,6 +126,10 @@
     if (this.repathing.has(stream)) {
       return;
     }
+    if (this.refusedRepaths.get(stream) === faultAddress) {
+      stream.handleSilence(faultAddress);
+      return;
+    }
     this.repathing.add(stream);
     const path = stream.reserveAlternativePath(faultAddress);
     const outcome = path && (await this.control.repath(firstAddress, stream.requestId, path));
@@ -145,7 +152,10 @@
       outcome.error instanceof OrderRefusedError &&
       outcome.error.refusal === OrderRefusal.UnknownRequest;
     if (!isUnknownRequest) {
-      stream.abandonSend(faultAddress);
+      if (path) {
+        this.refusedRepaths.set(stream, faultAddress);
+      }
+      stream.handleSilence(faultAddress);
     }
   }
 }
--- a/src/gateway/relay/node/streamRelay.ts
+++ b/src/gateway/relay/node/streamRelay.ts
@@ -1,12 +1,8 @@
 import { LogLevel } from '../../../base/common/logger.js';
 import type { CancelTimer } from '../../../base/common/clock.js';
-import {
-  RefusalReason,
-  type IAdmissionTicket,
-  type ModelAdmission,
-} from '../../admission/common/modelAdmission.js';
+import { RefusalReason, type ModelAdmission } from '../../admission/common/modelAdmission.js';
 import { RouteKind } from '../../config/common/configSnapshot.js';
-import type { Endpoint } from '../../directory/common/endpoint.js';
+import { incarnationOf, type Endpoint } from '../../directory/common/endpoint.js';
 import { Suspicion } from '../../directory/common/endpointDirectory.js';
 import type { SupervisedRequest } from '../../suspects/common/supervisedRequest.js';
 import type { LayerPath } from '../../routing/common/pathFinder.js';
@@ -23,6 +19,7 @@
 import type { AnswerHead, IExchange } from './endpointSender.js';
 import { describePath, SendFailure, suspicionOf } from '../common/sendFailure.js';
 import { StreamProgress } from '../common/streamProgress.js';
+import { PathAcquisition } from './pathAcquisition.js';
 import type { RelayContext } from './relayContext.js';
 import { AnswerKind, StreamAnswerSink, type IStreamReceiver } from './streamAnswerSink.js';
 
@@ -80,7 +77,10 @@
 export class StreamRelay implements IStreamReceiver {
   private phase = Phase.Waiting;
 
-  private ticket: IAdmissionTicket | undefined;
+  private readonly acquisition: PathAcquisition;
+
+  /** Path reserved for the next send while the previous run went on. */
+  private replacementPath: LayerPath | undefined;
 
   private path: LayerPath | undefined;
 
@@ -136,6 +136,7 @@
   ) {
     this.lastEventId = req.metadata.lastEventId;
     this.progress = new StreamProgress(req.arrivedMs);
+    this.acquisition = new PathAcquisition(admission, context.ledger);
     this.run = context.supervisor.supervise(req, {
       onAdmitted: () => void this.acquirePath(),
       onQuarantined: (remainingMs) => this.refuseQuarantined(remainingMs),
@@ -204,9 +205,8 @@
     if (firstStage === undefined || firstStage.endpoint.address === address) {
       return undefined;
     }
-    this.excludedAddresses.add(address);
     return this.admission.reserveAlternativePath({
-      ...this.pathRequest(),
+      ...this.pathRequest(address),
       firstStage: { address: firstStage.endpoint.address, to: firstStage.to },
       runningAddresses: new Set(this.pathEndpoints.map((endpoint) => endpoint.address)),
     });
@@ -218,10 +218,12 @@
    * @param path - The new path, with capacity reserved on it; the relay takes over its release.
    */
   adoptPath(path: LayerPath): void {
-    if (this.phase === Phase.Finished) {
-      this.context.ledger.release(path.reservations);
+    if (this.firstAddress !== path.stages[0].endpoint.address) {
+      this.context.ledger.release(path.reservations); // the run has ended meanwhile
       return;
     }
+    this.acquisition.cancel();
+    this.refundRetry();
     const nextAddresses = new Set(path.stages.map(({ endpoint }) => endpoint.address));
     this.run.recordLoss(
       this.pathEndpoints.filter(({ address }) => !nextAddresses.has(address)),
@@ -236,19 +238,84 @@
   }
 
   /**
-   * Aborts the current send because an endpoint of its path does not respond, and resumes on another
-   * path if possible.
+   * Called when an endpoint of the current path does not respond. The run goes on until another path is
+   * reserved, since the endpoint may respond again; it is given up only if the endpoint is gone.
    *
-   * @param address - Address of the endpoint at fault.
+   * @param address - Address of the endpoint.
    */
-  abandonSend(address: string): void {
+  handleSilence(address: string): void {
     if (this.phase !== Phase.Sent && this.phase !== Phase.Streaming) {
       return;
     }
+    const endpoint = this.pathEndpoints.find((each) => each.address === address);
+    const { directory } = this.context;
+    if (endpoint && directory.findIncarnation(incarnationOf(endpoint)) === undefined) {
+      this.abandonSend(address);
+    } else if (!this.acquisition.isPending) {
+      void this.replacePath(address);
+    }
+  }
+
+  /** Aborts the current send because an endpoint of its path is gone, and resumes elsewhere if possible. */
+  private abandonSend(address: string): void {
+    this.recordPossibleRun();
+    this.excludedAddresses.add(address);
+    this.exchange?.abort();
+    this.handleFailedSend(SendFailure.EndpointSilent, `gone ${address}`);
+  }
+
+  /** Resumes the request on a path without an endpoint, once one is reserved, unless the run makes progress. */
+  private async replacePath(address: string): Promise<void> {
+    const { clock, metrics, ledger } = this.context;
+    const remainingMs = deadlineOf(this.req) - clock.monotonicMs();
+    const mayResume =
+      this.req.route.isResumable && this.sendCount < maxSends && remainingMs > minRemainingMs;
+    if (!mayResume || !this.tryConsumeRetry(SendFailure.EndpointSilent)) {
+      this.logKept(address, mayResume ? 'no retry left' : 'must not be resumed');
+      return;
+    }
     this.recordPossibleRun();
+    const askedAtMs = clock.monotonicMs();
+    const outcome = await this.acquisition.acquire({
+      ...this.pathRequest(address),
+      arrivedMs: this.req.arrivedMs,
+      objectiveMs: this.req.route.objectiveMs,
+      maxWaitMs: Math.min(remainingMs, maxResumeWaitMs),
+      isResumed: true,
+      heldReservations: this.path?.reservations,
+    });
+    if (outcome === undefined) {
+      return;
+    }
+    const hasProgressed = this.progress.lastSignMs > askedAtMs;
+    if (outcome.isErr() || hasProgressed) {
+      this.refundRetry();
+      if (outcome.isOk()) {
+        ledger.release(outcome.value.reservations);
+        this.admission.admitWaiting();
+      }
+      this.logKept(address, outcome.isErr() ? outcome.error.reason : 'responds again');
+      return;
+    }
+    metrics.retries.inc({ reason: SendFailure.EndpointSilent });
     this.excludedAddresses.add(address);
     this.exchange?.abort();
-    this.handleFailedSend(SendFailure.EndpointSilent, `silent ${address}`);
+    this.exchange = undefined;
+    this.run.recordLoss(this.pathEndpoints, false);
+    this.releasePath();
+    this.log('run-broken', {
+      why: SendFailure.EndpointSilent,
+      reason: `silent ${address}`,
+      events: this.progress.eventCount,
+      goesOn: true,
+      sends: this.sendCount,
+    });
+    this.replacementPath = outcome.value;
+    this.requestRun(true);
+  }
+
+  private logKept(address: string, reason: string): void {
+    this.log('run-kept', { silent: address, reason, events: this.progress.eventCount });
   }
 
   /** Endpoints of the current path; empty if there is none. */
@@ -256,7 +323,8 @@
     return this.path?.stages.map(({ endpoint }) => endpoint) ?? [];
   }
 
-  private pathRequest(): {
+  /** @param avoidedAddress - Address that the path must not use, besides those that are excluded. */
+  private pathRequest(avoidedAddress?: string): {
     promptTokens: number;
     reservedTokens: number;
     excludedAddresses: ReadonlySet<string>;
@@ -270,7 +338,11 @@
     return {
       promptTokens,
       reservedTokens: promptTokens + reservedAnswerShare * expected,
-      excludedAddresses: new Set([...this.excludedAddresses, ...this.run.avoidedAddresses]),
+      excludedAddresses: new Set([
+        ...this.excludedAddresses,
+        ...this.run.avoidedAddresses,
+        ...(avoidedAddress === undefined ? [] : [avoidedAddress]),
+      ]),
       allowedFirstAddresses: this.mayRunElsewhere ? undefined : this.possibleRunAddresses,
     };
   }
@@ -283,32 +355,31 @@
   }
 
   private async acquirePath(): Promise<void> {
-    const { isResumed } = this;
-    const { clock } = this.context;
+    const { isResumed, replacementPath } = this;
+    const { clock, ledger, metrics } = this.context;
+    this.replacementPath = undefined;
+    if (replacementPath && !this.run.isIsolated) {
+      this.send(replacementPath);
+      return;
+    }
+    if (replacementPath) {
+      ledger.release(replacementPath.reservations);
+    }
     const remainingMs = deadlineOf(this.req) - clock.monotonicMs();
-    this.ticket = this.admission.request({
+    const outcome = await this.acquisition.acquire({
       ...this.pathRequest(),
       arrivedMs: this.req.arrivedMs,
       objectiveMs: this.req.route.objectiveMs,
       maxWaitMs: Math.min(remainingMs, isResumed ? maxResumeWaitMs : maxWaitMs),
       isResumed,
     });
-    const outcome = await this.ticket.outcome;
-    this.ticket = undefined;
-    if (outcome.isErr()) {
+    if (outcome?.isOk()) {
+      this.send(outcome.value);
+    } else if (outcome?.isErr() && outcome.error.reason !== RefusalReason.Cancelled) {
       const { reason, retryAfterMs } = outcome.error;
-      if (!this.isFinished && reason !== RefusalReason.Cancelled) {
-        this.context.metrics.refusals.inc({ reason });
-        this.giveUp(reason, retryAfterMs);
-      }
-      return;
+      metrics.refusals.inc({ reason });
+      this.giveUp(reason, retryAfterMs);
     }
-    if (this.isFinished) {
-      this.context.ledger.release(outcome.value.reservations);
-      this.admission.admitWaiting();
-      return;
-    }
-    this.send(outcome.value);
   }
 
   private send(path: LayerPath): void {
@@ -542,18 +613,15 @@
     }
     this.releasePath();
     this.exchange = undefined;
-    const { clock, retryBudgetOf, metrics } = this.context;
+    this.acquisition.cancel();
+    this.refundRetry();
+    const { clock, metrics } = this.context;
     const remainingMs = deadlineOf(this.req) - clock.monotonicMs();
     const isSafe =
       failure === SendFailure.NotSent ||
       failure === SendFailure.NotRun ||
       this.req.route.isResumable;
-    const needsBudget = failure !== SendFailure.NotSent;
-    const hasBudget = !needsBudget || retryBudgetOf(this.req.service).tryConsume();
-    this.hasUnusedRetry = needsBudget && hasBudget;
-    if (!hasBudget) {
-      metrics.deniedRetries.inc({ reason: failure });
-    }
+    const hasBudget = failure === SendFailure.NotSent || this.tryConsumeRetry(failure);
     const willRetry =
       isSafe && hasBudget && this.sendCount < maxSends && remainingMs > minRemainingMs;
     this.log('run-broken', {
@@ -572,6 +640,24 @@
     this.giveUp(failure, defaultRetryAfterMs, reason);
   }
 
+  /** Consumes one retry of the budget of the service for a failure, or counts that the budget denied it. */
+  private tryConsumeRetry(failure: SendFailure): boolean {
+    const hasBudget = this.context.retryBudgetOf(this.req.service).tryConsume();
+    this.hasUnusedRetry = hasBudget;
+    if (!hasBudget) {
+      this.context.metrics.deniedRetries.inc({ reason: failure });
+    }
+    return hasBudget;
+  }
+
+  /** Returns a retry to the budget if it was consumed for a send that hasn't followed. */
+  private refundRetry(): void {
+    if (this.hasUnusedRetry) {
+      this.hasUnusedRetry = false;
+      this.context.retryBudgetOf(this.req.service).refund();
+    }
+  }
+
   private refuseQuarantined(remainingMs: number): void {
     if (!this.isFinished) {
       this.context.metrics.refusals.inc({ reason: 'quarantined' });
@@ -613,12 +699,14 @@
 
   private finish(outcome: string, status: number): void {
     this.phase = Phase.Finished;
-    if (this.hasUnusedRetry) {
-      this.context.retryBudgetOf(this.req.service).refund();
-    }
+    this.refundRetry();
     this.cancelDeadline();
     this.run.close();
-    this.ticket?.cancel();
+    this.acquisition.cancel();
+    if (this.replacementPath) {
+      this.context.ledger.release(this.replacementPath.reservations);
+      this.replacementPath = undefined;
+    }
     this.exchange?.abort();
     this.exchange = undefined;
     this.releasePath();
--- a/src/gateway/routing/common/reservationLedger.ts
+++ b/src/gateway/routing/common/reservationLedger.ts
@@ -105,6 +105,22 @@
     reservations.forEach((reservation) => this.apply(reservation, -1));
   }
 
+  /**
+   * Runs a search as if reservations of this process were released.
+   *
+   * @param reservations - The same reservations as were passed to `reserve`.
+   * @param search - The search; must not change other reservations of the same endpoints.
+   * @returns The result of the search.
+   */
+  without<T>(reservations: readonly Reservation[], search: () => T): T {
+    const prefilled = reservations.filter((reservation) => !this.prefilling.has(reservation));
+    this.release(reservations);
+    const result = search();
+    this.reserve(reservations);
+    this.finishPrefill(prefilled);
+    return result;
+  }
+
   /** Records that a request's prefill is complete, so that it no longer delays other requests. */
   finishPrefill(reservations: readonly Reservation[]): void {
     for (const reservation of reservations) {
--- a/src/gateway/routing/test/common/reservationLedger.test.ts
+++ b/src/gateway/routing/test/common/reservationLedger.test.ts
@@ -21,6 +21,16 @@
     expect(ledger.loadAt('e').prefillMs).to.equal(100);
   });
 
+  it('restores what it set aside for a search, with the prefills that were complete', () => {
+    const ledger = new ReservationLedger(new FakeClock());
+    const [prefilled, prefilling] = [createReservation(), createReservation()];
+    ledger.reserve([prefilled, prefilling]);
+    ledger.finishPrefill([prefilled]);
+    const found = ledger.without([prefilled, prefilling], () => ledger.loadAt('e').requests);
+    expect(found).to.equal(0);
+    expect(ledger.loadAt('e')).to.include({ requests: 2, tokenLayers: 20, prefillMs: 100 });
+  });
+
   it('counts the end of a prefill once', () => {
     const ledger = new ReservationLedger(new FakeClock());
     const [first, second] = [[createReservation()], [createReservation()]];
