Pass the head of a stream on with its first event

Callers got status 200 and then a connection that ended without an event, where the gateway could still have said what became of their request.

Cause: the head of an endpoint's answer was passed on as soon as it arrived, so a run that failed before its first event could only be broken off if no other was allowed.

Change: the relay keeps the head until the run's first event, or its end. A run that fails before has a status, 502 or that of the next run; deadlines that pass before are 504. Head and first event now leave in one write.

Measured: 'is a status if the endpoint of a stream ends after the head of its answer' failed on the landed code (200, incomplete) and passes (502).

--- a/src/gateway/http/node/callerResponse.ts
+++ b/src/gateway/http/node/callerResponse.ts
@@ -87,7 +87,6 @@
   begin(status: number, rawHeaders: readonly string[]): void {
     if (!this.isDisconnected && !this.res.headersSent) {
       this.res.writeHead(status, this.withConnection(endToEndHeaders(rawHeaders)));
-      this.res.flushHeaders();
     }
   }
 
--- a/src/gateway/relay/node/streamRelay.ts
+++ b/src/gateway/relay/node/streamRelay.ts
@@ -90,6 +90,9 @@
 
   private hasBegunAnswer = false;
 
+  /** Head of the current run's answer, passed on with its first event; a failure before it gets a status. */
+  private head: AnswerHead | undefined;
+
   private lastEventId: string | undefined;
 
   private readonly progress: StreamProgress;
@@ -447,10 +450,7 @@
     this.recordPossibleRun();
     this.phase = Phase.Streaming;
     this.progress.recordSign(this.context.clock.monotonicMs());
-    if (!this.hasBegunAnswer) {
-      this.hasBegunAnswer = true;
-      this.caller.begin(head.status, this.context.dialect.callerHeaders(head.rawHeaders));
-    }
+    this.head = head;
     return AnswerKind.Events;
   }
 
@@ -481,6 +481,7 @@
     if (this.progress.runEventCount >= progressEvents) {
       this.run.recordProgress();
     }
+    this.beginAnswer();
     if (this.caller.write(batch.bytes)) {
       return true;
     }
@@ -499,6 +500,7 @@
     const { directory } = this.context;
     this.run.recordSurvival();
     this.path?.stages.forEach(({ endpoint }) => directory.clearSuspicion(endpoint.address));
+    this.beginAnswer();
     this.caller.end();
     this.finish('complete', 200);
   }
@@ -553,6 +555,14 @@
     this.handleFailedSend(wasSent ? SendFailure.Interrupted : SendFailure.NotSent, reason);
   }
 
+  private beginAnswer(): void {
+    if (!this.hasBegunAnswer && this.head) {
+      this.hasBegunAnswer = true;
+      const { status, rawHeaders } = this.head;
+      this.caller.begin(status, this.context.dialect.callerHeaders(rawHeaders));
+    }
+  }
+
   private abortOversizedAnswer(reason: string): void {
     this.context.metrics.brokenAnswers.inc({ reason: 'too-large' });
     this.exchange?.abort();
