Give unfinished requests their final answer at the end of the grace period

Callers of a gateway that had to stop saw their connection end without a status.

Cause: at the end of the grace period the drain closed all connections; requests without an answer, and the endpoints that ran them, were cut alike.

Change: half a second before the end every relay gives its caller the final answer: 502 if the request may have run, 503 if not; requests that are still being read are refused. Only streams that have begun are broken off. The relays share one contract, IRelay, and the ingress keeps them with their requests.

--- a/src/gateway/http/node/ingress.ts
+++ b/src/gateway/http/node/ingress.ts
@@ -10,14 +10,15 @@
 import {
   RefusalStatus,
   type CallerRequest,
+  type IRelay,
   type Refusal,
 } from '../../relay/common/callerRequest.js';
 import type { IDialect } from '../../relay/common/dialect.js';
 import type { GatewayMetrics } from '../../node/gatewayMetrics.js';
 import { CallerResponse } from './callerResponse.js';
 
-/** Starts to relay a request; returns a function to call when the caller's connection closes. */
-export type StartRelay = (req: CallerRequest, caller: CallerResponse) => () => void;
+/** Starts to relay a request; returns its relay, or undefined if the request was refused. */
+export type StartRelay = (req: CallerRequest, caller: CallerResponse) => IRelay | undefined;
 
 /** Maximum size of headers for the parser, in bytes; the configured limit is checked afterwards. */
 const maxParsedHeaderBytes = 65_536;
@@ -33,11 +34,20 @@
 /** Time beyond the configured header timeout for which a slow connection is kept open, in milliseconds. */
 const headerTimeoutSlackMs = 1_000;
 
+/** Request whose answer hasn't ended. */
+interface OpenRequest {
+  readonly req: IncomingMessage;
+  readonly caller: CallerResponse;
+  readonly arrivedMs: number;
+  /** Relay of the request; undefined until it was read and accepted. */
+  relay: IRelay | undefined;
+}
+
 /** HTTP server that callers connect to. */
 export class Ingress {
   private readonly server: Server;
 
-  private openRequests = 0;
+  private readonly openRequests = new Set<OpenRequest>();
 
   private isDraining = false;
 
@@ -89,7 +99,7 @@
 
   /** Number of requests whose answer hasn't ended. */
   get inFlight(): number {
-    return this.openRequests;
+    return this.openRequests.size;
   }
 
   /**
@@ -122,6 +132,21 @@
     this.server.closeIdleConnections();
   }
 
+  /** Gives the final answer to every request whose answer hasn't begun, and breaks off the others. */
+  stopRequests(): void {
+    for (const { req, caller, relay } of this.openRequests) {
+      if (relay) {
+        relay.stop('this gateway is stopping');
+      } else {
+        this.refuse(req, caller, {
+          status: RefusalStatus.Unavailable,
+          detail: 'this gateway is stopping',
+          retryAfterMs: minStartupRetryAfterMs,
+        });
+      }
+    }
+  }
+
   /** Stops accepting connections, and closes all open ones. */
   close(): void {
     this.isClosed = true;
@@ -137,14 +162,14 @@
   private async accept(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const arrivedMs = this.clock.monotonicMs();
     const caller = new CallerResponse(req, res, () => this.isDraining);
-    this.openRequests += 1;
-    let cancelRelay: (() => void) | undefined;
+    const open: OpenRequest = { req, caller, arrivedMs, relay: undefined };
+    this.openRequests.add(open);
     res.once('close', () => {
-      this.openRequests -= 1;
+      this.openRequests.delete(open);
       if (!res.writableFinished && (caller.isAborted || this.isClosed)) {
-        this.recordCut(req, caller, arrivedMs);
+        this.recordCut(open);
       }
-      cancelRelay?.();
+      open.relay?.cancel();
     });
     await this.whenSynced();
     const table = this.config.current;
@@ -173,19 +198,17 @@
       return;
     }
     await waitForNextPoll();
-    if (!caller.isDisconnected) {
+    if (!caller.isDisconnected && !caller.hasStatus) {
       // A newer configuration may have taken effect while the body was read.
-      cancelRelay = this.dispatch(req, caller, body, arrivedMs, this.config.current ?? table);
+      open.relay = this.dispatch(open, body, this.config.current ?? table);
     }
   }
 
   private dispatch(
-    req: IncomingMessage,
-    caller: CallerResponse,
+    { req, caller, arrivedMs }: OpenRequest,
     body: Buffer,
-    arrivedMs: number,
     table: RouteTable,
-  ): (() => void) | undefined {
+  ): IRelay | undefined {
     const metadata = this.dialect.readRequest(req.headers);
     const target = req.url ?? '/';
     const host = req.headers.host ?? '';
@@ -222,7 +245,7 @@
   }
 
   /** Records that this gateway ended a caller's connection before the answer was complete. */
-  private recordCut(req: IncomingMessage, caller: CallerResponse, arrivedMs: number): void {
+  private recordCut({ req, caller, arrivedMs }: OpenRequest): void {
     const nowMs = this.clock.monotonicMs();
     const reason = this.isClosed ? 'stopped' : 'broken-off';
     this.metrics.cutAnswers.inc({ reason, status: caller.hasStatus ? 'sent' : 'none' });
--- a/src/gateway/node/drainSequence.ts
+++ b/src/gateway/node/drainSequence.ts
@@ -9,8 +9,11 @@
  */
 const loadBalancerDelayMs = 2_500;
 
-/** Margin between aborting unfinished requests and the end of the grace period, in milliseconds. */
-const abortMarginMs = 500;
+/** Margin between stopping unfinished requests and the end of the grace period, in milliseconds. */
+const stopMarginMs = 500;
+
+/** Time in which the answers to stopped requests are sent, in milliseconds. */
+const flushMs = 200;
 
 /**
  * Time after SIGTERM during which new streams are accepted, in milliseconds. The rest of the grace
@@ -70,13 +73,17 @@
     this.startedMs = startedMs;
     this.ingress.drain();
     this.logger.log(LogLevel.Info, 'draining', { inFlight: this.ingress.inFlight });
-    const deadlineMs = startedMs + this.graceMs - abortMarginMs;
+    const deadlineMs = startedMs + this.graceMs - stopMarginMs;
     await sleep(Math.min(loadBalancerDelayMs, this.graceMs / 2));
     void this.lease.release();
     await this.waitForRequests(deadlineMs);
     this.ingress.closeIdle();
     await this.waitForRequests(deadlineMs);
+    const stopped = this.ingress.inFlight;
+    this.ingress.stopRequests();
+    await this.waitForRequests(deadlineMs + flushMs);
     this.logger.log(LogLevel.Info, 'drained', {
+      stopped,
       cut: this.ingress.inFlight,
       tookMs: Math.round(this.clock.monotonicMs() - startedMs),
     });
--- a/src/gateway/node/gatewayProgram.ts
+++ b/src/gateway/node/gatewayProgram.ts
@@ -23,7 +23,7 @@
 import { LeaseScheduler } from '../placement/common/leaseScheduler.js';
 import { PlacementLoop } from '../placement/node/placementLoop.js';
 import type { LeavingNotice } from '../relay/common/endpointControl.js';
-import { RefusalStatus, type CallerRequest } from '../relay/common/callerRequest.js';
+import { RefusalStatus, type CallerRequest, type IRelay } from '../relay/common/callerRequest.js';
 import { EndpointSender } from '../relay/node/endpointSender.js';
 import { PlainRelay } from '../relay/node/plainRelay.js';
 import type { RelayContext } from '../relay/node/relayContext.js';
@@ -81,11 +81,6 @@
  */
 const maxRewriteDelayMs = 1_000;
 
-interface IRelay {
-  start(): void;
-  cancel(): void;
-}
-
 /** Gateway process: relays requests of callers, and places layers while it holds the lease. */
 export class GatewayProgram {
   private readonly config: ConfigHolder;
@@ -400,7 +395,7 @@
     return [incarnation];
   }
 
-  private startRelay(req: CallerRequest, caller: CallerResponse): () => void {
+  private startRelay(req: CallerRequest, caller: CallerResponse): IRelay | undefined {
     const service = this.config.current?.config.services.get(req.service);
     if (this.drainSequence.mustRefuse(service?.engine !== undefined)) {
       this.dependencies.metrics.refusals.inc({ reason: 'draining' });
@@ -409,7 +404,7 @@
         detail: 'this gateway is stopping',
         retryAfterMs: drainingRetryAfterMs,
       });
-      return () => undefined;
+      return undefined;
     }
     this.retryBudgets.of(req.service).countRequest();
     this.limits.countRequest(req.service);
@@ -437,7 +432,7 @@
       );
     }
     relay.start();
-    return () => relay.cancel();
+    return relay;
   }
 
   private createPeerMessage(): PeerMessage {
--- a/src/gateway/relay/common/callerRequest.ts
+++ b/src/gateway/relay/common/callerRequest.ts
@@ -47,6 +47,20 @@
   refuse(refusal: Refusal): void;
 }
 
+/** Relay of one request. */
+export interface IRelay {
+  /** Sends the request to an endpoint once it is admitted. */
+  start(): void;
+  /** Aborts the relay because the caller disconnected. */
+  cancel(): void;
+  /**
+   * Ends the relay, and gives the caller its final answer. A streamed answer that has begun is broken off.
+   *
+   * @param detail - Reason, for the caller and the log.
+   */
+  stop(detail: string): void;
+}
+
 /** Error answer that the gateway itself produced. */
 export interface Refusal {
   readonly status: RefusalStatus;
--- a/src/gateway/relay/node/plainRelay.ts
+++ b/src/gateway/relay/node/plainRelay.ts
@@ -12,6 +12,7 @@
   RefusalStatus,
   type CallerRequest,
   type ICallerSink,
+  type IRelay,
 } from '../common/callerRequest.js';
 import { BoundedBody } from '../common/boundedBody.js';
 import type { PlainRouter } from '../../routing/common/plainRouter.js';
@@ -50,7 +51,7 @@
 }
 
 /** Relays one request to a plain service and forwards the answer once it is complete. */
-export class PlainRelay {
+export class PlainRelay implements IRelay {
   private readonly sends: Send[] = [];
 
   private isFinished = false;
@@ -91,18 +92,25 @@
     this.cancelDeadline = context.clock.after(remainingMs, () => this.expire());
   }
 
-  /** Sends the request to an endpoint once it is admitted. */
   start(): void {
     this.run.requestRun();
   }
 
-  /** Aborts all sends because the caller disconnected. */
   cancel(): void {
     if (!this.isFinished) {
       this.finish('cancelled', 0);
     }
   }
 
+  stop(detail: string): void {
+    if (this.isFinished) {
+      return;
+    }
+    this.possibleRunCount += this.sends.filter(({ isFinished }) => !isFinished).length;
+    this.sends.forEach((send) => this.abortSend(send));
+    this.refuseUnlessRunning(detail, 'stopped');
+  }
+
   private get isIdempotent(): boolean {
     return this.req.route.kind === RouteKind.Safe;
   }
@@ -371,6 +379,13 @@
     return this.sends.some(({ isFinished }) => !isFinished);
   }
 
+  private abortSend(send: Send): void {
+    if (!send.isFinished) {
+      send.exchange?.abort();
+      this.finishSend(send);
+    }
+  }
+
   private finishSend(send: Send): void {
     if (!send.isFinished) {
       send.isFinished = true;
@@ -386,12 +401,7 @@
     this.cancelDeadline();
     this.cancelHedge?.();
     this.run.close();
-    for (const send of this.sends) {
-      if (!send.isFinished) {
-        send.exchange?.abort();
-        this.finishSend(send);
-      }
-    }
+    this.sends.forEach((send) => this.abortSend(send));
     const { metrics, clock } = this.context;
     const { kind } = this.req.route;
     const totalMs = clock.monotonicMs() - this.req.arrivedMs;
--- a/src/gateway/relay/node/streamRelay.ts
+++ b/src/gateway/relay/node/streamRelay.ts
@@ -12,6 +12,7 @@
   RefusalStatus,
   type CallerRequest,
   type ICallerSink,
+  type IRelay,
 } from '../common/callerRequest.js';
 import type { AnswerMetadata } from '../common/dialect.js';
 import { BoundedBody } from '../common/boundedBody.js';
@@ -74,7 +75,7 @@
  * Relays one stream: waits for capacity on a path, sends the request, forwards the events, and resumes
  * the stream on another path if the current one fails.
  */
-export class StreamRelay implements IStreamReceiver {
+export class StreamRelay implements IRelay, IStreamReceiver {
   private phase = Phase.Waiting;
 
   private readonly acquisition: PathAcquisition;
@@ -183,12 +184,10 @@
     return this.path?.stages.some(({ endpoint }) => endpoint.address === address) ?? false;
   }
 
-  /** Requests a path and sends the request once a path is reserved. */
   start(): void {
     this.requestRun(false);
   }
 
-  /** Aborts the relay because the caller disconnected. */
   cancel(): void {
     if (this.phase !== Phase.Finished) {
       this.log('stream-cancelled', { events: this.progress.eventCount });
@@ -196,6 +195,15 @@
     }
   }
 
+  stop(detail: string): void {
+    if (this.phase === Phase.Sent) {
+      this.recordPossibleRun();
+    }
+    if (!this.isFinished) {
+      this.giveUp('stopped', defaultRetryAfterMs, detail);
+    }
+  }
+
   /**
    * Reserves a path with the same first endpoint that avoids an endpoint that stopped responding.
    *
