Answer requests that an error of the gateway keeps from being relayed

Callers got a connection that ended without a status, or no answer until their deadline, when an error was thrown between the reading of a request and its answer.

Cause: the ingress destroyed the connection after any error; an error in the asynchronous part of a stream relay ended as an unhandled rejection, with the request left open; an error while a change of the store was applied ended that feed for good; an uncaught exception ended the process with all that it served.

Change: the caller gets 502, or the status that the relay knows to be true; feeds log the error and list anew; after an uncaught exception the gateway drains, so that its requests are answered, and then ends with status 1.

--- a/src/bin/ibisspar-gateway.ts
+++ b/src/bin/ibisspar-gateway.ts
@@ -35,6 +35,7 @@
 const orderTimeoutMs = 1_000;
 
 const usageErrorStatus = 2;
+const failureStatus = 1;
 
 function exitWithError(message: string, status: number): never {
   process.stderr.write(`ibisspar-gateway: ${message}\n`);
@@ -79,7 +80,7 @@
     },
   });
   let isStopping = false;
-  const stop = async () => {
+  const stop = async (exitStatus: number) => {
     if (isStopping) {
       return;
     }
@@ -90,10 +91,10 @@
     await store.close();
     logger.log(LogLevel.Info, 'stopped');
     lineWriter.close();
-    process.exit(0);
+    process.exit(exitStatus);
   };
-  process.on('SIGTERM', () => void stop());
-  process.on('SIGINT', () => void stop());
+  process.on('SIGTERM', () => void stop(0));
+  process.on('SIGINT', () => void stop(0));
   // Only checks the settings file. Changed settings take effect when the gateway is restarted.
   process.on('SIGHUP', () => {
     const loaded = loadSettings(path, gatewaySchema);
@@ -101,6 +102,14 @@
       outcome: loaded.isOk() ? 'valid' : loaded.error.message,
     });
   });
+  // Its state may be inconsistent, so the process ends, but not the requests that it serves.
+  process.on('uncaughtException', (err) => {
+    logger.log(LogLevel.Error, 'uncaught-exception', {
+      reason: toErrorMessage(err),
+      at: err.stack?.split('\n').at(1)?.trim(),
+    });
+    void stop(failureStatus);
+  });
   process.on('unhandledRejection', (reason) => {
     logger.log(LogLevel.Error, 'unhandled-rejection', { reason: toErrorMessage(reason) });
   });
--- a/src/gateway/feeds/node/storeFeed.ts
+++ b/src/gateway/feeds/node/storeFeed.ts
@@ -1,4 +1,5 @@
 import type { IClock, ITimers } from '../../../base/common/clock.js';
+import { toErrorMessage } from '../../../base/common/errors.js';
 import { LogLevel, type ILogger } from '../../../base/common/logger.js';
 import { HistoryLostError, type FeedItem, type IFeedSource } from '../common/feedSource.js';
 import { maxRetryIntervalMs, minRetryIntervalMs, type FeedTiming } from '../common/feedTiming.js';
@@ -73,7 +74,16 @@
     let revision: number | undefined;
     while (!signal.aborted) {
       this.callStartedMs = this.clock.monotonicMs();
-      revision = revision === undefined ? await this.list() : await this.watch(revision);
+      try {
+        revision = revision === undefined ? await this.list() : await this.watch(revision);
+      } catch (err) {
+        this.logger.log(LogLevel.Error, 'feed-failed', {
+          feed: this.name,
+          reason: toErrorMessage(err),
+        });
+        revision = undefined;
+        await this.wait(maxRetryIntervalMs);
+      }
     }
   }
 
--- a/src/gateway/feeds/test/node/storeFeed.test.ts
+++ b/src/gateway/feeds/test/node/storeFeed.test.ts
@@ -110,4 +110,47 @@
     expect(calls).to.deep.equal(['list', 'watch 3', 'watch 5']);
     feed.close();
   });
+
+  it('lists anew after an error while a change was applied', async () => {
+    const applied: string[] = [];
+    const noAnswer = new Promise<void>(() => {});
+    const clock = new FakeClock();
+    const source: IFeedSource<string> = {
+      list: async () =>
+        Ok({
+          revision: 3,
+          items: [{ name: 'a', value: `v${applied.length}`, decodeError: undefined }],
+        }),
+      watch: async () => {
+        await noAnswer;
+        return Ok({ revision: 3, events: [] });
+      },
+    };
+    const ignore = () => undefined;
+    const feed = new StoreFeed<string>(
+      'test',
+      source,
+      {
+        onItem: (value) => {
+          applied.push(value);
+          if (applied.length === 1) {
+            throw new Error('cannot be applied');
+          }
+        },
+        onRemoved: ignore,
+        onListed: ignore,
+        onLost: ignore,
+        onRecovered: ignore,
+      },
+      { watchWaitMs: 1_000, batchDelayMs: 0 },
+      clock,
+      { log: ignore },
+    );
+    feed.start();
+    await settle();
+    clock.advance(maxRetryIntervalMs);
+    await settle();
+    expect(applied).to.deep.equal(['v0', 'v1']);
+    feed.close();
+  });
 });
--- a/src/gateway/http/node/ingress.ts
+++ b/src/gateway/http/node/ingress.ts
@@ -83,12 +83,13 @@
     this.server = createServer(
       { maxHeaderSize: maxParsedHeaderBytes, noDelay: true, requestTimeout: 0 },
       (req, res) => {
-        this.accept(req, res).catch((err: unknown) => {
-          const { requestId } = this.dialect.readRequest(req.headers);
-          const reason = toErrorMessage(err);
-          this.logger.log(LogLevel.Error, 'request-failed', { request: requestId, reason });
-          res.destroy();
-        });
+        const open: OpenRequest = {
+          req,
+          caller: new CallerResponse(req, res, () => this.isDraining),
+          arrivedMs: clock.monotonicMs(),
+          relay: undefined,
+        };
+        this.accept(open, res).catch((err: unknown) => this.handleError(open, err));
       },
     );
     config.onDidChange(({ config: { limits } }) => {
@@ -159,10 +160,8 @@
     this.server.headersTimeout = headerTimeoutMs + headerTimeoutSlackMs;
   }
 
-  private async accept(req: IncomingMessage, res: ServerResponse): Promise<void> {
-    const arrivedMs = this.clock.monotonicMs();
-    const caller = new CallerResponse(req, res, () => this.isDraining);
-    const open: OpenRequest = { req, caller, arrivedMs, relay: undefined };
+  private async accept(open: OpenRequest, res: ServerResponse): Promise<void> {
+    const { req, caller, arrivedMs } = open;
     this.openRequests.add(open);
     res.once('close', () => {
       this.openRequests.delete(open);
@@ -244,6 +243,14 @@
     );
   }
 
+  /** Answers a request that an error has kept from being relayed; whether it has run is unknown. */
+  private handleError({ req, caller }: OpenRequest, err: unknown): void {
+    const { requestId } = this.dialect.readRequest(req.headers);
+    const reason = toErrorMessage(err);
+    this.logger.log(LogLevel.Error, 'request-failed', { request: requestId, reason });
+    caller.refuse({ status: RefusalStatus.BadGateway, detail: 'the gateway failed' });
+  }
+
   /** Records that this gateway ended a caller's connection before the answer was complete. */
   private recordCut({ req, caller, arrivedMs }: OpenRequest): void {
     const nowMs = this.clock.monotonicMs();
--- a/src/gateway/node/gatewayProgram.ts
+++ b/src/gateway/node/gatewayProgram.ts
@@ -1,6 +1,7 @@
 import type { SystemClock } from '../../base/node/systemClock.js';
 import { sleep } from '../../base/node/systemClock.js';
 import type { CancelTimer } from '../../base/common/clock.js';
+import { toErrorMessage } from '../../base/common/errors.js';
 import { LogLevel, type ILogger } from '../../base/common/logger.js';
 import type { IRandom } from '../../base/common/random.js';
 import { LeaseCandidate } from '../../services/lease/common/lease.js';
@@ -431,7 +432,13 @@
         () => {},
       );
     }
-    relay.start();
+    try {
+      relay.start();
+    } catch (err) {
+      const fields = { request: req.metadata.requestId, reason: toErrorMessage(err) };
+      this.dependencies.logger.log(LogLevel.Error, 'request-failed', fields);
+      relay.stop('the gateway failed');
+    }
     return relay;
   }
 
--- a/src/gateway/relay/node/streamRelay.ts
+++ b/src/gateway/relay/node/streamRelay.ts
@@ -1,3 +1,4 @@
+import { toErrorMessage } from '../../../base/common/errors.js';
 import { LogLevel } from '../../../base/common/logger.js';
 import type { CancelTimer } from '../../../base/common/clock.js';
 import { RefusalReason, type ModelAdmission } from '../../admission/common/modelAdmission.js';
@@ -142,7 +143,9 @@
     this.progress = new StreamProgress(req.arrivedMs);
     this.acquisition = new PathAcquisition(admission, context.ledger);
     this.run = context.supervisor.supervise(req, {
-      onAdmitted: () => void this.acquirePath(),
+      onAdmitted: () => {
+        this.acquirePath().catch((err: unknown) => this.fail(err));
+      },
       onQuarantined: (remainingMs) => this.refuseQuarantined(remainingMs),
     });
     const { clock } = context;
@@ -263,7 +266,7 @@
     if (endpoint && directory.findIncarnation(incarnationOf(endpoint)) === undefined) {
       this.abandonSend(address);
     } else if (!this.acquisition.isPending) {
-      void this.replacePath(address);
+      this.replacePath(address).catch((err: unknown) => this.fail(err));
     }
   }
 
@@ -683,6 +686,12 @@
     }
   }
 
+  private fail(err: unknown): void {
+    const fields = { request: this.requestId, reason: toErrorMessage(err) };
+    this.context.logger.log(LogLevel.Error, 'request-failed', fields);
+    this.stop('the gateway failed');
+  }
+
   private giveUp(reason: string, retryAfterMs: number, detail = reason): void {
     if (this.hasBegunAnswer) {
       this.caller.abort();
