Hold back an endpoint's connection instead of pausing the client's parser

What callers saw: if the connection of an answer without a length ended while its relay was paused because the caller read slowly, the gateway process ended and everything in flight on it was lost. An answer with a length that had arrived whole counted as broken in the same state, and was resumed for nothing.

Cause: the relay paused the HTTP client's parser. The client ends an answer without a length when its connection ends, whether or not the parser is paused, and asserts that it isn't; the assertion fails in an event handler of the socket. It also learns of the end while bytes of the answer still wait in the parser.

Change: a pause holds back the reads of the socket, the end among them, so that the parser is never paused. Bytes that were read before the pause still reach the sink; the relay registers for the drain of the caller's connection once for all of them.

With whole gateways the assertion was not reproduced: the pause must last and less than one read buffer may be left.

--- a/src/gateway/relay/node/endpointSender.ts
+++ b/src/gateway/relay/node/endpointSender.ts
@@ -3,6 +3,7 @@
 import { toErrorMessage } from '../../../base/common/errors.js';
 import type { IClock } from '../../../base/common/clock.js';
 import type { HeaderMap } from '../common/dialect.js';
+import { ReadGate } from './readGate.js';
 
 /** HTTP request to an endpoint. */
 export interface OutboundRequest {
@@ -26,7 +27,10 @@
 /** Receives the answer to a request, or the error that ended the exchange. */
 export interface IAnswerSink {
   onHead(head: AnswerHead): void;
-  /** Called with the next bytes of the body; returns false to pause until the exchange is resumed. */
+  /**
+   * Called with the next bytes of the body; returns false to pause until the exchange is resumed. Bytes
+   * that were read before the pause still follow.
+   */
   onData(chunk: Buffer): boolean;
   onEnd(): void;
   /**
@@ -73,6 +77,8 @@
   /** Error with which the connection ended; undefined if it is open or was closed normally. */
   failureReason: string | undefined;
 
+  private gate: ReadGate | undefined;
+
   /**
    * @param address - `ip:port` of the endpoint.
    * @param onHeard - Called when the endpoint has accepted the connection or sent part of an answer.
@@ -101,8 +107,18 @@
     });
   }
 
+  /** Stops reading from the connection until `resume` is called. */
+  pause(): void {
+    this.gate?.shut();
+  }
+
+  resume(): void {
+    this.gate?.open();
+  }
+
   /** Adds listeners before the client adds its own, so that `hasEnded` is set when an answer ends. */
   private watch(socket: Socket): void {
+    this.gate = new ReadGate(socket);
     this.hasEnded = false;
     this.failureReason = undefined;
     socket.once('end', () => {
@@ -158,10 +174,10 @@
     }
   }
 
-  onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
+  onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
     this.connection.onHeard();
     if (!this.isFinished && !this.sink.onData(chunk)) {
-      controller.pause();
+      this.connection.pause();
     }
   }
 
@@ -189,7 +205,9 @@
   }
 
   resume(): void {
-    this.controller?.resume();
+    if (!this.isFinished) {
+      this.connection.resume();
+    }
   }
 
   abort(): void {
@@ -240,6 +258,7 @@
     const connection = idleConnection ?? this.openConnection(address, openConnections);
     connection.isBusy = true;
     const onFinished = () => {
+      connection.resume();
       connection.isBusy = false;
       connection.idleSinceMs = this.clock.monotonicMs();
     };
--- a/src/gateway/relay/node/streamRelay.ts
+++ b/src/gateway/relay/node/streamRelay.ts
@@ -95,6 +95,9 @@
   /** Head of the current run's answer, passed on with its first event; a failure before it gets a status. */
   private head: AnswerHead | undefined;
 
+  /** Whether the exchange is paused until the caller has taken what was written. */
+  private isAwaitingDrain = false;
+
   private lastEventId: string | undefined;
 
   private readonly progress: StreamProgress;
@@ -496,7 +499,13 @@
     if (this.caller.write(batch.bytes)) {
       return true;
     }
-    this.caller.whenDrained(() => this.exchange?.resume());
+    if (!this.isAwaitingDrain) {
+      this.isAwaitingDrain = true;
+      this.caller.whenDrained(() => {
+        this.isAwaitingDrain = false;
+        this.exchange?.resume();
+      });
+    }
     return false;
   }
 
