Take the identity encoding for no framing

An answer whose headers name a transfer encoding other than chunks was never complete for the relay. It ends with its connection, as one without the header does. No endpoint is known to send one; found by the test.

The two tests with the identity encoding failed before: the end of the connection counted as an end within the answer.

--- a/src/gateway/relay/node/endpointSender.ts
+++ b/src/gateway/relay/node/endpointSender.ts
@@ -135,6 +135,12 @@
   }
 }
 
+/** Returns whether headers delimit the body by a length or by chunks. */
+function hasFraming(headers: HeaderMap): boolean {
+  const encodings = String(headers['transfer-encoding'] ?? '').toLowerCase();
+  return headers['content-length'] !== undefined || encodings.trimEnd().endsWith('chunked');
+}
+
 /** Passes the client's events of one request on to the sink, until the exchange ends or is aborted. */
 class Exchange implements IExchange, Dispatcher.DispatchHandler {
   private controller: Dispatcher.DispatchController | undefined;
@@ -167,8 +173,7 @@
   ): void {
     this.connection.onHeard();
     if (!this.isFinished && status >= 200) {
-      this.isFramed =
-        headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+      this.isFramed = hasFraming(headers);
       const raw = (controller.rawHeaders ?? []) as readonly (Buffer | string)[];
       this.sink.onHead({ status, headers, rawHeaders: raw.map((each) => each.toString('latin1')) });
     }
--- a/src/gateway/relay/test/node/answerFraming.test.ts
+++ b/src/gateway/relay/test/node/answerFraming.test.ts
@@ -135,6 +135,10 @@
       ending: 'close',
       endsAtOnce: true,
     },
+    'with the identity encoding': {
+      writes: ['HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n\r\n', 'answer'],
+      ending: 'close',
+    },
     'with a length, closed with the last bytes': {
       writes: [`${framed}answer`],
       ending: 'close',
