Reset connections of HTTP/1.0 callers when a gateway ends within their answers

What callers saw: a gateway that ended at its grace period closed the connection of a stream in progress. Where the caller speaks HTTP/1.0, an orderly end of the connection is the end of the answer, so the stream looked complete after its first events.

Cause: only the relay's abort resets such a connection; the end of the process closed the sockets below it. Now the ingress aborts the answers in progress first, as a relay does.

The test failed before (the caller saw no reset).

--- a/src/gateway/http/node/ingress.ts
+++ b/src/gateway/http/node/ingress.ts
@@ -148,10 +148,11 @@
     }
   }
 
-  /** Stops accepting connections, and closes all open ones. */
+  /** Stops accepting connections, aborts the answers in progress and closes all connections. */
   close(): void {
     this.isClosed = true;
     this.server.close();
+    this.openRequests.forEach(({ caller }) => caller.abort());
     this.server.closeAllConnections();
   }
 
