Keep the order of bytes and of the end in a fault proxy whose delay changes

A proxy handed on other bytes than it got: data that waited for its delay was passed by data that came when the delay was over, and was lost if the connection ended meanwhile. An answer without a length then looks complete without its last bytes.

The test failed before (received ' last' and an end).

--- a/src/bench/node/faultProxy.ts
+++ b/src/bench/node/faultProxy.ts
@@ -105,8 +105,10 @@
     client.setNoDelay(true);
     const pair = [client, target] as const;
     this.connections.add(pair);
-    this.pipe(client, target);
-    this.pipe(target, client);
+    const afterDelay = new Map([
+      [client, this.pipe(client, target)],
+      [target, this.pipe(target, client)],
+    ]);
     const endPair = (endSocket: (socket: Socket) => void) => {
       if (!this.discardingSockets.has(client)) {
         this.connections.delete(pair);
@@ -120,8 +122,9 @@
         this.refusedPorts.add(clientPort);
       }
     });
-    for (const socket of pair) {
-      socket.on('close', () => endPair((other) => other.destroy())).on('error', resetPair);
+    for (const [socket, inOrder] of afterDelay) {
+      socket.on('close', () => inOrder(() => endPair((other) => other.destroySoon())));
+      socket.on('error', resetPair);
       // If data and a reset arrive together, Node.js reports an end instead of an error. The socket
       // then has no remote address, and the end is handled as a reset.
       socket.on('end', () => socket.remoteAddress === undefined && resetPair());
@@ -129,20 +132,38 @@
     this.pausePair(pair);
   }
 
-  private pipe(from: Socket, to: Socket): void {
-    from.on('data', (data) => {
-      if (this.discardingSockets.has(from)) {
-        return;
+  /**
+   * Forwards data after the current delay, in the order of arrival.
+   *
+   * @returns A function that runs an action after all data that has arrived so far.
+   */
+  private pipe(from: Socket, to: Socket): (action: () => void) => void {
+    const waiting: { readonly dueMs: number; readonly action: () => void }[] = [];
+    const runDue = () => {
+      while (waiting.length > 0 && waiting[0].dueMs <= Date.now()) {
+        waiting.shift()?.action();
+      }
+      if (waiting.length > 0) {
+        setTimeout(runDue, waiting[0].dueMs - Date.now());
       }
-      if (this.delayMs === 0) {
-        to.write(data);
+    };
+    const inOrder = (action: () => void) => {
+      if (waiting.length === 0 && this.delayMs === 0) {
+        action();
         return;
       }
-      setTimeout(() => {
+      waiting.push({ dueMs: Date.now() + this.delayMs, action });
+      if (waiting.length === 1) {
+        setTimeout(runDue, this.delayMs);
+      }
+    };
+    from.on('data', (data) =>
+      inOrder(() => {
         if (!this.discardingSockets.has(from)) {
           to.write(data);
         }
-      }, this.delayMs);
-    });
+      }),
+    );
+    return inOrder;
   }
 }
--- a/src/bench/test/node/faultProxy.test.ts
+++ b/src/bench/test/node/faultProxy.test.ts
@@ -78,4 +78,23 @@
     proxy.resume();
     expect(String((await received)[0])).to.equal('held');
   });
+
+  it('keeps the order of data and of the end after it when the delay changes', async () => {
+    const { socket, ended } = open();
+    socket.write('x');
+    await once(socket, 'data');
+    let text = '';
+    socket.on('data', (data) => {
+      text += data.toString();
+    });
+    proxy.delayMs = 50;
+    accepted[0].write('first');
+    await new Promise((resolve) => {
+      setTimeout(resolve, 10);
+    });
+    proxy.delayMs = 0;
+    accepted[0].end(' last');
+    expect(await ended).to.equal('ended');
+    expect(text).to.equal('first last');
+  });
 });
