Refuse a waiting stream as soon as what endpoints say leaves it no path

Cause: the admission queue checked whether any path could exist when a stream arrived and never again, so one that waited for capacity while the last holder of some layers began to leave, paused or named a limit was refused when its wait ended. Change: each pass over the queue asks the same question for the streams it can't admit. Endpoints that are only skipped for a suspicion count as there, so a refusal of 400 ms doesn't empty the queue.

--- a/src/gateway/admission/common/modelAdmission.ts
+++ b/src/gateway/admission/common/modelAdmission.ts
@@ -51,6 +51,16 @@
   readonly heldReservations?: readonly Reservation[];
 }
 
+/** Endpoints of a model service. */
+export interface IEndpointPool {
+  /** Returns the endpoints that may be part of a path now. */
+  usable(): readonly Endpoint[];
+  /** Returns the endpoints that accept new requests, including those that are skipped at present. */
+  accepting(): readonly Endpoint[];
+  /** Returns whether the store lists an endpoint; others are used only if those lack capacity. */
+  isConfirmed(endpoint: Endpoint): boolean;
+}
+
 /** Handle of a request for admission. */
 export interface IAdmissionTicket {
   readonly outcome: Promise<Result<LayerPath, AdmissionRefusedError>>;
@@ -111,8 +121,7 @@
 
   /**
    * @param finder - Finds paths with free capacity.
-   * @param endpoints - Endpoints that accept new requests.
-   * @param isConfirmed - Whether the store lists an endpoint; others are used only if those lack capacity.
+   * @param pool - Endpoints of the service.
    * @param permission - Whether endpoints may be sent requests; each request counts at all endpoints of
    *   its path.
    * @param ledger - Records the reservations of admitted requests.
@@ -121,8 +130,7 @@
    */
   constructor(
     private readonly finder: PathFinder,
-    private readonly endpoints: () => readonly Endpoint[],
-    private readonly isConfirmed: (endpoint: Endpoint) => boolean,
+    private readonly pool: IEndpointPool,
     private readonly permission: ISendPermission,
     private readonly ledger: ReservationLedger,
     private readonly crossingBudget: CrossDataCentreBudget,
@@ -187,7 +195,7 @@
    * @returns Whether the endpoint lacked capacity, so that it can still serve a smaller load.
    */
   recordRefusal(address: string, isOwn: boolean): boolean {
-    const endpoint = this.endpoints().find((each) => each.address === address);
+    const endpoint = this.pool.usable().find((each) => each.address === address);
     const isNearCapacity = endpoint !== undefined && this.finder.isNearCapacity(endpoint);
     if (isNearCapacity) {
       this.ledger.recordFull(address, isOwn);
@@ -210,10 +218,10 @@
           Err(new AdmissionRefusedError(RefusalReason.WaitTimeout, this.retryAfterMs())),
         );
       } else if (failures < maxFailuresPerPass) {
-        const path = this.tryAdmit(entry.req);
-        failures += path ? 0 : 1;
-        if (path) {
-          this.settle(entry, Ok(path));
+        const outcome = this.tryAgain(entry.req);
+        failures += outcome ? 0 : 1;
+        if (outcome) {
+          this.settle(entry, outcome);
         }
       }
     }
@@ -233,6 +241,16 @@
     entry.settle(outcome);
   }
 
+  /** Admits a waiting request, or refuses it if no path would remain even with all capacity free. */
+  private tryAgain(req: AdmissionRequest): Result<LayerPath, AdmissionRefusedError> | undefined {
+    const path = this.tryAdmit(req);
+    if (path) {
+      return Ok(path);
+    }
+    const refusal = this.refusalWithoutPath(this.pool.accepting(), req);
+    return refusal && Err(refusal);
+  }
+
   private tryAdmit(req: AdmissionRequest): LayerPath | undefined {
     const path = this.reserve(req, req.heldReservations);
     if (path) {
@@ -257,8 +275,8 @@
   }
 
   private findPath(req: PathRequest): LayerPath | undefined {
-    const endpoints = this.permittedEndpoints(req);
-    const confirmed = endpoints.filter((endpoint) => this.isConfirmed(endpoint));
+    const endpoints = this.permittedEndpoints(this.pool.usable(), req);
+    const confirmed = endpoints.filter((endpoint) => this.pool.isConfirmed(endpoint));
     if (confirmed.length < endpoints.length) {
       const path = this.finder.find(confirmed, { ...req, staysInDataCentre: true });
       if (path) {
@@ -269,23 +287,19 @@
     return this.finder.find(endpoints, { ...req, staysInDataCentre });
   }
 
-  private permittedEndpoints({ runningAddresses }: PathRequest): readonly Endpoint[] {
-    return this.endpoints().filter(
+  private permittedEndpoints(
+    endpoints: readonly Endpoint[],
+    { runningAddresses }: PathRequest,
+  ): readonly Endpoint[] {
+    return endpoints.filter(
       (endpoint) => runningAddresses?.has(endpoint.address) || this.permission.mayUse(endpoint),
     );
   }
 
   private immediateRefusal(req: AdmissionRequest): AdmissionRefusedError | undefined {
-    const endpoints = this.endpoints();
-    const permitted = this.permittedEndpoints(req);
-    const hasPath = (pool: readonly Endpoint[]) =>
-      this.finder.find(pool, { ...req, ignoresCapacity: true }) !== undefined;
-    if (!hasPath(endpoints)) {
-      return new AdmissionRefusedError(RefusalReason.NoPath, noPathRetryAfterMs);
-    }
-    if (permitted.length < endpoints.length && !hasPath(permitted)) {
-      const retryAfterMs = this.permission.retryAfterMs(endpoints[0].service);
-      return new AdmissionRefusedError(RefusalReason.Limited, retryAfterMs);
+    const refusal = this.refusalWithoutPath(this.pool.usable(), req);
+    if (refusal) {
+      return refusal;
     }
     const now = this.clock.monotonicMs();
     this.admittedAtMs = this.admittedAtMs.filter((atMs) => atMs > now - rateWindowMs);
@@ -297,6 +311,24 @@
     return undefined;
   }
 
+  /** Returns a refusal if some endpoints form no path for a request even with all capacity free. */
+  private refusalWithoutPath(
+    endpoints: readonly Endpoint[],
+    req: AdmissionRequest,
+  ): AdmissionRefusedError | undefined {
+    const permitted = this.permittedEndpoints(endpoints, req);
+    const hasPath = (candidates: readonly Endpoint[]) =>
+      this.finder.find(candidates, { ...req, ignoresCapacity: true }) !== undefined;
+    if (!hasPath(endpoints)) {
+      return new AdmissionRefusedError(RefusalReason.NoPath, noPathRetryAfterMs);
+    }
+    if (permitted.length < endpoints.length && !hasPath(permitted)) {
+      const retryAfterMs = this.permission.retryAfterMs(endpoints[0].service);
+      return new AdmissionRefusedError(RefusalReason.Limited, retryAfterMs);
+    }
+    return undefined;
+  }
+
   /**
    * Orders resumed streams first, then requests that can still meet their objective, then the rest.
    * Within each group the oldest comes first.
--- a/src/gateway/admission/common/modelAdmissions.ts
+++ b/src/gateway/admission/common/modelAdmissions.ts
@@ -41,8 +41,11 @@
     const currentEngine = () => config.current?.config.services.get(service)?.engine ?? engine;
     const created = new ModelAdmission(
       new PathFinder(currentEngine, ledger),
-      () => directory.findUsable(service),
-      (endpoint) => directory.isConfirmed(endpoint),
+      {
+        usable: () => directory.findUsable(service),
+        accepting: () => directory.findAccepting(service),
+        isConfirmed: (endpoint) => directory.isConfirmed(endpoint),
+      },
       permission,
       ledger,
       new CrossDataCentreBudget(currentEngine, gatewayCount, clock),
--- a/src/gateway/admission/test/common/modelAdmission.test.ts
+++ b/src/gateway/admission/test/common/modelAdmission.test.ts
@@ -1,12 +1,16 @@
 import { expect } from 'chai';
+import { SeededRandom } from '../../../../base/common/random.js';
 import { FakeClock } from '../../../../base/test/common/fakeClock.js';
 import { createLimits } from '../../../limits/test/common/fixtures.js';
 import type { EndpointLimits } from '../../../limits/common/endpointLimits.js';
 import { engine } from '../../../config/test/common/fixtures.js';
 import { EndpointState, type Endpoint } from '../../../directory/common/endpoint.js';
+import { EndpointDirectory } from '../../../directory/common/endpointDirectory.js';
 import { CrossDataCentreBudget } from '../../../routing/common/crossDataCentreBudget.js';
 import { PathFinder, type LayerPath } from '../../../routing/common/pathFinder.js';
 import { ReservationLedger } from '../../../routing/common/reservationLedger.js';
+import type { AnswerMetadata } from '../../../relay/common/dialect.js';
+import { EndpointSignals } from '../../../signals/common/endpointSignals.js';
 import { ModelAdmission, RefusalReason } from '../../common/modelAdmission.js';
 
 const allLayersEndpoint: Endpoint = {
@@ -26,12 +30,35 @@
   cards: new Map([['huge', { memoryMb: 300_000, stepFactor: 1, prefillFactor: 1 }]]),
 };
 
+const frontEndpoint: Endpoint = { ...allLayersEndpoint, layers: { from: 0, to: 40 } };
+
+const backEndpoint: Endpoint = {
+  ...allLayersEndpoint,
+  id: 'f',
+  address: 'f',
+  layers: { from: 40, to: 80 },
+};
+
+const pauseAnswer: AnswerMetadata = {
+  requestId: 'r',
+  hasSignature: false,
+  didNotRun: true,
+  faultAddress: undefined,
+  isEncoded: false,
+  isEndpointsOwn: true,
+  namedLimit: undefined,
+  isLeaving: false,
+  namedPause: { durationMs: 3_000, text: '3' },
+};
+
 describe('ModelAdmission', () => {
   let clock: FakeClock;
   let ledger: ReservationLedger;
   let endpoints: Endpoint[];
+  let skipped: Set<string>;
   let unconfirmed: Set<string>;
   let limits: EndpointLimits;
+  let signals: EndpointSignals;
   let admission: ModelAdmission;
 
   const createRequest = (changes: object = {}) => ({
@@ -62,13 +89,26 @@
       () => 5,
       clock,
     );
+    skipped = new Set();
     unconfirmed = new Set();
     limits = createLimits({ clock });
+    const logger = { log: () => undefined };
+    const directory = new EndpointDirectory(clock, logger);
+    signals = new EndpointSignals({
+      limits,
+      directory,
+      random: new SeededRandom(1),
+      clock,
+      logger,
+    });
     admission = new ModelAdmission(
       finder,
-      () => endpoints,
-      ({ address }) => !unconfirmed.has(address),
-      limits,
+      {
+        usable: () => endpoints.filter(({ address }) => !skipped.has(address)),
+        accepting: () => endpoints,
+        isConfirmed: ({ address }) => !unconfirmed.has(address),
+      },
+      signals,
       ledger,
       crossingBudget,
       clock,
@@ -167,6 +207,70 @@
     expect((await waiting.outcome).unwrapErr().reason).to.equal(RefusalReason.WaitTimeout);
   });
 
+  describe('when the last endpoint with some layers becomes unavailable to a waiting request', () => {
+    let waiting: Promise<string>;
+    let retryAfterMs: number | undefined;
+
+    beforeEach(async () => {
+      endpoints = [frontEndpoint, backEndpoint];
+      await admit();
+      await admit();
+      waiting = admission.request(createRequest()).outcome.then((outcome) => {
+        retryAfterMs = outcome.unwrapErr().retryAfterMs;
+        return outcome.unwrapErr().reason;
+      });
+      clock.advance(25);
+      expect(admission.queueLength).to.equal(1);
+    });
+
+    it('refuses it at once if the endpoint leaves', async () => {
+      endpoints = [frontEndpoint];
+      clock.advance(25);
+      expect(admission.queueLength).to.equal(0);
+      expect(await waiting).to.equal(RefusalReason.NoPath);
+      expect(retryAfterMs).to.be.greaterThan(0);
+    });
+
+    it('refuses it at once if the endpoint pauses', async () => {
+      signals.recordAnswer(backEndpoint, pauseAnswer);
+      clock.advance(25);
+      expect(admission.queueLength).to.equal(0);
+      expect(await waiting).to.equal(RefusalReason.Limited);
+    });
+
+    it('refuses it at once if the endpoint names a limit that is used up', async () => {
+      limits.recordAnswer(backEndpoint, { perSecond: 1, text: '1' });
+      limits.recordSend(backEndpoint);
+      limits.recordSend(backEndpoint);
+      clock.advance(25);
+      expect(admission.queueLength).to.equal(0);
+      expect(await waiting).to.equal(RefusalReason.Limited);
+    });
+
+    it('lets it wait while the endpoint is only skipped for a short time', async () => {
+      skipped.add('f');
+      clock.advance(400);
+      expect(admission.queueLength).to.equal(1);
+      admission.close();
+      expect(await waiting).to.equal(RefusalReason.Cancelled);
+    });
+  });
+
+  it('refuses a waiting request that avoids the last endpoint left, and lets others wait', async () => {
+    const other = { ...allLayersEndpoint, id: 'f', address: 'f' };
+    endpoints.push(other);
+    for (let count = 0; count < 4; count += 1) {
+      await admit();
+    }
+    const avoiding = admission.request(createRequest({ excludedAddresses: new Set(['e']) }));
+    const another = admission.request(createRequest());
+    endpoints = [allLayersEndpoint];
+    clock.advance(25);
+    expect(admission.queueLength).to.equal(1);
+    expect((await avoiding.outcome).unwrapErr().reason).to.equal(RefusalReason.NoPath);
+    another.cancel();
+  });
+
   it('admits resumed streams first, then requests still within their objective, then the rest', async () => {
     const first = await admit();
     await admit();
--- a/src/gateway/directory/common/endpointDirectory.ts
+++ b/src/gateway/directory/common/endpointDirectory.ts
@@ -347,10 +347,14 @@
 
   /** Returns the endpoints of a service that accept new requests and are neither suspect nor gone. */
   findUsable(service: string): readonly Endpoint[] {
+    return this.findAccepting(service).filter((endpoint) => !this.isSuspect(endpoint));
+  }
+
+  /** Returns the endpoints of a service that accept new requests and aren't gone, including suspect ones. */
+  findAccepting(service: string): readonly Endpoint[] {
     return this.findByService(service).filter(
       (endpoint) =>
         endpoint.state === EndpointState.Ready &&
-        !this.isSuspect(endpoint) &&
         !this.departures.isReported(incarnationOf(endpoint)) &&
         !this.hasExpired(endpoint),
     );
