Ask a refused caller back when the pause that leaves it no path is over

Cause: the time to return came from the endpoint of the service that is free first, also where another one with other layers paused longer; the caller came back too early and was refused again. Change: the earliest moment at which endpoints that no longer pause form a path.

--- a/src/gateway/admission/common/modelAdmission.ts
+++ b/src/gateway/admission/common/modelAdmission.ts
@@ -323,7 +323,7 @@
       return new AdmissionRefusedError(RefusalReason.NoPath, noPathRetryAfterMs);
     }
     if (permitted.length < endpoints.length && !hasPath(permitted)) {
-      const retryAfterMs = this.permission.retryAfterMs(endpoints[0].service);
+      const retryAfterMs = this.permission.retryAfterMs(endpoints[0].service, hasPath);
       return new AdmissionRefusedError(RefusalReason.Limited, retryAfterMs);
     }
     return undefined;
--- a/src/gateway/admission/test/common/modelAdmission.test.ts
+++ b/src/gateway/admission/test/common/modelAdmission.test.ts
@@ -58,6 +58,7 @@
   let skipped: Set<string>;
   let unconfirmed: Set<string>;
   let limits: EndpointLimits;
+  let directory: EndpointDirectory;
   let signals: EndpointSignals;
   let admission: ModelAdmission;
 
@@ -93,7 +94,7 @@
     unconfirmed = new Set();
     limits = createLimits({ clock });
     const logger = { log: () => undefined };
-    const directory = new EndpointDirectory(clock, logger);
+    directory = new EndpointDirectory(clock, logger);
     signals = new EndpointSignals({
       limits,
       directory,
@@ -238,6 +239,14 @@
       expect(await waiting).to.equal(RefusalReason.Limited);
     });
 
+    it('asks its caller back when the pause of the endpoint is over, although others take requests', async () => {
+      endpoints.forEach((endpoint) => directory.update(endpoint));
+      signals.recordAnswer(backEndpoint, pauseAnswer);
+      clock.advance(25);
+      expect(await waiting).to.equal(RefusalReason.Limited);
+      expect(retryAfterMs).to.be.within(2_975, 3_975);
+    });
+
     it('refuses it at once if the endpoint names a limit that is used up', async () => {
       limits.recordAnswer(backEndpoint, { perSecond: 1, text: '1' });
       limits.recordSend(backEndpoint);
--- a/src/gateway/signals/common/endpointSignals.ts
+++ b/src/gateway/signals/common/endpointSignals.ts
@@ -22,8 +22,14 @@
   mayUse(endpoint: Endpoint): boolean;
   /** Counts a request that is sent to an endpoint, or to a path that includes it. */
   recordSend(endpoint: Endpoint): void;
-  /** Returns the delay after which a caller that was refused for want of permission may return, in ms. */
-  retryAfterMs(service: string): number;
+  /**
+   * Returns when a caller may come back that was refused for want of permission.
+   *
+   * @param service - Service of the request.
+   * @param suffice - Whether some of its endpoints could serve the request; a single one can by default.
+   * @returns Delay in milliseconds.
+   */
+  retryAfterMs(service: string, suffice?: (endpoints: readonly Endpoint[]) => boolean): number;
 }
 
 /** What the signals of endpoints depend on. */
@@ -62,18 +68,23 @@
     this.dependencies.limits.recordSend(endpoint);
   }
 
-  retryAfterMs(service: string): number {
+  retryAfterMs(
+    service: string,
+    suffice: (endpoints: readonly Endpoint[]) => boolean = (some) => some.length > 0,
+  ): number {
     const { directory, limits, random } = this.dependencies;
     const endpoints = directory.findUsable(service);
+    const remainingMs = (endpoint: Endpoint) => this.pauses.remainingMs(incarnationOf(endpoint));
+    const pauseEndsMs = [...new Set([0, ...endpoints.map(remainingMs)])].sort((a, b) => a - b);
+    const earliestMs =
+      pauseEndsMs.find((endMs) =>
+        suffice(endpoints.filter((endpoint) => remainingMs(endpoint) <= endMs)),
+      ) ?? 0;
     const isLimited = (endpoint: Endpoint) =>
       this.pauses.mayUse(incarnationOf(endpoint)) && !limits.mayUse(endpoint);
-    if (endpoints.some(isLimited)) {
+    if (earliestMs === 0 && endpoints.some(isLimited)) {
       return limits.retryAfterMs(service);
     }
-    const remainingMs = endpoints.map((endpoint) =>
-      this.pauses.remainingMs(incarnationOf(endpoint)),
-    );
-    const earliestMs = remainingMs.length > 0 ? Math.min(...remainingMs) : 0;
     return Math.max(minRetryAfterMs, earliestMs) + random.float() * returnSpreadMs;
   }
 
