Hold back reports, orders and probes for crashes from an endpoint in its pause

Cause: only callers' requests and new orders asked whether an endpoint wants nothing of this gateway now. The prober of silent endpoints, the placer that waits for an order to take effect and the crash detector went on. Ruled out: holding back the report of the stall monitor and the order to move a stream; streams that run at the endpoint would stall behind a dead stage until the pause is over (weighed in docs/DESIGN.md). Change: prober and placer ask; the crash detector gets probes that hold back. A probe held back is no evidence, neither of life nor, when the store drops the endpoint, of a crash.

--- a/src/gateway/node/endpointProber.ts
+++ b/src/gateway/node/endpointProber.ts
@@ -1,4 +1,5 @@
 import type { CancelTimer, IClock, ITimers } from '../../base/common/clock.js';
+import type { Endpoint } from '../directory/common/endpoint.js';
 import { Suspicion, type EndpointDirectory } from '../directory/common/endpointDirectory.js';
 import type { IEndpointControl } from '../relay/common/endpointControl.js';
 
@@ -15,11 +16,13 @@
   /**
    * @param directory - Holds the endpoints and the suspicions against them.
    * @param control - Requests the reports of endpoints.
+   * @param isPaused - Whether an endpoint wants nothing of this gateway now; it is asked for no report.
    * @param clock - Source of timers.
    */
   constructor(
     private readonly directory: EndpointDirectory,
     private readonly control: IEndpointControl,
+    private readonly isPaused: (endpoint: Endpoint) => boolean,
     private readonly clock: IClock & ITimers,
   ) {}
 
@@ -28,7 +31,7 @@
     this.cancelTimer = this.clock.after(probeIntervalMs, () => {
       this.directory
         .silentAddresses()
-        .filter((address) => this.directory.findByAddress(address)?.card !== undefined)
+        .filter((address) => this.mayProbe(this.directory.findByAddress(address)))
         .forEach((address) => void this.probe(address));
       this.start();
     });
@@ -39,6 +42,10 @@
     this.cancelTimer?.();
   }
 
+  private mayProbe(endpoint: Endpoint | undefined): boolean {
+    return endpoint?.card !== undefined && !this.isPaused(endpoint);
+  }
+
   private async probe(address: string): Promise<void> {
     const report = await this.control.report(address);
     if (report.isOk()) {
--- a/src/gateway/node/gatewayProgram.ts
+++ b/src/gateway/node/gatewayProgram.ts
@@ -32,6 +32,7 @@
 import { StreamRelay } from '../relay/node/streamRelay.js';
 import { RetryBudgets } from '../retries/common/retryBudgets.js';
 import { EndpointSignals } from '../signals/common/endpointSignals.js';
+import { PauseAwareProbes } from '../signals/common/pauseAwareProbes.js';
 import { PlainRouter } from '../routing/common/plainRouter.js';
 import { ReservationLedger } from '../routing/common/reservationLedger.js';
 import { CrashProtection } from '../suspects/common/crashProtection.js';
@@ -160,13 +161,14 @@
       clock,
       logger,
     });
+    const isPaused = (endpoint: Endpoint) => this.signals.isPaused(endpoint);
     this.sender = new EndpointSender(maxConnectionsPerEndpoint, clock);
     const gatewayIncarnation = `${settings.instance}@${clock.wallMs()}`;
     this.crashProtection = new CrashProtection({
       incarnation: gatewayIncarnation,
       store: platform.store,
       directory: this.directory,
-      control: platform.control,
+      control: new PauseAwareProbes(platform.control, isPaused),
       lastHeardMs: (address) => this.sender.lastHeardMs(address),
       onDidCrash: () => metrics.endpointCrashes.inc(),
       random: dependencies.random,
@@ -217,11 +219,11 @@
       this.directory,
       this.ledger,
       platform.control,
-      (endpoint) => this.signals.isPaused(endpoint),
+      isPaused,
       clock,
       logger,
     );
-    this.prober = new EndpointProber(this.directory, platform.control, clock);
+    this.prober = new EndpointProber(this.directory, platform.control, isPaused, clock);
     this.stallMonitor = new StallMonitor(platform.control, this.relayContext);
     this.health = this.createHealth();
     this.plainRouter = new PlainRouter(
--- a/src/gateway/placement/node/placementLoop.ts
+++ b/src/gateway/placement/node/placementLoop.ts
@@ -68,7 +68,8 @@
    * @param directory - Known endpoints.
    * @param ledger - Active requests of each endpoint.
    * @param control - Reads reports of endpoints and sends them orders.
-   * @param isPaused - Whether an endpoint wants nothing of this gateway now; it gets no orders.
+   * @param isPaused - Whether an endpoint wants nothing of this gateway now; it gets no orders and is asked
+   *   for no reports.
    * @param clock - Source of time and timers.
    * @param logger - Receives each order.
    */
@@ -203,7 +204,7 @@
       return false;
     }
     const { startedMs, isBusy, orderCount, layers: held } = report.value;
-    if (startedMs !== endpoint.startedMs) {
+    if (startedMs !== endpoint.startedMs || this.isPaused(endpoint)) {
       return false;
     }
     if (isBusy || !isSameRange(held, endpoint.layers)) {
@@ -243,6 +244,9 @@
     const deadlineMs = startedMs + orderTimeoutMs;
     while (this.clock.monotonicMs() < deadlineMs && !this.abortController.signal.aborted) {
       await sleep(reportIntervalMs, this.abortController.signal);
+      if (this.isPaused(endpoint)) {
+        continue;
+      }
       const report = await this.control.report(endpoint.address);
       if (report.isErr() || report.value.startedMs !== endpoint.startedMs) {
         return;
--- a/src/gateway/placement/test/node/placementLoop.test.ts
+++ b/src/gateway/placement/test/node/placementLoop.test.ts
@@ -1,5 +1,6 @@
-import { Err } from 'ts-results-es';
+import { Err, Ok } from 'ts-results-es';
 import { expect } from 'chai';
+import { sleep } from '../../../../base/node/systemClock.js';
 import { FakeClock } from '../../../../base/test/common/fakeClock.js';
 import type { LeaseCandidate } from '../../../../services/lease/common/lease.js';
 import { ConfigHolder } from '../../../config/common/configHolder.js';
@@ -65,4 +66,59 @@
     loop.close();
     expect([...asked].sort()).to.deep.equal(['0', '1']);
   });
+
+  it('asks an endpoint that pauses after an order for no reports', async () => {
+    const clock = new FakeClock();
+    const config = new ConfigHolder(nullLogger);
+    const directory = new EndpointDirectory(clock, nullLogger);
+    config.applyIfNewer(
+      configWith({ services: new Map([['s', { name: 's', maxConnections: 9, engine }]]) }),
+    );
+    for (let number = 0; number < 40; number += 1) {
+      directory.update({
+        id: `e${number}`,
+        startedMs: 1,
+        service: 's',
+        address: `10.0.0.${number}:80`,
+        dataCentre: 'a',
+        state: EndpointState.Ready,
+        slots: 4,
+        card: [...engine.cards.keys()][0],
+        layers: undefined,
+      });
+    }
+    const reports = new Map<string, number>();
+    let isPaused = false;
+    const control = {
+      report: (address: string) => {
+        reports.set(address, (reports.get(address) ?? 0) + 1);
+        return Promise.resolve(
+          Ok({ startedMs: 1, layers: undefined, isBusy: false, orderCount: 0, stalled: [] }),
+        );
+      },
+      loadLayers: () => {
+        isPaused = true;
+        return Promise.resolve(Ok(undefined));
+      },
+    } as unknown as IEndpointControl;
+    const loop = new PlacementLoop(
+      { fencingToken: () => 1 } as LeaseCandidate,
+      config,
+      directory,
+      new ReservationLedger(clock),
+      control,
+      () => isPaused,
+      clock,
+      nullLogger,
+    );
+    loop.start();
+    for (let passedMs = 0; passedMs < 2_000 && !isPaused; passedMs += 200) {
+      clock.advance(200);
+      await sleep(1, new AbortController().signal);
+    }
+    expect(isPaused).to.equal(true);
+    await sleep(600, new AbortController().signal);
+    loop.close();
+    expect(Math.max(...reports.values())).to.equal(1);
+  });
 });
--- a/src/gateway/relay/common/endpointControl.ts
+++ b/src/gateway/relay/common/endpointControl.ts
@@ -85,6 +85,8 @@
   Refused = 'refused',
   /** Nothing answered in time, or the connection broke. */
   Silent = 'silent',
+  /** No probe was sent, because the endpoint wants nothing for a while. */
+  HeldBack = 'held-back',
 }
 
 /** Result of probing an address. */
@@ -101,17 +103,21 @@
   readonly startedMs: number | undefined;
 }
 
-/** Reads the reports of model endpoints and sends orders to them. */
-export interface IEndpointControl {
-  /** Fires for each answer to a report request or an order in which an endpoint says that it leaves. */
-  readonly onDidHearLeaving: Event<LeavingNotice>;
-  /** Requests the report of an endpoint. */
-  report(address: string): Promise<Result<EndpointReport, EndpointSilentError>>;
+/** Probes endpoints. */
+export interface IEndpointProbes {
   /**
    * Finds out whether a process listens at an endpoint's address. A plain service has no report, so that
    * its endpoints are only connected to.
    */
   probe(endpoint: Endpoint): Promise<EndpointProbe>;
+}
+
+/** Reads the reports of model endpoints and sends orders to them. */
+export interface IEndpointControl extends IEndpointProbes {
+  /** Fires for each answer to a report request or an order in which an endpoint says that it leaves. */
+  readonly onDidHearLeaving: Event<LeavingNotice>;
+  /** Requests the report of an endpoint. */
+  report(address: string): Promise<Result<EndpointReport, EndpointSilentError>>;
   /** Orders an endpoint to load a range of layers; resolves when the order was accepted. */
   loadLayers(address: string, order: LoadLayersOrder): Promise<Result<void, ControlError>>;
   /** Orders a path's first endpoint to move a running request to another path that starts there too. */
--- a/src/gateway/suspects/common/crashDetector.ts
+++ b/src/gateway/suspects/common/crashDetector.ts
@@ -5,7 +5,7 @@
 import {
   ProbeOutcome,
   type EndpointProbe,
-  type IEndpointControl,
+  type IEndpointProbes,
 } from '../../relay/common/endpointControl.js';
 
 /** Delays between the probes of an endpoint, in milliseconds; the last one repeats. */
@@ -89,7 +89,7 @@
    */
   constructor(
     private readonly directory: EndpointDirectory,
-    private readonly control: IEndpointControl,
+    private readonly control: IEndpointProbes,
     private readonly onDidCrash: () => void,
     private readonly clock: IClock & ITimers,
     private readonly logger: ILogger,
@@ -166,7 +166,7 @@
     if (this.watches.get(incarnationOf(endpoint)) !== watch) {
       return;
     }
-    watch.isSilent &&= outcome === ProbeOutcome.Silent;
+    watch.isSilent &&= outcome === ProbeOutcome.Silent || outcome === ProbeOutcome.HeldBack;
     const evidence = this.findEvidence(endpoint, outcome, startedMs);
     if (evidence !== undefined) {
       this.resolveAsCrash(watch, evidence);
--- a/src/gateway/suspects/common/crashProtection.ts
+++ b/src/gateway/suspects/common/crashProtection.ts
@@ -15,7 +15,7 @@
 import { SuspectStore } from '../../../services/suspects/common/suspectStore.js';
 import { EndpointState, type Endpoint } from '../../directory/common/endpoint.js';
 import type { EndpointDirectory } from '../../directory/common/endpointDirectory.js';
-import type { IEndpointControl } from '../../relay/common/endpointControl.js';
+import type { IEndpointProbes } from '../../relay/common/endpointControl.js';
 import { CrashDetector } from './crashDetector.js';
 import { RunSupervisor } from './runSupervisor.js';
 import { SuspicionGossip } from './suspicionGossip.js';
@@ -43,7 +43,7 @@
   readonly incarnation: string;
   readonly store: IObjectStore;
   readonly directory: EndpointDirectory;
-  readonly control: IEndpointControl;
+  readonly control: IEndpointProbes;
   /** Returns the monotonic time at which an address last gave a sign of life, in milliseconds. */
   readonly lastHeardMs: (address: string) => number | undefined;
   /** Called for each crash of an endpoint that lost runs of this gateway. */
