Watch again before the store forgets the changes since the last answer

Cause: the feeds of gateways and suspects waited 20 s, as long as the store keeps its history. Change: they wait 19 s, so that an answer comes within the history.

--- a/src/gateway/feeds/common/feedTiming.ts
+++ b/src/gateway/feeds/common/feedTiming.ts
@@ -22,8 +22,14 @@
  */
 export const endpointTiming: FeedTiming = { watchWaitMs: 2_000, batchDelayMs: 250 };
 
+/**
+ * Wait of the feeds of kinds that rarely change, in milliseconds. The store keeps its history for 20
+ * seconds; a longer wait would end after the history of its start, and cost another list.
+ */
+const longWatchWaitMs = 19_000;
+
 /** The peers change only when instances are replaced, so their feed may wait longer. */
-export const peerTiming: FeedTiming = { watchWaitMs: 20_000, batchDelayMs: 500 };
+export const peerTiming: FeedTiming = { watchWaitMs: longWatchWaitMs, batchDelayMs: 500 };
 
 /** Peers tell each other of crashes at once; this feed serves those that can't hear each other. */
-export const suspectTiming: FeedTiming = { watchWaitMs: 20_000, batchDelayMs: 100 };
+export const suspectTiming: FeedTiming = { watchWaitMs: longWatchWaitMs, batchDelayMs: 100 };
