Bound the answers that agents read from their plain services

Cause: an agent kept an answer of its service whole, whatever its size, until the deadline of the call: one that never ends fills its memory. The gateways have bounds since they heard of such answers; the agents had none. Entries read these answers over links, whose frames are bounded. Change: heads up to 16 KiB, answers up to maxAnswerBytes (a setting of the agent, 2 MiB as at the gateways), through the HTTP client's own limits, so the gateways' body class stays where it is. Past it the connection is closed, the call may have run, and a line names the reason. Result: the new test of an answer without end wrote past 16 MiB before and passes now; the head was bounded by a default already.

--- a/src/agent/node/agentProgram.ts
+++ b/src/agent/node/agentProgram.ts
@@ -126,7 +126,10 @@
       this.stageRunner = this.createStageRunner(this.engine);
     }
     if (settings.service !== undefined) {
-      this.plainService = new HttpPlainService(settings.service.url);
+      this.plainService = new HttpPlainService(settings.service.url, settings.maxAnswerBytes);
+      this.plainService.onDidFailCall(({ attempt, reason }) =>
+        dependencies.logger.log(LogLevel.Warn, 'service-call-failed', { attempt, reason }),
+      );
       const options = { incarnation: this.incarnation, capacity: settings.service.capacity };
       this.callRunner = new CallRunner(options, this.plainService, this.gate, clock);
     }
--- a/src/agent/node/httpPlainService.ts
+++ b/src/agent/node/httpPlainService.ts
@@ -1,6 +1,7 @@
 import { Err, Ok, type Result } from 'ts-results-es';
 import { Agent, request } from 'undici';
 import { toErrorMessage } from '../../base/common/errors.js';
+import { Emitter } from '../../base/common/event.js';
 import type { CallMessage, Header, ServiceAnswer } from '../../services/link/common/messages.js';
 import { RunState } from '../../services/problem/common/problem.js';
 import { ServiceCallError, type IPlainService } from '../calls/common/callRunner.js';
@@ -16,12 +17,42 @@
 /** Error codes which prove that no byte of the request reached the service. */
 const notReachedCodes = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT']);
 
+/** Error code of an answer that exceeds its maximum size. */
+const oversizedCode = 'UND_ERR_RES_EXCEEDED_MAX_SIZE';
+
+/** Maximum size of the head of an answer, in bytes. */
+const maxHeadBytes = 16_384;
+
+/** A call without a whole answer. */
+export interface FailedCall {
+  readonly attempt: string;
+  readonly reason: string;
+}
+
 /** Plain service reached over HTTP. */
 export class HttpPlainService implements IPlainService {
-  private readonly httpAgent = new Agent({ connections: 64, connect: { timeout: 1_000 } });
+  private readonly httpAgent: Agent;
+
+  private readonly failedCalls = new Emitter<FailedCall>();
 
-  /** @param baseUrl - Base URL of the service, for example `http://127.0.0.1:9000`. */
-  constructor(private readonly baseUrl: string) {}
+  /** Fires for each call without a whole answer, unless it was cancelled. */
+  readonly onDidFailCall = this.failedCalls.event;
+
+  /**
+   * @param baseUrl - Base URL of the service, for example `http://127.0.0.1:9000`.
+   * @param maxAnswerBytes - Size past which an answer is broken off, in bytes.
+   */
+  constructor(
+    private readonly baseUrl: string,
+    private readonly maxAnswerBytes: number,
+  ) {
+    this.httpAgent = new Agent({
+      connections: 64,
+      connect: { timeout: 1_000 },
+      maxHeaderSize: maxHeadBytes,
+      maxResponseSize: maxAnswerBytes,
+    });
+  }
 
   async call(
     message: CallMessage,
@@ -41,7 +72,14 @@
     } catch (err) {
       const code = (err as { code?: string }).code ?? '';
       const run = notReachedCodes.has(code) ? RunState.NotRun : RunState.Unknown;
-      return Err(new ServiceCallError(toErrorMessage(err), run));
+      const reason =
+        code === oversizedCode
+          ? `answer exceeds ${this.maxAnswerBytes} bytes`
+          : toErrorMessage(err);
+      if (!signal.aborted) {
+        this.failedCalls.fire({ attempt: message.attempt, reason });
+      }
+      return Err(new ServiceCallError(reason, run));
     }
   }
 
@@ -66,8 +104,9 @@
     }
   }
 
-  /** Closes the connections. */
+  /** Closes the connections and removes every listener. */
   async close(): Promise<void> {
+    this.failedCalls.close();
     await this.httpAgent.destroy();
   }
 }
--- /dev/null
+++ b/src/agent/test/node/httpPlainService.test.ts
@@ -0,0 +1,103 @@
+import { createServer, type Server, type ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { expect } from 'chai';
+import { MessageKind, type CallMessage } from '../../../services/link/common/messages.js';
+import { RunState } from '../../../services/problem/common/problem.js';
+import { HttpPlainService } from '../../node/httpPlainService.js';
+
+const maxAnswerBytes = 100_000;
+
+/** Bytes that the service may write of an answer without end: the bound and what sockets buffer. */
+const maxWrittenBytes = 16 * 1_048_576;
+
+const chunk = Buffer.alloc(16_384, 'x');
+
+const message: CallMessage = {
+  kind: MessageKind.Call,
+  attempt: 'a.1',
+  incarnation: 'i',
+  service: 's',
+  organisation: 'o',
+  revision: 1,
+  method: 'POST',
+  path: '/book',
+  headers: [],
+  body: new Uint8Array(),
+  submission: true,
+  remainingMs: 20_000,
+};
+
+describe('HttpPlainService', () => {
+  let server: Server;
+  let service: HttpPlainService;
+  let writtenBytes: number;
+  let answer: (res: ServerResponse) => void;
+
+  /** Writes chunks until the connection is closed or the caller ought to have closed it. */
+  const writeWithoutEnd = (res: ServerResponse): void => {
+    while (!res.destroyed && writtenBytes <= maxWrittenBytes) {
+      writtenBytes += chunk.length;
+      if (!res.write(chunk)) {
+        res.once('drain', () => writeWithoutEnd(res));
+        return;
+      }
+    }
+    res.destroy();
+  };
+
+  beforeEach(async () => {
+    writtenBytes = 0;
+    server = createServer((_req, res) => answer(res));
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', () => resolve());
+    });
+    const { port } = server.address() as AddressInfo;
+    service = new HttpPlainService(`http://127.0.0.1:${port}`, maxAnswerBytes);
+  });
+
+  afterEach(async () => {
+    await service.close();
+    server.closeAllConnections();
+    server.close();
+  });
+
+  const call = () => service.call(message, new AbortController().signal);
+
+  it('breaks off an answer that never ends at its bound, as a call that may have run', async () => {
+    answer = (res) => writeWithoutEnd(res);
+    const reasons: string[] = [];
+    service.onDidFailCall(({ attempt, reason }) => reasons.push(`${attempt} ${reason}`));
+    const failure = (await call()).unwrapErr();
+    expect(failure.run).to.equal(RunState.Unknown);
+    expect(writtenBytes).to.be.below(maxWrittenBytes);
+    expect(reasons).to.deep.equal([`a.1 answer exceeds ${maxAnswerBytes} bytes`]);
+  });
+
+  it('breaks off a head that never ends, as a call that may have run', async () => {
+    answer = (res) => {
+      res.socket?.write('HTTP/1.1 200 OK\r\n');
+      const writeHeaders = (): void => {
+        while (res.socket && !res.socket.destroyed && writtenBytes <= maxWrittenBytes) {
+          writtenBytes += chunk.length;
+          if (!res.socket.write(`x-filler: ${'x'.repeat(chunk.length)}\r\n`)) {
+            res.socket.once('drain', writeHeaders);
+            return;
+          }
+        }
+        res.socket?.destroy();
+      };
+      writeHeaders();
+    };
+    const failure = (await call()).unwrapErr();
+    expect(failure.run).to.equal(RunState.Unknown);
+    expect(writtenBytes).to.be.below(maxWrittenBytes);
+  });
+
+  it('passes a large answer below the bound on whole', async () => {
+    const body = Buffer.alloc(maxAnswerBytes, 'y');
+    answer = (res) => res.end(body);
+    const { status, body: received } = (await call()).unwrap();
+    expect(status).to.equal(200);
+    expect(Buffer.from(received).equals(body)).to.equal(true);
+  });
+});
--- a/src/services/settings/common/settings.ts
+++ b/src/services/settings/common/settings.ts
@@ -61,6 +61,9 @@
   return settings.heartbeatDeadlineMs >= 2 * settings.heartbeatMs;
 }
 
+/** Default of the size past which an answer of a service is broken off, in bytes. */
+const defaultMaxAnswerBytes = 2_097_152;
+
 /** Settings of `ibisspar-entry`. */
 export const entrySchema = v.pipe(
   v.strictObject({
@@ -97,6 +100,8 @@
     engineStepMs: v.optional(milliseconds, 20_000),
     engineStateMs: v.optional(milliseconds, 1_000),
     enginePollMs: v.optional(milliseconds, 250),
+    /** Maximum size of an answer of the plain service, in bytes. */
+    maxAnswerBytes: v.optional(positiveInteger, defaultMaxAnswerBytes),
     /**
      * Time that an entry has to reopen a lost link before its lookups are cancelled, in
      * milliseconds.
@@ -143,7 +148,7 @@
   /** Retries of all gateways that a window allows regardless of the number of requests. */
   retrySlack: v.pipe(v.number(), v.minValue(0)),
   /** Maximum size of an answer of an endpoint that is not an event stream, in bytes. */
-  maxAnswerBytes: v.optional(positiveInteger, 2_097_152),
+  maxAnswerBytes: v.optional(positiveInteger, defaultMaxAnswerBytes),
   /** Whether the whole system starts for the first time, so that the store can't have lost anything. */
   isFirstStart: v.optional(v.boolean(), false),
 });
