Let a stream that lost its path wait for the next one although none exists at the moment

Callers saw begun streams broken off at once in the second after a crash, with retry budget left.

Cause: a resumed stream was refused immediately when the usable endpoints formed no path.

Whether any path remains for a waiting request is checked again only when the endpoints that may be sent requests change.

--- a/src/gateway/admission/common/modelAdmission.ts
+++ b/src/gateway/admission/common/modelAdmission.ts
@@ -71,6 +71,8 @@
 interface WaitingRequest {
   readonly req: AdmissionRequest;
   readonly deadlineMs: number;
+  /** Endpoints for which it was last checked that they have a path for the request. */
+  checkedKey: string;
   readonly settle: (outcome: Result<LayerPath, AdmissionRefusedError>) => void;
 }
 
@@ -161,7 +163,8 @@
     }
     let entry: WaitingRequest | undefined;
     const outcome = new Promise<Result<LayerPath, AdmissionRefusedError>>((resolve) => {
-      entry = { req, deadlineMs: now + req.maxWaitMs, settle: resolve };
+      const checkedKey = this.permittedKey();
+      entry = { req, deadlineMs: now + req.maxWaitMs, checkedKey, settle: resolve };
       this.queue.push(entry);
     });
     this.schedule();
@@ -209,6 +212,7 @@
       return;
     }
     const now = this.clock.monotonicMs();
+    const permittedKey = this.permittedKey();
     this.queue.sort((a, b) => this.compareUrgency(a, b, now));
     let failures = 0;
     for (const entry of [...this.queue]) {
@@ -218,7 +222,7 @@
           Err(new AdmissionRefusedError(RefusalReason.WaitTimeout, this.retryAfterMs())),
         );
       } else if (failures < maxFailuresPerPass) {
-        const outcome = this.tryAgain(entry.req);
+        const outcome = this.tryAgain(entry, permittedKey);
         failures += outcome ? 0 : 1;
         if (outcome) {
           this.settle(entry, outcome);
@@ -242,15 +246,32 @@
   }
 
   /** Admits a waiting request, or refuses it if no path would remain even with all capacity free. */
-  private tryAgain(req: AdmissionRequest): Result<LayerPath, AdmissionRefusedError> | undefined {
+  private tryAgain(
+    entry: WaitingRequest,
+    permittedKey: string,
+  ): Result<LayerPath, AdmissionRefusedError> | undefined {
+    const { req } = entry;
     const path = this.tryAdmit(req);
     if (path) {
       return Ok(path);
     }
+    if (req.isResumed || entry.checkedKey === permittedKey) {
+      return undefined;
+    }
+    entry.checkedKey = permittedKey;
     const refusal = this.refusalWithoutPath(this.pool.accepting(), req);
     return refusal && Err(refusal);
   }
 
+  /** Identifies the endpoints that might be sent requests, with their layers. */
+  private permittedKey(): string {
+    return this.pool
+      .accepting()
+      .filter((endpoint) => this.permission.mayUse(endpoint))
+      .map(({ address, layers }) => `${address}=${layers?.from}-${layers?.to}`)
+      .join(',');
+  }
+
   private tryAdmit(req: AdmissionRequest): LayerPath | undefined {
     const path = this.reserve(req, req.heldReservations);
     if (path) {
@@ -297,6 +318,10 @@
   }
 
   private immediateRefusal(req: AdmissionRequest): AdmissionRefusedError | undefined {
+    // A running stream waits instead: endpoints are often skipped for less time than its caller has.
+    if (req.isResumed) {
+      return undefined;
+    }
     const refusal = this.refusalWithoutPath(this.pool.usable(), req);
     if (refusal) {
       return refusal;
@@ -305,7 +330,7 @@
     this.admittedAtMs = this.admittedAtMs.filter((atMs) => atMs > now - rateWindowMs);
     const admissionsPerMs = this.admittedAtMs.length / rateWindowMs;
     const requestsAhead = this.queue.length;
-    if (!req.isResumed && requestsAhead > minQueueCapacity + admissionsPerMs * req.maxWaitMs) {
+    if (requestsAhead > minQueueCapacity + admissionsPerMs * req.maxWaitMs) {
       return new AdmissionRefusedError(RefusalReason.QueueFull, this.retryAfterMs());
     }
     return undefined;
--- a/src/gateway/admission/test/common/modelAdmission.test.ts
+++ b/src/gateway/admission/test/common/modelAdmission.test.ts
@@ -187,6 +187,15 @@
     expect(outcome.unwrapErr().retryAfterMs).to.be.greaterThan(0);
   });
 
+  it('lets a stream that lost its path wait for layers that no endpoint holds at the moment', async () => {
+    endpoints = [];
+    const resumed = admission.request(createRequest({ isResumed: true }));
+    clock.advance(500);
+    endpoints = [allLayersEndpoint];
+    clock.advance(100);
+    expect((await resumed.outcome).isOk()).to.equal(true);
+  });
+
   it('immediately refuses requests that could not be served within their maximum wait', async () => {
     await admit();
     await admit();
