Count what a run holds as free when it is moved to another path

Callers saw streams break off that stalled because of an endpoint in mid-path while another endpoint with its layers had room.

Cause: the alternative path was reserved beside the current one, so the endpoints that stay, except the first, needed the room of the request twice; on busy endpoints the move failed with 'no alternative path with free capacity'.

Change: the current path counts as free for the search, as it does when a silent endpoint is replaced.

--- a/src/gateway/admission/common/modelAdmission.ts
+++ b/src/gateway/admission/common/modelAdmission.ts
@@ -183,10 +183,14 @@
    * Finds and reserves another path for a running request, bypassing the queue.
    *
    * @param req - Requirements of the path.
+   * @param heldReservations - Reservations of its current path, which count as free for the next one.
    * @returns The path, or undefined if no path has enough free capacity.
    */
-  reserveAlternativePath(req: PathRequest): LayerPath | undefined {
-    return this.reserve(req);
+  reserveAlternativePath(
+    req: PathRequest,
+    heldReservations: readonly Reservation[],
+  ): LayerPath | undefined {
+    return this.reserve(req, heldReservations);
   }
 
   /**
--- a/src/gateway/admission/test/common/modelAdmission.test.ts
+++ b/src/gateway/admission/test/common/modelAdmission.test.ts
@@ -153,11 +153,14 @@
       { ...allLayersEndpoint, id: 'f', address: 'f', layers: { from: 40, to: 80 }, slots: 10 },
     ];
     limits.recordAnswer(endpoints[0], { perSecond: 1, text: '1' });
-    const path = admission.reserveAlternativePath({
-      ...createRequest(),
-      firstStage: { address: 'e', to: 40 },
-      runningAddresses: new Set(['e']),
-    });
+    const path = admission.reserveAlternativePath(
+      {
+        ...createRequest(),
+        firstStage: { address: 'e', to: 40 },
+        runningAddresses: new Set(['e']),
+      },
+      [],
+    );
     expect(path?.stages.map(({ endpoint }) => endpoint.address)).to.deep.equal(['e', 'f']);
   });
 
@@ -171,6 +174,22 @@
     expect(admission.queueLength).to.equal(1);
   });
 
+  it('moves a running request to another path although an endpoint that it keeps has no more room', async () => {
+    endpoints = [
+      { ...allLayersEndpoint, layers: { from: 0, to: 20 } },
+      { ...allLayersEndpoint, id: 'f', address: 'f', layers: { from: 20, to: 40 } },
+      { ...allLayersEndpoint, id: 'g', address: 'g', layers: { from: 40, to: 80 } },
+    ];
+    const reservedTokens = 200_000;
+    const { reservations } = await admit({ reservedTokens });
+    endpoints[1] = { ...endpoints[1], id: 'h', address: 'h' };
+    const path = admission.reserveAlternativePath(
+      { ...createRequest({ reservedTokens }), firstStage: { address: 'e', to: 20 } },
+      reservations,
+    );
+    expect(path?.stages.map(({ endpoint }) => endpoint.address)).to.deep.equal(['e', 'h', 'g']);
+  });
+
   it('queues a request without capacity and admits it when capacity is released', async () => {
     const first = await admit();
     await admit();
--- a/src/gateway/relay/node/streamRelay.ts
+++ b/src/gateway/relay/node/streamRelay.ts
@@ -222,11 +222,14 @@
     if (firstStage === undefined || firstStage.endpoint.address === address) {
       return undefined;
     }
-    return this.admission.reserveAlternativePath({
-      ...this.pathRequest(address),
-      firstStage: { address: firstStage.endpoint.address, to: firstStage.to },
-      runningAddresses: new Set(this.pathEndpoints.map((endpoint) => endpoint.address)),
-    });
+    return this.admission.reserveAlternativePath(
+      {
+        ...this.pathRequest(address),
+        firstStage: { address: firstStage.endpoint.address, to: firstStage.to },
+        runningAddresses: new Set(this.pathEndpoints.map((endpoint) => endpoint.address)),
+      },
+      this.path?.reservations ?? [],
+    );
   }
 
   /**
