Give a stream whose endpoint is gone the rest of its caller's patience for another path

Callers saw streams break off at once when an endpoint in mid-path was taken away and the retry budget was used up.

Cause: a run over an endpoint that the directory no longer knows was given up at the first unanswered report, although its first endpoint was sound and could still be moved to another path, which needs no retry, or the budget had room a moment later.

Change: it is given up only after two silent seconds, the time after which callers leave by themselves.

--- a/src/gateway/relay/node/streamRelay.ts
+++ b/src/gateway/relay/node/streamRelay.ts
@@ -40,6 +40,9 @@
  */
 const maxResumeWaitMs = 1_500;
 
+/** Time without an event after which callers disconnect, in milliseconds. */
+const callerPatienceMs = 2_000;
+
 /** Maximum number of times that one request is sent, even if its route allows more endpoints. */
 const maxSends = 4;
 
@@ -259,7 +262,8 @@
 
   /**
    * Called when an endpoint of the current path does not respond. The run goes on until another path is
-   * reserved, since the endpoint may respond again; it is given up only if the endpoint is gone.
+   * reserved, since the endpoint may respond again; it is given up only if the endpoint is gone and no
+   * path was reserved in the time that the caller has.
    *
    * @param address - Address of the endpoint.
    */
@@ -269,7 +273,8 @@
     }
     const endpoint = this.pathEndpoints.find((each) => each.address === address);
     const { directory } = this.context;
-    if (endpoint && directory.findIncarnation(incarnationOf(endpoint)) === undefined) {
+    const isGone = endpoint && directory.findIncarnation(incarnationOf(endpoint)) === undefined;
+    if (isGone && this.silentMs() > callerPatienceMs) {
       this.abandonSend(address);
     } else if (!this.acquisition.isPending) {
       this.replacePath(address).catch((err: unknown) => this.fail(err));
