Log the shared parts of the prompts whose runs are lost

The digest of a request is no other request's, so that nothing in the log could tell what lost runs of different crashes had in common.

--- a/src/gateway/relay/common/dialect.ts
+++ b/src/gateway/relay/common/dialect.ts
@@ -12,6 +12,8 @@
   readonly expectedOutputTokens: number | undefined;
   /** Id of the last event that the caller received, if it resumes a stream. */
   readonly lastEventId: string | undefined;
+  /** Ids of the prompt's parts that other requests may share, in order; the last part is the request's own. */
+  readonly sharedParts: readonly string[];
 }
 
 /** Data that the gateway adds to a request to an endpoint. */
--- a/src/gateway/suspects/common/runSupervisor.ts
+++ b/src/gateway/suspects/common/runSupervisor.ts
@@ -130,8 +130,9 @@
     this.guard.remove(request);
   }
 
-  logDecision(event: string, { requestId, fingerprint }: SupervisedRequest): void {
-    this.logger.log(LogLevel.Warn, event, { request: requestId, fingerprint });
+  logDecision(event: string, { requestId, fingerprint, sharedParts }: SupervisedRequest): void {
+    const parts = sharedParts.join(',') || undefined;
+    this.logger.log(LogLevel.Warn, event, { request: requestId, fingerprint, parts });
   }
 
   quarantineRemainingMs(fingerprint: string): number {
@@ -165,6 +166,7 @@
     this.logger.log(LogLevel.Info, 'run-lost', {
       request: requestId,
       fingerprint,
+      parts: request.sharedParts.join(',') || undefined,
       endpoints: endpoints.map(({ id }) => id).join(','),
     });
     const lostEndpoints = endpoints.map((endpoint) => {
--- a/src/gateway/suspects/common/supervisedRequest.ts
+++ b/src/gateway/suspects/common/supervisedRequest.ts
@@ -100,6 +100,11 @@
     return this.req.metadata.requestId ?? '';
   }
 
+  /** Ids of the parts of its prompt that other requests may share. */
+  get sharedParts(): readonly string[] {
+    return this.req.metadata.sharedParts;
+  }
+
   /** Digest of the request, the same each time that the caller sends it again. */
   get fingerprint(): string {
     this.computedFingerprint ??= fingerprintOf(this.req);
--- a/src/gateway/suspects/test/common/supervisedRequest.test.ts
+++ b/src/gateway/suspects/test/common/supervisedRequest.test.ts
@@ -10,7 +10,7 @@
   method: 'POST',
   target: '/x',
   route: { host: 'h' },
-  metadata: { requestId: 'r' },
+  metadata: { requestId: 'r', sharedParts: [] },
 } as unknown as CallerRequest;
 
 /** Creates an admitted request that is kept apart from others, and the events of its supervision. */
