Quarantine a part of prompts under which endpoints crash, whatever else its prompts hold

Cause: only whole requests were suspects, by a digest that no other request has, so each such prompt started from nothing.

Change: a part that requests share is one more subject of the same evidence, guard, gossip and store record. A crash counts against each part of a lost run, a run past its start speaks for all of them: each survival outweighs one crash, an earlier one or, from a bounded reserve at each gateway, a later one. Convictions are worked out from all evidence together, one at a time, the subject with most crashes first; crashes that a convicted part explains count against nothing else any more, so neighbours and first parts go free, and a part convicted in place of another is released at the first crash without it.

--- a/src/gateway/suspects/common/crashProtection.ts
+++ b/src/gateway/suspects/common/crashProtection.ts
@@ -9,7 +9,7 @@
 } from '../../../services/suspects/common/crashSuspects.js';
 import { SuspectGuard } from '../../../services/suspects/common/suspectGuard.js';
 import {
-  hasSameRecords,
+  holdsCrashes,
   type SuspectRecord,
 } from '../../../services/suspects/common/suspectRecord.js';
 import { SuspectStore } from '../../../services/suspects/common/suspectStore.js';
@@ -28,6 +28,7 @@
   isolationCrashes: 2,
   quarantineCrashes: 3,
   runnerTimeoutMs: 5_000,
+  maxBankedSurvivals: 6,
 };
 
 /**
@@ -102,7 +103,7 @@
       this.guard,
       this.detector,
       dependencies.lastHeardMs,
-      (fingerprint) => this.storeCrash(fingerprint),
+      (subjects) => this.storeCrash(subjects),
       clock,
       logger,
     );
@@ -119,11 +120,16 @@
     }
   }
 
-  /** Number of requests under which an endpoint crashed. */
+  /** Number of requests and parts of prompts under which an endpoint crashed. */
   get suspectCount(): number {
     return this.suspects.size;
   }
 
+  /** Number of parts of prompts that are quarantined. */
+  get quarantinedPartCount(): number {
+    return this.suspects.quarantinedParts().length;
+  }
+
   /** Returns what to tell the peers next. */
   createReport(): SuspicionReport {
     return {
@@ -167,9 +173,9 @@
     this.guard.close();
   }
 
-  /** Stores a crash: at once if its request is now restricted, later and only if still needed otherwise. */
-  private storeCrash(fingerprint: string): void {
-    if (this.suspects.verdict(fingerprint) !== Verdict.Clear) {
+  /** Stores a crash: at once if one of its subjects is now restricted, later and only if still needed otherwise. */
+  private storeCrash(subjects: readonly string[]): void {
+    if (subjects.some((subject) => this.suspects.verdict(subject) !== Verdict.Clear)) {
       this.guard.publish();
       return;
     }
@@ -177,7 +183,7 @@
     const delayMs = minStoreDelayMs + random.float() * (maxStoreDelayMs - minStoreDelayMs);
     this.cancelStoring ??= clock.after(delayMs, () => {
       this.cancelStoring = undefined;
-      if (!hasSameRecords(this.suspects.snapshot(), this.stored)) {
+      if (!holdsCrashes(this.stored, this.suspects.snapshot())) {
         this.guard.publish();
       }
     });
--- a/src/gateway/suspects/common/runSupervisor.ts
+++ b/src/gateway/suspects/common/runSupervisor.ts
@@ -50,7 +50,7 @@
    * @param guard - Records crashes for each fingerprint and admits requests.
    * @param detector - Tells crashes of endpoints from other losses.
    * @param lastHeardMs - Returns the monotonic time at which an address last gave a sign of life.
-   * @param onDidRecordCrash - Called with the fingerprint after a crash was recorded for it.
+   * @param onDidRecordCrash - Called after a crash was recorded, with the request and its parts.
    * @param clock - Source of time.
    * @param logger - Receives the lost runs, and the requests that are isolated or refused.
    */
@@ -58,7 +58,7 @@
     private readonly guard: SuspectGuard,
     private readonly detector: CrashDetector,
     private readonly lastHeardMs: (address: string) => number | undefined,
-    private readonly onDidRecordCrash: (fingerprint: string) => void,
+    private readonly onDidRecordCrash: (subjects: readonly string[]) => void,
     private readonly clock: IClock,
     private readonly logger: ILogger,
   ) {}
@@ -135,8 +135,8 @@
     this.logger.log(LogLevel.Warn, event, { request: requestId, fingerprint, parts });
   }
 
-  quarantineRemainingMs(fingerprint: string): number {
-    return this.guard.quarantineRemainingMs(fingerprint);
+  quarantineRemainingMs(request: GuardedRequest): number {
+    return this.guard.quarantineRemainingMs(request);
   }
 
   startIsolatedRun(request: SupervisedRequest, addresses: readonly string[]): void {
@@ -145,7 +145,9 @@
 
   endIsolatedRun(request: SupervisedRequest): void {
     this.isolatedRuns.delete(request);
-    this.guard.releaseToOthers(request.fingerprint);
+    [request.fingerprint, ...request.partSubjects].forEach((subject) =>
+      this.guard.releaseToOthers(subject),
+    );
   }
 
   addressesOfOtherSuspects(request: SupervisedRequest): ReadonlySet<string> {
@@ -175,8 +177,8 @@
     });
     this.detector.resolve(lostEndpoints, (crash) => {
       if (crash !== undefined) {
-        this.guard.recordCrash(crash, fingerprint);
-        this.onDidRecordCrash(fingerprint);
+        this.guard.recordCrash(crash, fingerprint, request.partSubjects);
+        this.onDidRecordCrash([fingerprint, ...request.partSubjects]);
       }
       onResolved();
     });
@@ -187,4 +189,8 @@
       this.guard.recordSurvival(request.fingerprint);
     }
   }
+
+  recordPartSurvivals(parts: readonly string[]): void {
+    this.guard.recordPartSurvivals(parts);
+  }
 }
--- a/src/gateway/suspects/common/supervisedRequest.ts
+++ b/src/gateway/suspects/common/supervisedRequest.ts
@@ -1,4 +1,5 @@
 import type { GuardedRequest } from '../../../services/suspects/common/suspectGuard.js';
+import { partSubject } from '../../../services/suspects/common/subject.js';
 import type { Endpoint } from '../../directory/common/endpoint.js';
 import type { CallerRequest } from '../../relay/common/callerRequest.js';
 import { fingerprintOf } from './requestFingerprint.js';
@@ -33,8 +34,8 @@
   withdraw(request: GuardedRequest): void;
   /** Logs a decision about a suspect, or about one of its runs. */
   logDecision(event: string, request: SupervisedRequest): void;
-  /** Returns the rest of a request's quarantine, in milliseconds. */
-  quarantineRemainingMs(fingerprint: string): number;
+  /** Returns the rest of the quarantine of a request and its parts, in milliseconds. */
+  quarantineRemainingMs(request: GuardedRequest): number;
   /** Records where a suspect runs. */
   startIsolatedRun(request: SupervisedRequest, addresses: readonly string[]): void;
   /** Lets the next copy of a suspect run. */
@@ -51,6 +52,8 @@
   resolveLostRun(request: SupervisedRequest, run: LostRun, onResolved: () => void): void;
   /** Records that an endpoint ran a request to its end. */
   recordSurvival(request: SupervisedRequest): void;
+  /** Records that a run of a request with these parts is past its start, or has ended with success. */
+  recordPartSurvivals(parts: readonly string[]): void;
 }
 
 /** A run that ended without an answer. */
@@ -71,6 +74,9 @@
 
   private hasProgressed = false;
 
+  /** Whether the current run has counted as a survival of the request's parts. */
+  private hasSurvived = false;
+
   /** Whether the endpoint has answered the current run itself, so that the run can't be lost any more. */
   private isAnswered = false;
 
@@ -105,6 +111,11 @@
     return this.req.metadata.sharedParts;
   }
 
+  /** What may be suspected of the request besides itself. */
+  get partSubjects(): readonly string[] {
+    return this.sharedParts.map(partSubject);
+  }
+
   /** Digest of the request, the same each time that the caller sends it again. */
   get fingerprint(): string {
     this.computedFingerprint ??= fingerprintOf(this.req);
@@ -130,6 +141,7 @@
     }
     this.guarded = {
       fingerprint: this.fingerprint,
+      parts: this.partSubjects,
       onAdmitted: (isIsolated) => this.handleAdmission(isIsolated),
       onRefused: () => this.handleRefusal(),
     };
@@ -143,6 +155,7 @@
    */
   begin(endpoints: readonly Endpoint[]): void {
     this.hasProgressed = false;
+    this.hasSurvived = false;
     this.isAnswered = false;
     this.startedMs = this.supervisor.nowMs();
     this.move(endpoints);
@@ -165,8 +178,11 @@
   /** Called when the current run makes progress. Past its start, it need not be kept apart any more. */
   recordProgress(): void {
     this.hasProgressed = true;
-    if (this.isIsolatedRun && this.isPastStart) {
-      this.endRun();
+    if (this.isPastStart) {
+      this.recordPartSurvivals();
+      if (this.isIsolatedRun) {
+        this.endRun();
+      }
     }
   }
 
@@ -175,6 +191,7 @@
    * may come from an endpoint that did not begin to run it.
    */
   recordSurvival(): void {
+    this.recordPartSurvivals();
     this.supervisor.recordSurvival(this);
     this.endRun();
   }
@@ -216,6 +233,13 @@
     this.endRun();
   }
 
+  private recordPartSurvivals(): void {
+    if (!this.hasSurvived) {
+      this.hasSurvived = true;
+      this.supervisor.recordPartSurvivals(this.partSubjects);
+    }
+  }
+
   private get isPastStart(): boolean {
     return this.supervisor.nowMs() - this.startedMs > startPhaseMs;
   }
@@ -230,7 +254,8 @@
 
   private handleRefusal(): void {
     this.supervisor.logDecision('request-quarantined', this);
-    this.observer.onQuarantined(this.supervisor.quarantineRemainingMs(this.fingerprint));
+    const remainingMs = this.guarded ? this.supervisor.quarantineRemainingMs(this.guarded) : 0;
+    this.observer.onQuarantined(remainingMs);
   }
 
   private endRun(): void {
--- a/src/gateway/suspects/common/suspicionGossip.ts
+++ b/src/gateway/suspects/common/suspicionGossip.ts
@@ -1,4 +1,4 @@
-import type { CrashSuspects } from '../../../services/suspects/common/crashSuspects.js';
+import { Verdict, type CrashSuspects } from '../../../services/suspects/common/crashSuspects.js';
 import type { SuspectRecord } from '../../../services/suspects/common/suspectRecord.js';
 
 /** Maximum number of records in one message, which keeps datagrams small. */
@@ -31,7 +31,7 @@
   /** Returns the records for the next message. */
   next(): readonly SuspectRecord[] {
     const chosen = new Map<string, SuspectRecord>();
-    for (const [fingerprint, remaining] of [...this.changed].slice(0, recordsPerMessage)) {
+    for (const [fingerprint, remaining] of this.mostUrgent()) {
       this.suspects.recordsOf(fingerprint).forEach((record) => chosen.set(fingerprint, record));
       // Behind the others, so that a record that changed later isn't kept waiting by repetitions.
       this.changed.delete(fingerprint);
@@ -47,4 +47,15 @@
     }
     return [...chosen.values()];
   }
+
+  /** Returns the changed records to send next, quarantined ones first. */
+  private mostUrgent(): readonly [string, number][] {
+    const changed = [...this.changed];
+    const isUrgent = ([fingerprint]: [string, number]) =>
+      this.suspects.verdict(fingerprint) === Verdict.Quarantined;
+    return [...changed.filter(isUrgent), ...changed.filter((entry) => !isUrgent(entry))].slice(
+      0,
+      recordsPerMessage,
+    );
+  }
 }
--- a/src/gateway/suspects/test/common/supervisedRequest.test.ts
+++ b/src/gateway/suspects/test/common/supervisedRequest.test.ts
@@ -32,6 +32,7 @@
       onResolved();
     },
     recordSurvival: () => events.push('survived'),
+    recordPartSurvivals: () => undefined,
   };
   const observer = { onAdmitted: () => undefined, onQuarantined: () => undefined };
   const request = new SupervisedRequest(callerRequest, observer, supervision);
--- a/src/services/suspects/common/suspectGuard.ts
+++ b/src/services/suspects/common/suspectGuard.ts
@@ -2,6 +2,7 @@
 import { Emitter } from '../../../base/common/event.js';
 import { LogLevel, type ILogger } from '../../../base/common/logger.js';
 import type { SuspectRecord } from './suspectRecord.js';
+import { isPartSubject } from './subject.js';
 import { Verdict, type CrashSuspects } from './crashSuspects.js';
 
 /** Shares suspicions with the other processes. */
@@ -15,9 +16,15 @@
   share(wanted: readonly string[]): Promise<readonly string[] | undefined>;
 }
 
-/** A request that the guard admits or refuses. */
-export interface GuardedRequest {
+/** What may be suspected of a request. */
+export interface GuardedSubjects {
   readonly fingerprint: string;
+  /** Subjects of the parts that it shares with other requests; none if it has no parts. */
+  readonly parts?: readonly string[];
+}
+
+/** A request that the guard admits or refuses. */
+export interface GuardedRequest extends GuardedSubjects {
   /**
    * Called once the request may run; `isIsolated` is true if an endpoint died while it ran this
    * request, so that it must not share endpoints with other suspects.
@@ -33,6 +40,9 @@
 /** Time after which this process asks again to run a suspect that another one runs, in ms. */
 const suspectRetryMs = 500;
 
+/** Verdicts in the order of their severity. */
+const severities = [Verdict.Clear, Verdict.Suspect, Verdict.Quarantined];
+
 /** Time after which suspicions that could not be stored are stored again, in milliseconds. */
 const storeRetryMs = 2_000;
 
@@ -62,6 +72,9 @@
 
   private isClosed = false;
 
+  /** Parts that were quarantined when last looked at. */
+  private quarantinedParts: ReadonlySet<string> = new Set();
+
   /**
    * @param suspects - Suspicions of this process.
    * @param suspectSharing - Shares them with the other processes.
@@ -95,21 +108,26 @@
   /**
    * Returns the time until a request may run again.
    *
-   * @param fingerprint - Fingerprint of the request.
-   * @returns The rest of its quarantine in milliseconds; 0 if it isn't quarantined.
+   * @param request - The request.
+   * @returns The rest of the longest quarantine of it and its parts in milliseconds; 0 if there is none.
    */
-  quarantineRemainingMs(fingerprint: string): number {
-    return this.suspects.quarantineRemainingMs(fingerprint, this.clock.wallMs());
+  quarantineRemainingMs(request: GuardedSubjects): number {
+    const nowMs = this.clock.wallMs();
+    const remainingMs = subjectsOf(request).map((subject) =>
+      this.suspects.quarantineRemainingMs(subject, nowMs),
+    );
+    return Math.max(...remainingMs);
   }
 
   /**
    * Admits a request at once if it is not suspected. A suspect waits until it may run here, and a
-   * quarantined request is refused once the other processes can know of it.
+   * quarantined request is refused once the other processes can know of it. Of the requests that hold a
+   * part on probation one runs, and the others are refused.
    *
    * @param request - The request; its callbacks are called now or later.
    */
   admit(request: GuardedRequest): void {
-    if (this.suspects.verdict(request.fingerprint) === Verdict.Clear) {
+    if (this.verdict(request) === Verdict.Clear) {
       request.onAdmitted(false);
       return;
     }
@@ -131,13 +149,20 @@
    *
    * @param crash - Id of the crash.
    * @param fingerprint - Fingerprint of the request.
+   * @param parts - Subjects of the parts that it shares with other requests.
    */
-  recordCrash(crash: string, fingerprint: string): void {
-    this.suspects.recordCrash(crash, [fingerprint], this.clock.wallMs());
+  recordCrash(crash: string, fingerprint: string, parts: readonly string[] = []): void {
+    const nowMs = this.clock.wallMs();
+    const recorded = this.suspects.recordCrash(crash, [fingerprint, ...parts], nowMs);
     this.hasUnsharedChanges = true;
-    const verdict = this.suspects.verdict(fingerprint);
-    this.logger.log(LogLevel.Warn, 'crash-suspect', { crash, fingerprint, verdict });
-    this.suspected.fire(this.suspects.recordsOf(fingerprint));
+    this.logger.log(LogLevel.Warn, 'crash-suspect', {
+      crash,
+      fingerprint,
+      verdict: this.suspects.verdict(fingerprint),
+      parts: recorded.filter((subject) => subject !== fingerprint).join(',') || undefined,
+    });
+    this.logQuarantinedParts();
+    this.suspected.fire(recorded.flatMap((subject) => this.suspects.recordsOf(subject)));
   }
 
   /** Stores the suspicions of this process unless the platform has them. */
@@ -155,7 +180,7 @@
    */
   recordSurvival(fingerprint: string): void {
     const previousVerdict = this.suspects.verdict(fingerprint);
-    if (this.suspects.clearOldestCrash(fingerprint)) {
+    if (this.suspects.recordSurvival(fingerprint, this.clock.wallMs())) {
       this.hasUnsharedChanges = true;
       const verdict = this.suspects.verdict(fingerprint);
       this.logger.log(LogLevel.Warn, 'crash-cleared', { fingerprint, previousVerdict, verdict });
@@ -163,6 +188,24 @@
     this.release(fingerprint);
   }
 
+  /**
+   * Records that requests with these parts ran past the point at which endpoints die. Peers are told of
+   * crashes that it outweighs; they are stored only if a quarantine ends, since there are many of them.
+   *
+   * @param parts - Subjects of the parts.
+   */
+  recordPartSurvivals(parts: readonly string[]): void {
+    const nowMs = this.clock.wallMs();
+    const cleared = parts.filter((part) => this.suspects.recordSurvival(part, nowMs));
+    if (cleared.length > 0) {
+      this.suspected.fire(cleared.flatMap((part) => this.suspects.recordsOf(part)));
+      if (this.logQuarantinedParts()) {
+        this.hasUnsharedChanges = true;
+        void this.shareAndDecide();
+      }
+    }
+  }
+
   /**
    * Records that a suspect no longer runs here. Other processes still wait for the runner timeout, since
    * it may turn out that an endpoint died.
@@ -193,9 +236,13 @@
    * @param records - Records as stored in the platform or sent by another process.
    */
   merge(records: readonly SuspectRecord[]): void {
-    this.suspects.merge(records, this.clock.wallMs());
+    const outweighed = this.suspects.merge(records, this.clock.wallMs());
+    this.logQuarantinedParts();
+    if (outweighed.length > 0) {
+      this.suspected.fire(outweighed.flatMap((part) => this.suspects.recordsOf(part)));
+    }
     if (!this.hasUnsharedChanges) {
-      this.decide([]);
+      this.decide();
     }
   }
 
@@ -218,7 +265,7 @@
     }
     this.isRerunNeeded = false;
     if (!this.hasUnsharedChanges) {
-      this.decide([]);
+      this.decide();
     }
     const wanted = this.wantedSuspects();
     if (wanted.length === 0 && !this.hasUnsharedChanges) {
@@ -242,15 +289,54 @@
     }
   }
 
+  /** Returns the subjects without which no waiting request may run here, and which none runs yet. */
   private wantedSuspects(): readonly string[] {
-    const fingerprints = this.waiting.map((request) => request.fingerprint);
-    return [...new Set(fingerprints)].filter((fingerprint) => !this.running.has(fingerprint));
+    const subjects = this.waiting.flatMap((request) => this.suspectsOf(request));
+    return [...new Set(subjects)].filter((subject) => !this.running.has(subject));
   }
 
-  /** Decides which suspects may run here by what this process knows while the platform is away. */
+  private suspectsOf(request: GuardedSubjects): readonly string[] {
+    const nowMs = this.clock.wallMs();
+    return subjectsOf(request).filter(
+      (subject) => this.suspects.verdict(subject, nowMs) === Verdict.Suspect,
+    );
+  }
+
+  /** Returns the most severe verdict on a request and its parts. */
+  private verdict(request: GuardedSubjects): Verdict {
+    const nowMs = this.clock.wallMs();
+    const verdicts = subjectsOf(request).map((subject) => this.suspects.verdict(subject, nowMs));
+    return severities[Math.max(...verdicts.map((verdict) => severities.indexOf(verdict)))];
+  }
+
+  /** Logs the parts that are quarantined or released, and returns whether there are any. */
+  private logQuarantinedParts(): boolean {
+    const records = this.suspects.quarantinedParts();
+    const current = new Set(records.map(({ fingerprint }) => fingerprint));
+    const added = records.filter(({ fingerprint }) => !this.quarantinedParts.has(fingerprint));
+    const released = [...this.quarantinedParts].filter((part) => !current.has(part));
+    this.quarantinedParts = current;
+    added.forEach(({ fingerprint, crashes, cleared }) =>
+      this.logger.log(LogLevel.Warn, 'part-quarantined', {
+        part: fingerprint,
+        crashes: crashes.length,
+        cleared: cleared.length,
+        forMs: this.suspects.quarantineRemainingMs(fingerprint, this.clock.wallMs()),
+      }),
+    );
+    released.forEach((part) => this.logger.log(LogLevel.Warn, 'part-released', { part }));
+    return added.length + released.length > 0;
+  }
+
+  /**
+   * Decides which suspects may run here by what this process knows while the platform is away. Trials of
+   * parts have to wait, since each process would run one.
+   */
   private acquireAlone(wanted: readonly string[]): readonly string[] {
     const nowMs = this.clock.wallMs();
-    return wanted.filter((fingerprint) => this.suspects.acquire(fingerprint, nowMs));
+    return wanted.filter(
+      (subject) => !isPartSubject(subject) && this.suspects.acquire(subject, nowMs),
+    );
   }
 
   private scheduleStoreRetry(): void {
@@ -268,22 +354,43 @@
     });
   }
 
-  private decide(granted: readonly string[]): void {
+  /**
+   * Decides on the waiting requests.
+   *
+   * @param granted - Suspects that may run here; undefined if the other processes weren't asked.
+   */
+  private decide(granted?: readonly string[]): void {
     const undecided = this.waiting;
     this.waiting = [];
-    for (const request of undecided) {
-      const { fingerprint } = request;
-      const verdict = this.suspects.verdict(fingerprint);
-      if (verdict === Verdict.Quarantined) {
-        request.onRefused();
-      } else if (verdict === Verdict.Clear) {
-        request.onAdmitted(false);
-      } else if (granted.includes(fingerprint) && !this.running.has(fingerprint)) {
-        this.running.add(fingerprint);
-        request.onAdmitted(true);
-      } else {
-        this.waiting.push(request);
-      }
+    undecided.forEach((request) => this.decideOn(request, granted));
+  }
+
+  private decideOn(request: GuardedRequest, granted: readonly string[] | undefined): void {
+    const isGranted = (subject: string) =>
+      granted !== undefined && granted.includes(subject) && !this.running.has(subject);
+    // A part counts as quarantined again from the moment at which its trial is granted.
+    const trials = (request.parts ?? []).filter(isGranted);
+    const rest: GuardedSubjects = {
+      fingerprint: request.fingerprint,
+      parts: request.parts?.filter((part) => !trials.includes(part)),
+    };
+    const verdict = this.verdict(rest);
+    const suspects = this.suspectsOf(rest);
+    const isTrialDenied = granted !== undefined && suspects.some(isPartSubject);
+    if (verdict === Verdict.Quarantined || isTrialDenied) {
+      request.onRefused();
+    } else if (verdict === Verdict.Clear && trials.length === 0) {
+      request.onAdmitted(false);
+    } else if (suspects.every(isGranted)) {
+      [...suspects, ...trials].forEach((subject) => this.running.add(subject));
+      request.onAdmitted(true);
+    } else {
+      this.waiting.push(request);
     }
   }
 }
+
+/** Returns what may be suspected of a request: the request itself, which comes first, and its parts. */
+function subjectsOf({ fingerprint, parts = [] }: GuardedSubjects): readonly string[] {
+  return [fingerprint, ...parts];
+}
--- a/src/services/suspects/common/suspectRecord.ts
+++ b/src/services/suspects/common/suspectRecord.ts
@@ -4,7 +4,7 @@
 
 /** Schema of a record, as it is stored and sent. */
 export const suspectRecordSchema = v.object({
-  /** Digest that is the same each time that the caller sends the request again. */
+  /** Digest that is the same each time that the caller sends the request again, or a part of prompts. */
   fingerprint: v.string(),
   /** Ids of the crashes during which the request ran. */
   crashes: ids,
@@ -36,6 +36,22 @@
   );
 }
 
+/**
+ * Returns whether stored records hold all crashes that count according to others.
+ *
+ * @param stored - Records of the store.
+ * @param records - Records of this process.
+ */
+export function holdsCrashes(
+  stored: readonly SuspectRecord[],
+  records: readonly SuspectRecord[],
+): boolean {
+  const known = new Map(stored.map(({ fingerprint, crashes }) => [fingerprint, new Set(crashes)]));
+  return records.every(({ fingerprint, crashes, cleared }) =>
+    crashes.every((crash) => cleared.includes(crash) || known.get(fingerprint)?.has(crash)),
+  );
+}
+
 /**
  * Decodes the object of the store that holds the records.
  *
--- a/src/services/suspects/test/common/crashSuspects.test.ts
+++ b/src/services/suspects/test/common/crashSuspects.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
-import { CrashSuspects, Verdict } from '../../common/crashSuspects.js';
+import { CrashSuspects, strictPolicy, Verdict } from '../../common/crashSuspects.js';
 
 describe('CrashSuspects', () => {
   it('quarantines at the second crash, and not when the same crash is recorded twice', () => {
@@ -99,7 +99,7 @@
   });
 
   it('weighs one survived run against one crash, whatever their order', () => {
-    const policy = { isolationCrashes: 2, quarantineCrashes: 3, runnerTimeoutMs: 5_000 };
+    const policy = { ...strictPolicy, isolationCrashes: 2, quarantineCrashes: 3 };
     fc.assert(
       fc.property(fc.array(fc.boolean(), { maxLength: 14 }), (runs) => {
         const suspects = new CrashSuspects('a', policy);
