--- a/src/gateway/http/test/node/ingress.test.ts
+++ b/src/gateway/http/test/node/ingress.test.ts
@@ -20,6 +20,7 @@
     maxOutputTokens: 0,
     expectedOutputTokens: undefined,
     lastEventId: undefined,
+    sharedParts: [],
   }),
   endpointHeaders: () => [],
   readAnswer: () => {
