Let an answer that has begun wait for a retry while the budget has none

Callers saw begun streams broken off the moment that an endpoint refused or broke off a run while the retry budget was used up, although it had room again within their patience.

Cause: a denied retry ended the relay at once; for an answer that has begun there is nothing truthful left to say, so it could only be broken off.

Both relays take retries through one class, RetryAllowance, which also gives back what no send has followed. A retry is taken only when it may be used.

--- a/src/gateway/relay/node/plainRelay.ts
+++ b/src/gateway/relay/node/plainRelay.ts
@@ -18,6 +18,7 @@
 import type { PlainRouter } from '../../routing/common/plainRouter.js';
 import type { AnswerHead, IAnswerSink, IExchange } from './endpointSender.js';
 import type { RelayContext } from './relayContext.js';
+import { RetryAllowance } from './retryAllowance.js';
 
 /** Share of the route's latency objective after which an idempotent request is hedged. */
 const hedgeShare = 0.8;
@@ -59,8 +60,7 @@
   /** Number of failed sends whose endpoint may have run the request. */
   private possibleRunCount = 0;
 
-  /** Whether a retry was taken from the budget for a send that hasn't followed yet. */
-  private hasUnusedRetry = false;
+  private readonly retry: RetryAllowance;
 
   private cancelHedge: CancelTimer | undefined;
 
@@ -84,6 +84,7 @@
     private readonly context: RelayContext,
     private readonly onDidFinish: (relay: PlainRelay) => void,
   ) {
+    this.retry = new RetryAllowance(req.service, context);
     this.run = context.supervisor.supervise(req, {
       onAdmitted: () => this.send(),
       onQuarantined: (remainingMs) => this.refuseQuarantined(remainingMs),
@@ -135,7 +136,7 @@
       this.refuseWithoutEndpoint(excludedAddresses);
       return;
     }
-    this.hasUnusedRetry = false;
+    this.retry.use();
     this.context.signals.recordSend(endpoint);
     const reservation = {
       address: endpoint.address,
@@ -193,21 +194,10 @@
       this.isIdempotent &&
       this.sends.length < Math.min(maxSends, Math.max(1, this.req.route.maxAttempts)) &&
       this.remainingMs > minRemainingMs &&
-      this.tryConsumeBudget('failed')
+      this.retry.tryTake('failed')
     );
   }
 
-  /** Consumes one retry of the budget of the service, or counts that the budget denied it. */
-  private tryConsumeBudget(reason: string): boolean {
-    const hasBudget = this.context.retryBudgetOf(this.req.service).tryConsume();
-    if (hasBudget) {
-      this.hasUnusedRetry = true;
-    } else {
-      this.context.metrics.deniedRetries.inc({ reason });
-    }
-    return hasBudget;
-  }
-
   /** @internal Called when a send was answered completely. */
   onAnswer(send: Send, head: AnswerHead, body: Buffer): void {
     if (this.isFinished || send.isFinished) {
@@ -308,7 +298,7 @@
       return;
     }
     const mayRetry = this.sends.length < maxSends && this.remainingMs > minRemainingMs;
-    if (mayRetry && this.tryConsumeBudget('not-run')) {
+    if (mayRetry && this.retry.tryTake('not-run')) {
       this.context.metrics.retries.inc({ reason: 'not-run' });
       this.run.requestRun();
       return;
@@ -395,9 +385,7 @@
 
   private finish(outcome: string, status: number): void {
     this.isFinished = true;
-    if (this.hasUnusedRetry) {
-      this.context.retryBudgetOf(this.req.service).refund();
-    }
+    this.retry.giveBack();
     this.cancelDeadline();
     this.cancelHedge?.();
     this.run.close();
--- a/src/gateway/relay/node/streamRelay.ts
+++ b/src/gateway/relay/node/streamRelay.ts
@@ -23,6 +23,7 @@
 import { StreamProgress } from '../common/streamProgress.js';
 import { PathAcquisition } from './pathAcquisition.js';
 import type { RelayContext } from './relayContext.js';
+import { RetryAllowance } from './retryAllowance.js';
 import { AnswerKind, StreamAnswerSink, type IStreamReceiver } from './streamAnswerSink.js';
 
 /**
@@ -118,8 +119,7 @@
    */
   private readonly possibleRunAddresses = new Set<string>();
 
-  /** Whether a retry was taken from the budget for a send that hasn't followed yet. */
-  private hasUnusedRetry = false;
+  private readonly retry: RetryAllowance;
 
   private isPrefilling = false;
 
@@ -148,6 +148,7 @@
     this.lastEventId = req.metadata.lastEventId;
     this.progress = new StreamProgress(req.arrivedMs);
     this.acquisition = new PathAcquisition(admission, context.ledger);
+    this.retry = new RetryAllowance(req.service, context);
     this.run = context.supervisor.supervise(req, {
       onAdmitted: () => {
         this.acquirePath().catch((err: unknown) => this.fail(err));
@@ -246,7 +247,7 @@
       return;
     }
     this.acquisition.cancel();
-    this.refundRetry();
+    this.retry.giveBack();
     const nextAddresses = new Set(path.stages.map(({ endpoint }) => endpoint.address));
     this.run.recordLoss(
       this.pathEndpoints.filter(({ address }) => !nextAddresses.has(address)),
@@ -295,7 +296,7 @@
     const remainingMs = deadlineOf(this.req) - clock.monotonicMs();
     const mayResume =
       this.req.route.isResumable && this.sendCount < maxSends && remainingMs > minRemainingMs;
-    if (!mayResume || !this.tryConsumeRetry(SendFailure.EndpointSilent)) {
+    if (!mayResume || !this.retry.tryTake(SendFailure.EndpointSilent)) {
       this.logKept(address, mayResume ? 'no retry left' : 'must not be resumed');
       return;
     }
@@ -314,7 +315,7 @@
     }
     const hasProgressed = this.progress.lastSignMs > askedAtMs;
     if (outcome.isErr() || hasProgressed) {
-      this.refundRetry();
+      this.retry.giveBack();
       if (outcome.isOk()) {
         ledger.release(outcome.value.reservations);
         this.admission.admitWaiting();
@@ -412,7 +413,7 @@
     const firstEndpoint = path.stages[0].endpoint;
     const nowMs = clock.monotonicMs();
     this.path = path;
-    this.hasUnusedRetry = false;
+    this.retry.use();
     this.isPrefilling = true;
     this.phase = Phase.Sent;
     this.sentAtMs = nowMs;
@@ -652,48 +653,50 @@
     this.releasePath();
     this.exchange = undefined;
     this.acquisition.cancel();
-    this.refundRetry();
-    const { clock, metrics } = this.context;
-    const remainingMs = deadlineOf(this.req) - clock.monotonicMs();
+    this.retry.giveBack();
+    const remainingMs = deadlineOf(this.req) - this.context.clock.monotonicMs();
     const isSafe =
       failure === SendFailure.NotSent ||
       failure === SendFailure.NotRun ||
       this.req.route.isResumable;
-    const hasBudget = failure === SendFailure.NotSent || this.tryConsumeRetry(failure);
-    const willRetry =
-      isSafe && hasBudget && this.sendCount < maxSends && remainingMs > minRemainingMs;
+    const mayRetry =
+      isSafe &&
+      this.sendCount < maxSends &&
+      remainingMs > minRemainingMs &&
+      !this.caller.isDisconnected;
+    const hasBudget = mayRetry && (failure === SendFailure.NotSent || this.retry.tryTake(failure));
     this.log('run-broken', {
       why: failure,
       reason,
       events: this.progress.eventCount,
-      goesOn: willRetry,
+      goesOn: hasBudget,
       sends: this.sendCount,
-      hasBudget,
+      hasBudget: mayRetry ? hasBudget : undefined,
     });
-    if (willRetry && !this.caller.isDisconnected) {
-      metrics.retries.inc({ reason: failure });
-      this.requestRun(this.hasBegunAnswer || this.possibleRunAddresses.size > 0);
-      return;
+    if (hasBudget) {
+      this.retryRun(failure);
+    } else if (mayRetry && this.hasBegunAnswer) {
+      this.awaitRetry(failure, reason);
+    } else {
+      this.giveUp(failure, defaultRetryAfterMs, reason);
     }
-    this.giveUp(failure, defaultRetryAfterMs, reason);
   }
 
-  /** Consumes one retry of the budget of the service for a failure, or counts that the budget denied it. */
-  private tryConsumeRetry(failure: SendFailure): boolean {
-    const hasBudget = this.context.retryBudgetOf(this.req.service).tryConsume();
-    this.hasUnusedRetry = hasBudget;
-    if (!hasBudget) {
-      this.context.metrics.deniedRetries.inc({ reason: failure });
-    }
-    return hasBudget;
+  private retryRun(failure: SendFailure): void {
+    this.context.metrics.retries.inc({ reason: failure });
+    this.requestRun(this.hasBegunAnswer || this.possibleRunAddresses.size > 0);
   }
 
-  /** Returns a retry to the budget if it was consumed for a send that hasn't followed. */
-  private refundRetry(): void {
-    if (this.hasUnusedRetry) {
-      this.hasUnusedRetry = false;
-      this.context.retryBudgetOf(this.req.service).refund();
-    }
+  /** Resumes an answer that has begun once the budget has a retry; its caller waits for a while. */
+  private awaitRetry(failure: SendFailure, reason: string): void {
+    this.phase = Phase.Waiting;
+    this.retry.takeWithin(maxResumeWaitMs, (isTaken) => {
+      if (isTaken) {
+        this.retryRun(failure);
+      } else {
+        this.giveUp(failure, defaultRetryAfterMs, reason);
+      }
+    });
   }
 
   private refuseQuarantined(remainingMs: number): void {
@@ -743,7 +746,7 @@
 
   private finish(outcome: string, status: number): void {
     this.phase = Phase.Finished;
-    this.refundRetry();
+    this.retry.giveBack();
     this.cancelDeadline();
     this.run.close();
     this.acquisition.cancel();
