Soak: answers without framing, silent seconds, and parts of prompts that crash endpoints

New kinds of faults: an endpoint that omits the framing of its answers, closes the connection of such a stream within an event, or resets it after a whole body or event; a sound endpoint that sends and answers nothing, reports among it, for 0.8 to 1.3 s and goes on; a part of a prompt that crashes each endpoint, in requests of which no two are alike, through all gateways at once, beside sound ones with the same key and first part. Calls record their parts and whether their connection was kept, and the fleet each end of an endpoint.

--- a/soak/common/records.ts
+++ b/soak/common/records.ts
@@ -31,6 +31,10 @@
   readonly key: string;
   readonly target: string;
   readonly body: string;
+  /** Ids of the parts of its prompt, in order; empty if it has none. */
+  readonly parts: readonly string[];
+  /** Whether it got no answer on a connection that had carried other requests. */
+  readonly isOnKeptConnection: boolean;
   readonly startMs: number;
   readonly endMs: number;
   readonly status: number;
@@ -59,6 +63,14 @@
   readonly toMs: number;
 }
 
+/** The end of an endpoint's process. */
+export interface CrashRecord {
+  readonly endpoint: string;
+  readonly atMs: number;
+  /** Part of a prompt that crashed it; undefined if another cause did. */
+  readonly part: string | undefined;
+}
+
 /** Kinds of faults. All are injected from outside the gateways. */
 export enum FaultKind {
   KillGateway = 'kill-gateway',
@@ -81,6 +93,8 @@
   StoreComesBackOlder = 'store-comes-back-older',
   /** A caller sends a request again and again that crashes each endpoint that runs it. */
   CrashingRequest = 'crashing-request',
+  /** Callers send requests, no two alike, with a part of the prompt that crashes each endpoint. */
+  CrashingPart = 'crashing-part',
   CrashEndpoint = 'crash-endpoint',
   FreezeEndpoint = 'freeze-endpoint',
   SilenceEndpointLink = 'silence-endpoint',
@@ -102,6 +116,14 @@
   EndpointCutsStreams = 'cutting-answers',
   EndpointResetsDuringAnswer = 'resetting-answers',
   EndpointNeverAnswers = 'hanging',
+  /** A sound endpoint sends and answers nothing for about a second, and then goes on. */
+  EndpointFallsSilent = 'silent-second',
+  /** An endpoint answers with neither a length nor chunks, and ends the connection. */
+  EndpointOmitsFraming = 'unframed',
+  /** An endpoint answers so, and closes the connection of a stream within an event. */
+  EndpointCutsUnframed = 'cutting-unframed-answers',
+  /** An endpoint answers so, and resets the connection after a whole body or event. */
+  EndpointResetsUnframed = 'resetting-unframed-answers',
   EndpointAnswersWithoutEnd = 'answering-without-end',
   EndpointAnswersWrongRequest = 'misanswering',
   AddKey = 'add-key',
@@ -132,6 +154,7 @@
   readonly runs: readonly ObservedRun[];
   readonly arrivals: readonly ObservedArrival[];
   readonly orders: readonly OrderRecord[];
+  readonly crashes: readonly CrashRecord[];
   readonly keys: readonly KeyRecord[];
   readonly faults: readonly FaultRecord[];
   /** Descriptions of gateway failures, such as a process that exited unexpectedly. */
--- a/soak/node/callers.ts
+++ b/soak/node/callers.ts
@@ -1,6 +1,6 @@
 import { Agent } from 'node:http';
-import { call, modelHeaders, type CallerAnswer } from '../../platform/test/gatewayFleet.js';
-import { answerMetadata } from '../../platform/test/wireViews.js';
+import { call, type CallerAnswer } from '../../platform/test/gatewayFleet.js';
+import { answerMetadata, promptHeaders } from '../../platform/test/wireViews.js';
 import { SeededRandom } from '../../src/base/common/random.js';
 import { routeTimeoutMs } from '../common/checkers.js';
 import { CallOutcome, RequestKind, type CallRecord } from '../common/records.js';
@@ -15,6 +15,18 @@
 /** Timeout of a caller, in milliseconds; longer than any answer is allowed to take. */
 const callerTimeoutMs = routeTimeoutMs + 3_000;
 
+/** First parts of prompts, each of which many requests share. */
+export const firstParts = ['first-0', 'first-1'] as const;
+
+/** What distinguishes a call. */
+export interface CallPlan {
+  readonly kind: RequestKind;
+  readonly key: string;
+  /** Ids of the parts of its prompt that other calls share; the last one is its own. */
+  readonly sharedParts: readonly string[];
+  readonly agent?: Agent;
+}
+
 /** Key that is never part of the configuration. */
 const unknownKey = 'key-strange';
 
@@ -61,36 +73,13 @@
     this.isStopped = true;
   }
 
-  private async runCaller(gateway: SoakGateway, seed: number, keepsAlive: boolean): Promise<void> {
-    const random = new SeededRandom(seed);
-    const agent = keepsAlive ? new Agent({ keepAlive: true, maxSockets: 1 }) : undefined;
-    while (!this.isStopped) {
-      const kind = random.pick(Object.values(RequestKind));
-      const key = this.chooseKey(random);
-      await this.send(gateway, kind, key, agent);
-      await sleep(random.integer(0, maxThinkTimeMs));
-    }
-    agent?.destroy();
-  }
-
-  private chooseKey(random: SeededRandom): string {
-    const draw = random.integer(0, 9);
-    if (draw < 7) {
-      return permanentKey;
-    }
-    return draw < 9 ? random.pick(this.fleet.keys).key : unknownKey;
-  }
-
-  private async send(
-    gateway: SoakGateway,
-    kind: RequestKind,
-    key: string,
-    agent: Agent | undefined,
-  ): Promise<void> {
+  /** Sends one request and records how the call ended. */
+  async send(gateway: SoakGateway, { kind, key, sharedParts, agent }: CallPlan): Promise<void> {
     this.callCount += 1;
     const id = `${this.seed}-${this.callCount}`;
     const target = `/${kind}/${id}`;
     const body = kind === RequestKind.Lookup ? '' : `body of ${id}`;
+    const parts = kind === RequestKind.Stream ? [...sharedParts, `own-${id}`] : [];
     const process = gateway.process.pid;
     const startMs = Date.now();
     const answer = await call(gateway.callerProxy.port, target, {
@@ -99,7 +88,7 @@
       agent,
       method: kind === RequestKind.Lookup ? 'GET' : 'POST',
       body: body === '' ? undefined : body,
-      headers: kind === RequestKind.Stream ? modelHeaders : {},
+      headers: kind === RequestKind.Stream ? promptHeaders(parts) : {},
       signal: AbortSignal.timeout(callerTimeoutMs),
     });
     this.calls.push({
@@ -110,6 +99,8 @@
       key,
       target,
       body,
+      parts,
+      isOnKeptConnection: answer.isOnKeptConnection === true,
       startMs,
       endMs: Date.now(),
       status: answer.status,
@@ -118,6 +109,27 @@
       detail: formatDetail(gateway, answer),
     });
   }
+
+  private async runCaller(gateway: SoakGateway, seed: number, keepsAlive: boolean): Promise<void> {
+    const random = new SeededRandom(seed);
+    const agent = keepsAlive ? new Agent({ keepAlive: true, maxSockets: 1 }) : undefined;
+    while (!this.isStopped) {
+      const kind = random.pick(Object.values(RequestKind));
+      const key = this.chooseKey(random);
+      const sharedParts = kind === RequestKind.Stream ? [random.pick(firstParts)] : [];
+      await this.send(gateway, { kind, key, sharedParts, agent });
+      await sleep(random.integer(0, maxThinkTimeMs));
+    }
+    agent?.destroy();
+  }
+
+  private chooseKey(random: SeededRandom): string {
+    const draw = random.integer(0, 9);
+    if (draw < 7) {
+      return permanentKey;
+    }
+    return draw < 9 ? random.pick(this.fleet.keys).key : unknownKey;
+  }
 }
 
 /**
--- a/soak/node/faultInjector.ts
+++ b/soak/node/faultInjector.ts
@@ -2,6 +2,7 @@
 import { Behaviour } from '../../platform/test/fakeReplica.js';
 import { StoreMode } from '../../platform/test/fakeStore.js';
 import { PauseDirection } from '../../src/bench/node/faultProxy.js';
+import { firstParts, type Callers } from './callers.js';
 import { crashingPrefix, namedLimitPerSecond, routeTimeoutMs } from '../common/checkers.js';
 import { pauseMs } from '../common/signalCheckers.js';
 import { FaultKind, RequestKind, type FaultRecord, type PlannedFault } from '../common/records.js';
@@ -11,6 +12,7 @@
   type SoakEndpoint,
   type SoakFleet,
   type SoakGateway,
+  crashingPartPrefix,
 } from './soakFleet.js';
 
 /**
@@ -22,6 +24,19 @@
 /** Pause between the calls of a crashing request, in milliseconds. */
 const crashingRequestPauseMs = 200;
 
+/**
+ * Time for which requests with a crashing part are sent beyond the duration of the fault, in milliseconds,
+ * so that they also come after the gateways must have stopped them and sound ones must begin again.
+ */
+const crashingPartExtraMs = 11_000;
+
+/** Pause between the calls with a crashing part at one gateway, in milliseconds. */
+const crashingPartPauseMs = 150;
+
+/** Shortest and longest time for which a sound endpoint falls silent, in milliseconds. */
+const minSilenceMs = 800;
+const maxSilenceMs = 1_300;
+
 /**
  * Time for which an endpoint names its limit beyond the duration of the fault, in milliseconds, so that
  * its requests are also counted after all gateways must keep it.
@@ -48,6 +63,8 @@
   [FaultKind.EndpointCutsStreams]: Behaviour.CutStream,
   [FaultKind.EndpointResetsDuringAnswer]: Behaviour.ResetDuringAnswer,
   [FaultKind.EndpointNeverAnswers]: Behaviour.NeverAnswer,
+  [FaultKind.EndpointCutsUnframed]: Behaviour.CutStream,
+  [FaultKind.EndpointResetsUnframed]: Behaviour.ResetAfterWhole,
   [FaultKind.EndpointAnswersWithoutEnd]: Behaviour.AnswerWithoutEnd,
   [FaultKind.EndpointAnswersWrongRequest]: Behaviour.AnswerWrongRequest,
 };
@@ -84,8 +101,14 @@
     },
   };
 
-  /** @param fleet - The system under test. */
-  constructor(private readonly fleet: SoakFleet) {}
+  /**
+   * @param fleet - The system under test.
+   * @param callers - Send the calls that faults consist of.
+   */
+  constructor(
+    private readonly fleet: SoakFleet,
+    private readonly callers: Callers,
+  ) {}
 
   /**
    * Injects a fault and reverts it after its duration.
@@ -107,6 +130,15 @@
       await this.runExclusively(kind, 'endpoints', 'crashing request', () =>
         this.sendCrashingRequest(fault),
       );
+    } else if (kind === FaultKind.CrashingPart) {
+      await this.runExclusively(kind, crashingPartOf(fault), 'crashing part', () =>
+        this.sendCrashingPart(fault),
+      );
+    } else if (kind === FaultKind.EndpointFallsSilent || kind === FaultKind.EndpointOmitsFraming) {
+      const name = endpoint.replica.options.id;
+      await this.runExclusively(kind, name, `${endpoint.name} ${kind}`, () =>
+        this.changeReplica(kind, endpoint, durationMs),
+      );
     } else if (kind in behaviours) {
       const name = endpoint.replica.options.id;
       await this.runExclusively(kind, name, `${endpoint.name} replica`, () =>
@@ -185,6 +217,40 @@
     }
   }
 
+  /** Sends requests with a part that crashes endpoints, no two alike, through all gateways at once. */
+  private async sendCrashingPart(fault: PlannedFault): Promise<void> {
+    const untilMs = Date.now() + fault.durationMs + crashingPartExtraMs;
+    const sharedParts = [
+      firstParts[fault.startOffsetMs % firstParts.length],
+      crashingPartOf(fault),
+    ];
+    const plan = { kind: RequestKind.Stream, key: permanentKey, sharedParts };
+    const sendThrough = async (gateway: SoakGateway) => {
+      while (Date.now() < untilMs) {
+        await this.callers.send(gateway, plan);
+        await sleep(crashingPartPauseMs);
+      }
+    };
+    await Promise.all(this.fleet.gateways.map(sendThrough));
+  }
+
+  /** Lets a sound endpoint fall silent, or omit the framing of its answers. */
+  private async changeReplica(
+    kind: FaultKind,
+    { replica }: SoakEndpoint,
+    durationMs: number,
+  ): Promise<void> {
+    if (kind === FaultKind.EndpointFallsSilent) {
+      const silenceMs = minSilenceMs + (durationMs % (maxSilenceMs - minSilenceMs));
+      replica.fallSilent(silenceMs);
+      await sleep(silenceMs);
+      return;
+    }
+    replica.omitsFraming = true;
+    await sleep(durationMs);
+    replica.omitsFraming = false;
+  }
+
   private async injectStoreFault(kind: FaultKind, durationMs: number): Promise<void> {
     const { store } = this.fleet;
     if (kind === FaultKind.StoreCompactsHistory) {
@@ -203,8 +269,10 @@
   ): Promise<void> {
     const { replica } = endpoint;
     replica.behaviour = behaviours[kind] ?? Behaviour.Serve;
+    replica.omitsFraming ||= kind === FaultKind.EndpointCutsUnframed;
     await sleep(durationMs);
     replica.behaviour = Behaviour.Serve;
+    replica.omitsFraming &&= kind !== FaultKind.EndpointCutsUnframed;
   }
 
   private async injectProcessFault(
@@ -265,6 +333,10 @@
   }
 }
 
+function crashingPartOf({ startOffsetMs }: PlannedFault): string {
+  return `${crashingPartPrefix}${startOffsetMs}`;
+}
+
 function pick<T>(items: readonly T[], selector: number): T {
   return items[Math.floor(selector * items.length)];
 }
--- a/soak/node/soakFleet.ts
+++ b/soak/node/soakFleet.ts
@@ -7,6 +7,7 @@
   observedArrivals,
   observedRuns,
   removeReplica,
+  sharedParts,
   writeConfig,
   type ObservedArrival,
   type ObservedRun,
@@ -14,7 +15,7 @@
 import { ProcessGroup, type RunningProcess } from '../../src/bench/node/processes.js';
 import { FaultProxy } from '../../src/bench/node/faultProxy.js';
 import { crashingPrefix, retryBudget, shutdownGraceMs } from '../common/checkers.js';
-import type { KeyRecord, OrderRecord } from '../common/records.js';
+import type { CrashRecord, KeyRecord, OrderRecord } from '../common/records.js';
 
 const dataCentres = ['a', 'b', 'c'];
 
@@ -39,6 +40,12 @@
 /** Time for which an endpoint is down after a request has crashed it, in milliseconds. */
 const crashDownMs = 700;
 
+/** Time for which it is down if a part of the prompt has crashed it, in milliseconds. */
+const partCrashDownMs = 2_000;
+
+/** First characters of the ids of parts of prompts that crash endpoints. */
+export const crashingPartPrefix = 'crashing-';
+
 /** Organisation whose key is never revoked. */
 const permanentOrganisation = 'org-1';
 
@@ -78,6 +85,9 @@
 
   readonly keys: KeyRecord[] = [];
 
+  /** Ends of endpoints' processes, whatever caused them. */
+  readonly crashes: CrashRecord[] = [];
+
   /** Descriptions of gateway failures, such as a process that exited unexpectedly. */
   readonly incidents: string[] = [];
 
@@ -126,7 +136,11 @@
 
   /** Returns the requests that the endpoints ran, in the order of arrival at each endpoint. */
   runs(): readonly ObservedRun[] {
-    return this.replicas.flatMap(observedRuns);
+    const names = new Map(this.endpoints.map(({ name, proxy }) => [proxy.port, name]));
+    return this.replicas.flatMap(observedRuns).map((run) => ({
+      ...run,
+      path: run.path.map((address) => names.get(parsePort(address)) ?? address),
+    }));
   }
 
   /** Returns the requests that reached the endpoints, also those that they rejected. */
@@ -188,11 +202,17 @@
   }
 
   /** Crashes an endpoint and restarts it without layers, under its old name or a new one. */
-  async crashEndpoint(endpoint: SoakEndpoint, downMs: number, keepsName: boolean): Promise<void> {
+  async crashEndpoint(
+    endpoint: SoakEndpoint,
+    downMs: number,
+    keepsName: boolean,
+    part?: string,
+  ): Promise<void> {
     if (this.downEndpoints.has(endpoint)) {
       return;
     }
     this.downEndpoints.add(endpoint);
+    this.crashes.push({ endpoint: endpoint.replica.options.id, atMs: Date.now(), part });
     endpoint.replica.close();
     endpoint.proxy.resetConnections();
     endpoint.proxy.refuseConnections();
@@ -329,9 +349,11 @@
     endpoint.replica = replica;
     endpoint.hasLeft = false;
     this.replicas.push(replica);
-    replica.crashesOn = ({ target }) => {
-      if (target.includes(`/${crashingPrefix}`)) {
-        void this.crashEndpoint(endpoint, crashDownMs, this.replicas.length % 2 === 0);
+    replica.crashesOn = (seen) => {
+      const part = sharedParts(seen).find((each) => each.startsWith(crashingPartPrefix));
+      if (part !== undefined || seen.target.includes(`/${crashingPrefix}`)) {
+        const downMs = part === undefined ? crashDownMs : partCrashDownMs;
+        void this.crashEndpoint(endpoint, downMs, this.replicas.length % 2 === 0, part);
       }
       return false;
     };
--- a/soak/node/soakRun.ts
+++ b/soak/node/soakRun.ts
@@ -56,7 +56,7 @@
 ): Promise<SoakReport> {
   const fleet = new SoakFleet();
   const callers = new Callers(fleet, options.seed);
-  const injector = new FaultInjector(fleet);
+  const injector = new FaultInjector(fleet, callers);
   const reported = new Set<string>();
   let faultsEndedAtMs: number | undefined;
   const history = (): SoakHistory => ({
@@ -64,6 +64,7 @@
     runs: fleet.runs(),
     arrivals: fleet.arrivals(),
     orders: fleet.orders(),
+    crashes: fleet.crashes,
     keys: fleet.keys,
     faults: injector.faults,
     incidents: fleet.incidents,
