Soak: excuse only what touches a call, and check statuses and crashing parts

`plannedWorkCutsNothing` excused each cut call that overlapped any unplanned fault. Now it excuses faults of the call's gateway, of its caller's link, and of endpoints that its runs used, or their end; not faults of the store, of others, or a silent second of a sound endpoint. Its old test is replaced by one that also shows each of these.

New: `callsEndWithStatus` (a connection ended before any status), `crashingPartsStop` (more than three requests with the part reach endpoints from 3 s after the fifth crash), `soundPartsGoOn` (requests with the same key or first part begin less than half as often from 6 s after it). Their tests show each failing on a planted history.

Both checks of cut calls excuse a call that crossed the end of its connection: on a kept connection, or at a gateway that stops, it reached no endpoint and ended within 200 ms. The users' rule doesn't count it.

--- a/soak/common/checkers.ts
+++ b/soak/common/checkers.ts
@@ -1,12 +1,15 @@
 import type { ObservedRun } from '../../platform/test/wireViews.js';
+import { CallOutcome, FaultKind, RequestKind, type SoakHistory } from './records.js';
+import { checkPlannedWork, checkStatuses } from './callEndCheckers.js';
 import {
-  CallOutcome,
-  FaultKind,
-  RequestKind,
-  type CallRecord,
-  type SoakHistory,
-} from './records.js';
-import { gatewayFaults, gatewaysById, overlaps } from './faultTimes.js';
+  callerFaults,
+  formatCall,
+  gatewayFaults,
+  gatewaysById,
+  overlaps,
+  wasOutOfTouch,
+} from './faultTimes.js';
+import { checkCrashingParts, checkSoundParts } from './partCheckers.js';
 import { checkLeaving, checkPauses } from './signalCheckers.js';
 
 /** Statuses that state that the request was not run and will not be run later. */
@@ -43,9 +46,6 @@
  */
 const drainPropagationMs = 3_000;
 
-/** Time for a process to reconnect after a fault, in milliseconds; required by the users. */
-const reconnectMs = 4_000;
-
 /** Rate that endpoints in need name, in requests per second. */
 export const namedLimitPerSecond = 3;
 
@@ -76,42 +76,6 @@
 /** Minimum share of requests that must be served once the system has recovered. */
 const minServedShare = 0.9;
 
-const storeFaults = new Set([
-  FaultKind.ResetStoreLink,
-  FaultKind.SilenceStoreLink,
-  FaultKind.OneWayStoreLink,
-  FaultKind.StoreUnavailable,
-  FaultKind.StoreSilent,
-  FaultKind.StoreDropsWriteAnswers,
-  FaultKind.StoreWritesLate,
-  FaultKind.StoreSlow,
-  FaultKind.StoreCompactsHistory,
-  FaultKind.StoreComesBackOlder,
-]);
-
-const callerFaults = new Set([
-  FaultKind.ResetCallerLinks,
-  FaultKind.SilenceCallerLinks,
-  FaultKind.DelayCallerLinks,
-]);
-
-const plannedFaults = new Set([
-  FaultKind.StopGateway,
-  FaultKind.ReloadGateway,
-  FaultKind.DrainEndpoint,
-  FaultKind.RemoveEndpointEntry,
-  FaultKind.EndpointNamesLimit,
-  FaultKind.EndpointSaysLeaving,
-  FaultKind.EndpointPauses,
-  FaultKind.AddKey,
-  FaultKind.RevokeKey,
-  FaultKind.GrowConfig,
-]);
-
-function formatCall(call: CallRecord): string {
-  return `${call.kind} ${call.id} at ${call.gateway}: ${call.status} ${call.outcome} ${call.detail}`;
-}
-
 function runsById(history: SoakHistory): ReadonlyMap<string, readonly ObservedRun[]> {
   const runs = new Map<string, ObservedRun[]>();
   for (const run of history.runs) {
@@ -198,24 +162,6 @@
   return [...pathViolations, ...orderViolations];
 }
 
-/**
- * Returns whether a gateway may not have caught up with the store at a time, because its process, its path
- * to the store or the store itself was disturbed until shortly before.
- */
-function wasOutOfTouch(
-  history: SoakHistory,
-  gateway: string | undefined,
-  fromMs: number,
-  toMs = fromMs,
-): boolean {
-  return history.faults.some(
-    (fault) =>
-      (storeFaults.has(fault.kind) || gatewayFaults.has(fault.kind)) &&
-      (fault.target === 'store' || gateway === undefined || fault.target === gateway) &&
-      overlaps(fault, fromMs - reconnectMs, toMs),
-  );
-}
-
 /**
  * Checks that a key works only while the configuration contains it, and that a process that refused
  * a revoked key never accepts it again.
@@ -299,17 +245,6 @@
     });
 }
 
-/** Checks that planned operations alone never interrupt a request that a gateway has read. */
-function checkPlannedWork(history: SoakHistory): readonly string[] {
-  const unplannedFaults = history.faults.filter(({ kind }) => !plannedFaults.has(kind));
-  const interruptedCalls = history.calls.filter(
-    ({ startMs, endMs, outcome }) =>
-      (outcome === CallOutcome.Truncated || outcome === CallOutcome.NoStatus) &&
-      !unplannedFaults.some((fault) => overlaps(fault, startMs - reconnectMs, endMs)),
-  );
-  return interruptedCalls.filter(({ detail }) => !detail.includes('ECONNREFUSED')).map(formatCall);
-}
-
 /**
  * Checks that every call ends by the timeout of its route, unless a fault hit its connection or its
  * gateway.
@@ -403,10 +338,13 @@
     leavingGetsNoWork: checkLeaving(history),
     pausesAreKept: checkPauses(history),
     plannedWorkCutsNothing: checkPlannedWork(history),
+    callsEndWithStatus: checkStatuses(history),
     callsEndInTime: checkTimeouts(history),
     gatewaysKeepRunning: history.incidents,
     systemRecovers: checkRecovery(history),
     crashingRequestsStop: checkCrashingRequests(history),
+    crashingPartsStop: checkCrashingParts(history),
+    soundPartsGoOn: checkSoundParts(history),
     retriesStayWithinBudget: checkRetries(history),
   };
 }
--- a/soak/test/checkers.test.ts
+++ b/soak/test/checkers.test.ts
@@ -252,14 +252,123 @@
     ]);
   });
 
-  it('fail when a planned operation interrupts a request, but not when a fault does', () => {
-    const calls = [
-      makeCall({ status: 0, outcome: CallOutcome.NoStatus, detail: 'socket hang up' }),
-    ];
+  it('fail when planned work interrupts a request whose gateway, link and endpoints are sound', () => {
+    const expected = ['plannedWorkCutsNothing'];
     const stop = makeFault(FaultKind.StopGateway, 'g', 99_000, 101_000);
-    expect(violatedGuarantees({ calls, faults: [stop] })).to.deep.equal(['plannedWorkCutsNothing']);
+    const cut = makeCall({ outcome: CallOutcome.Truncated });
+    const runs = [makeRun({ endpoint: 'engine-1-2', path: ['engine-1', 'engine-2'] })];
+    const check = (kind: FaultKind, target: string) =>
+      violatedGuarantees({
+        calls: [cut],
+        runs,
+        faults: [stop, makeFault(kind, target, 99_000, 101_000)],
+      });
+    expect(violatedGuarantees({ calls: [cut], runs, faults: [stop] })).to.deep.equal(expected);
+    expect(check(FaultKind.KillGateway, 'other')).to.deep.equal(expected);
+    expect(check(FaultKind.ResetCallerLinks, 'other')).to.deep.equal(expected);
+    expect(check(FaultKind.ResetStoreLink, 'g')).to.deep.equal(expected);
+    expect(check(FaultKind.EndpointFails, 'engine-11')).to.deep.equal(expected);
+    expect(check(FaultKind.EndpointFallsSilent, 'engine-1')).to.deep.equal(expected);
+    expect(check(FaultKind.KillGateway, 'g')).to.deep.equal([]);
+    expect(check(FaultKind.ResetCallerLinks, 'g')).to.deep.equal([]);
+    expect(check(FaultKind.EndpointCutsStreams, 'engine-1')).to.deep.equal([]);
+    expect(check(FaultKind.SilenceEndpointLink, 'engine-2')).to.deep.equal([]);
+    const crashes = [{ endpoint: 'engine-2', atMs: 100_060, part: undefined }];
+    expect(violatedGuarantees({ calls: [cut], runs, faults: [stop], crashes })).to.deep.equal([]);
+  });
+
+  it('fail when a call ends without a status though its gateway and link are sound', () => {
+    const expected = ['callsEndWithStatus'];
+    const lost = makeCall({ status: 0, outcome: CallOutcome.NoStatus, detail: 'socket hang up' });
+    const arrivals = [{ id: 'id', endpoint: 'app-1', atMs: 100_010, isRejected: false }];
+    const fail = makeFault(FaultKind.EndpointClosesWithoutAnswer, 'app-1', 99_000, 101_000);
     const kill = makeFault(FaultKind.KillGateway, 'g', 99_000, 101_000);
-    expect(violatedGuarantees({ calls, faults: [kill] })).to.deep.equal([]);
+    const check = (changes: Partial<CallRecord>, isRun: boolean, fault = fail) =>
+      violatedGuarantees({
+        calls: [{ ...lost, ...changes }],
+        runs: [makeRun({ endpoint: 'app-1' })],
+        arrivals: isRun ? arrivals : [],
+        faults: [fault],
+      });
+    const kept = { isOnKeptConnection: true };
+    expect(check({}, false)).to.deep.equal(expected);
+    expect(check(kept, false)).to.deep.equal([]);
+    expect(check(kept, true)).to.deep.equal(expected);
+    expect(check({ ...kept, endMs: 100_201 }, false)).to.deep.equal(expected);
+    expect(check({}, true, kill)).to.deep.equal([]);
+    const stop = makeFault(FaultKind.StopGateway, 'g', 99_000, 101_000);
+    expect(check({}, false, stop)).to.deep.equal([]);
+    expect(check({}, true, stop)).to.include.members(expected);
+    expect(check({ endMs: 100_201 }, false, stop)).to.include.members(expected);
+    expect(check({ gateway: 'other' }, false, stop)).to.include.members(expected);
+    expect(check({ detail: 'ECONNREFUSED behind the proxy' }, false)).to.deep.equal([]);
+  });
+
+  describe('of parts of prompts that crash endpoints', () => {
+    const part = 'crashing-1';
+    const fault = makeFault(FaultKind.CrashingPart, part, 100_000, 120_000);
+    const crashes = [100_100, 100_200, 100_300, 100_400, 100_500].map((atMs, index) => ({
+      endpoint: `engine-${index}`,
+      atMs,
+      part,
+    }));
+    const makeStream = (id: string, startMs: number, changes: Partial<CallRecord> = {}) =>
+      makeCall({
+        id,
+        kind: RequestKind.Stream,
+        target: `/stream/${id}`,
+        parts: ['first', `own-${id}`],
+        startMs,
+        endMs: startMs + 50,
+        ...changes,
+      });
+    const refused = { status: 503, outcome: CallOutcome.ErrorStatus, hasRetryAfter: true };
+    const makeBad = (index: number, startMs: number) =>
+      makeStream(`bad-${index}`, startMs, { ...refused, parts: ['first', part, `own-${index}`] });
+
+    it('fail when requests with such a part still reach endpoints long after the fifth crash', () => {
+      const check = (times: readonly number[], faults = [fault], ends = crashes) => {
+        const calls = times.map((atMs, index) => makeBad(index, atMs));
+        return violatedGuarantees({
+          calls,
+          runs: [],
+          arrivals: calls.map(({ id, startMs }) => ({
+            id,
+            endpoint: 'engine-1',
+            atMs: startMs,
+            isRejected: false,
+          })),
+          crashes: ends,
+          faults,
+        });
+      };
+      const late = [103_501, 104_000, 105_000, 106_000];
+      expect(check(late)).to.deep.equal(['crashingPartsStop']);
+      expect(check([103_499, ...late.slice(1)])).to.deep.equal([]);
+      expect(check(late, [fault], crashes.slice(1))).to.deep.equal([]);
+      const freeze = makeFault(FaultKind.FreezeGateway, 'g', 101_000, 102_000);
+      expect(check(late, [fault, freeze])).to.deep.equal([]);
+    });
+
+    it('fail when sound requests with the same key or first part begin less than half as often', () => {
+      const times = (fromMs: number) => Array.from({ length: 20 }, (_, index) => fromMs + index);
+      const check = (begunLate: number, changes: Partial<CallRecord>, lateFromMs = 107_000) => {
+        const calm = times(50_000).map((atMs) => makeStream(`calm-${atMs}`, atMs));
+        const late = times(lateFromMs).map((atMs, index) =>
+          makeStream(`late-${atMs}`, atMs, { ...(index < begunLate ? {} : refused), ...changes }),
+        );
+        const calls = [...calm, ...late, makeBad(1, 101_000)];
+        return violatedGuarantees({ calls, runs: [], crashes, faults: [fault] });
+      };
+      const otherKey = { ...key, key: 'other' };
+      const expected = ['soundPartsGoOn'];
+      expect(check(9, {})).to.deep.equal(expected);
+      expect(check(10, {})).to.deep.equal([]);
+      expect(check(9, { parts: ['another', 'own'] })).to.deep.equal(expected);
+      expect(check(9, { key: otherKey.key })).to.include(expected[0]);
+      expect(check(9, {}, 106_400)).to.deep.equal([]);
+      expect(check(9, {}, 119_990)).to.deep.equal([]);
+    });
   });
 
   it('fail when a call takes longer than the timeout of its route', () => {
