--- a/soak/node/callers.ts
+++ b/soak/node/callers.ts
@@ -16,7 +16,7 @@
 const callerTimeoutMs = routeTimeoutMs + 3_000;
 
 /** First parts of prompts, each of which many requests share. */
-export const firstParts = ['first-0', 'first-1'] as const;
+export const firstParts = ['f0', 'f1'] as const;
 
 /** What distinguishes a call. */
 export interface CallPlan {
@@ -79,7 +79,7 @@
     const id = `${this.seed}-${this.callCount}`;
     const target = `/${kind}/${id}`;
     const body = kind === RequestKind.Lookup ? '' : `body of ${id}`;
-    const parts = kind === RequestKind.Stream ? [...sharedParts, `own-${id}`] : [];
+    const parts = kind === RequestKind.Stream ? [...sharedParts, `e${this.callCount}`] : [];
     const process = gateway.process.pid;
     const startMs = Date.now();
     const answer = await call(gateway.callerProxy.port, target, {
--- a/soak/node/soakFleet.ts
+++ b/soak/node/soakFleet.ts
@@ -44,7 +44,7 @@
 const partCrashDownMs = 2_000;
 
 /** First characters of the ids of parts of prompts that crash endpoints. */
-export const crashingPartPrefix = 'crashing-';
+export const crashingPartPrefix = 'dead';
 
 /** Organisation whose key is never revoked. */
 const permanentOrganisation = 'org-1';
