--- a/src/gateway/relay/node/streamRelay.ts
+++ b/src/gateway/relay/node/streamRelay.ts
@@ -665,17 +665,18 @@
       remainingMs > minRemainingMs &&
       !this.caller.isDisconnected;
     const hasBudget = mayRetry && (failure === SendFailure.NotSent || this.retry.tryTake(failure));
+    const mayWait = mayRetry && this.hasBegunAnswer;
     this.log('run-broken', {
       why: failure,
       reason,
       events: this.progress.eventCount,
-      goesOn: hasBudget,
+      goesOn: hasBudget || mayWait,
       sends: this.sendCount,
       hasBudget: mayRetry ? hasBudget : undefined,
     });
     if (hasBudget) {
       this.retryRun(failure);
-    } else if (mayRetry && this.hasBegunAnswer) {
+    } else if (mayWait) {
       this.awaitRetry(failure, reason);
     } else {
       this.giveUp(failure, defaultRetryAfterMs, reason);
