Move no suspect from one endpoint of its path to the next

Cause: a stream whose path stalls is moved to another endpoint without being admitted anew, so a prompt that crashes a later endpoint of its path crashed the next one each time, whatever was known of it. A stream that is a suspect, or holds a suspected part, now ends its run instead and asks for another one, which is admitted, isolated or refused.

--- a/src/gateway/relay/node/streamRelay.ts
+++ b/src/gateway/relay/node/streamRelay.ts
@@ -218,12 +218,12 @@
    * Reserves a path with the same first endpoint that avoids an endpoint that stopped responding.
    *
    * @param address - Address of the endpoint at fault.
-   * @returns The path with capacity reserved, or undefined if there is none or the first endpoint is at
-   *   fault.
+   * @returns The path with capacity reserved, or undefined if there is none, the first endpoint is at
+   *   fault or the request is a suspect.
    */
   reserveAlternativePath(address: string): LayerPath | undefined {
     const firstStage = this.path?.stages[0];
-    if (firstStage === undefined || firstStage.endpoint.address === address) {
+    if (firstStage === undefined || firstStage.endpoint.address === address || !this.run.mayMove) {
       return undefined;
     }
     return this.admission.reserveAlternativePath(
--- a/src/gateway/suspects/common/runSupervisor.ts
+++ b/src/gateway/suspects/common/runSupervisor.ts
@@ -1,5 +1,7 @@
 import type { IClock } from '../../../base/common/clock.js';
 import { LogLevel, type ILogger } from '../../../base/common/logger.js';
+import { Verdict } from '../../../services/suspects/common/crashSuspects.js';
+import type { GuardedSubjects } from '../../../services/suspects/common/subject.js';
 import type {
   GuardedRequest,
   SuspectGuard,
@@ -135,6 +137,10 @@
     this.logger.log(LogLevel.Warn, event, { request: requestId, fingerprint, parts });
   }
 
+  isSuspected(subjects: GuardedSubjects): boolean {
+    return this.guard.verdict(subjects) !== Verdict.Clear;
+  }
+
   quarantineRemainingMs(request: GuardedRequest): number {
     return this.guard.quarantineRemainingMs(request);
   }
--- a/src/gateway/suspects/common/supervisedRequest.ts
+++ b/src/gateway/suspects/common/supervisedRequest.ts
@@ -1,5 +1,5 @@
 import type { GuardedRequest } from '../../../services/suspects/common/suspectGuard.js';
-import { partSubject } from '../../../services/suspects/common/subject.js';
+import { partSubject, type GuardedSubjects } from '../../../services/suspects/common/subject.js';
 import type { Endpoint } from '../../directory/common/endpoint.js';
 import type { CallerRequest } from '../../relay/common/callerRequest.js';
 import { fingerprintOf } from './requestFingerprint.js';
@@ -34,6 +34,8 @@
   withdraw(request: GuardedRequest): void;
   /** Logs a decision about a suspect, or about one of its runs. */
   logDecision(event: string, request: SupervisedRequest): void;
+  /** Returns whether a request or one of its parts is isolated or quarantined. */
+  isSuspected(subjects: GuardedSubjects): boolean;
   /** Returns the rest of the quarantine of a request and its parts, in milliseconds. */
   quarantineRemainingMs(request: GuardedRequest): number;
   /** Records where a suspect runs. */
@@ -127,6 +129,15 @@
     return this.isIsolatedRun;
   }
 
+  /** Whether the current run may move to other endpoints, rather than end so that the next is admitted anew. */
+  get mayMove(): boolean {
+    const { supervisor, partSubjects } = this;
+    return (
+      !supervisor.hasSuspects ||
+      !supervisor.isSuspected({ fingerprint: this.fingerprint, parts: partSubjects })
+    );
+  }
+
   /** Addresses that the next run must not use. */
   get avoidedAddresses(): ReadonlySet<string> {
     return this.isIsolatedRun ? this.supervisor.addressesOfOtherSuspects(this) : new Set();
--- a/src/gateway/suspects/test/common/supervisedRequest.test.ts
+++ b/src/gateway/suspects/test/common/supervisedRequest.test.ts
@@ -23,6 +23,7 @@
     admit: (request: GuardedRequest) => request.onAdmitted(true),
     withdraw: () => undefined,
     logDecision: () => undefined,
+    isSuspected: () => false,
     quarantineRemainingMs: () => 0,
     startIsolatedRun: () => events.push('start'),
     endIsolatedRun: () => events.push('end'),
--- a/src/services/suspects/common/subject.ts
+++ b/src/services/suspects/common/subject.ts
@@ -1,3 +1,10 @@
+/** What may be suspected of a request. */
+export interface GuardedSubjects {
+  readonly fingerprint: string;
+  /** Subjects of the parts that it shares with other requests; none if it has no parts. */
+  readonly parts?: readonly string[];
+}
+
 /** Prefix of subjects that are parts of prompts. A digest in base64url holds no colon. */
 const partPrefix = 'part:';
 
@@ -18,3 +25,8 @@
 export function isPartSubject(subject: string): boolean {
   return subject.startsWith(partPrefix);
 }
+
+/** Returns what may be suspected of a request: the request itself, which comes first, and its parts. */
+export function subjectsOf({ fingerprint, parts = [] }: GuardedSubjects): readonly string[] {
+  return [fingerprint, ...parts];
+}
--- a/src/services/suspects/common/suspectGuard.ts
+++ b/src/services/suspects/common/suspectGuard.ts
@@ -2,7 +2,7 @@
 import { Emitter } from '../../../base/common/event.js';
 import { LogLevel, type ILogger } from '../../../base/common/logger.js';
 import type { SuspectRecord } from './suspectRecord.js';
-import { isPartSubject } from './subject.js';
+import { isPartSubject, subjectsOf, type GuardedSubjects } from './subject.js';
 import { Verdict, type CrashSuspects } from './crashSuspects.js';
 
 /** Shares suspicions with the other processes. */
@@ -16,13 +16,6 @@
   share(wanted: readonly string[]): Promise<readonly string[] | undefined>;
 }
 
-/** What may be suspected of a request. */
-export interface GuardedSubjects {
-  readonly fingerprint: string;
-  /** Subjects of the parts that it shares with other requests; none if it has no parts. */
-  readonly parts?: readonly string[];
-}
-
 /** A request that the guard admits or refuses. */
 export interface GuardedRequest extends GuardedSubjects {
   /**
@@ -302,8 +295,12 @@
     );
   }
 
-  /** Returns the most severe verdict on a request and its parts. */
-  private verdict(request: GuardedSubjects): Verdict {
+  /**
+   * Returns the most severe verdict on a request and its parts, as far as this process knows.
+   *
+   * @param request - The request.
+   */
+  verdict(request: GuardedSubjects): Verdict {
     const nowMs = this.clock.wallMs();
     const verdicts = subjectsOf(request).map((subject) => this.suspects.verdict(subject, nowMs));
     return severities[Math.max(...verdicts.map((verdict) => severities.indexOf(verdict)))];
@@ -389,8 +386,3 @@
     }
   }
 }
-
-/** Returns what may be suspected of a request: the request itself, which comes first, and its parts. */
-function subjectsOf({ fingerprint, parts = [] }: GuardedSubjects): readonly string[] {
-  return [fingerprint, ...parts];
-}
