Suspect a run that is lost soon after its first events, however long it waited for them

Cause: the start of a run, in which its loss counts against it, was measured from when it was sent. A prompt that waits for half a second and then crashes its endpoint with its first events was taken for one that had run long. The same start decides when a run speaks for its parts. The new test of SupervisedRequest failed before.

--- a/src/gateway/suspects/common/supervisedRequest.ts
+++ b/src/gateway/suspects/common/supervisedRequest.ts
@@ -5,8 +5,8 @@
 import { fingerprintOf } from './requestFingerprint.js';
 
 /**
- * Time after its start within which a run that makes progress is still suspected when it is lost, in
- * milliseconds. Requests that crash endpoints do so soon after they begin to run.
+ * Time after its first progress within which a run is still suspected when it is lost, in milliseconds.
+ * Requests that crash endpoints do so soon after they begin to run, which may be long after they were sent.
  */
 const startPhaseMs = 500;
 
@@ -74,7 +74,8 @@
 
   private guarded: GuardedRequest | undefined;
 
-  private hasProgressed = false;
+  /** Time of the first progress of the current run, in monotonic milliseconds. */
+  private progressedMs: number | undefined;
 
   /** Whether the current run has counted as a survival of the request's parts. */
   private hasSurvived = false;
@@ -165,7 +166,7 @@
    * @param endpoints - Endpoints of its path.
    */
   begin(endpoints: readonly Endpoint[]): void {
-    this.hasProgressed = false;
+    this.progressedMs = undefined;
     this.hasSurvived = false;
     this.isAnswered = false;
     this.startedMs = this.supervisor.nowMs();
@@ -188,7 +189,7 @@
 
   /** Called when the current run makes progress. Past its start, it need not be kept apart any more. */
   recordProgress(): void {
-    this.hasProgressed = true;
+    this.progressedMs ??= this.supervisor.nowMs();
     if (this.isPastStart) {
       this.recordPartSurvivals();
       if (this.isIsolatedRun) {
@@ -223,7 +224,7 @@
     if (this.isAnswered || endpoints.length === 0) {
       return;
     }
-    if (this.hasProgressed && this.isPastStart) {
+    if (this.isPastStart) {
       this.supervisor.logDecision('run-lost-after-progress', this);
       return;
     }
@@ -252,7 +253,8 @@
   }
 
   private get isPastStart(): boolean {
-    return this.supervisor.nowMs() - this.startedMs > startPhaseMs;
+    const { progressedMs } = this;
+    return progressedMs !== undefined && this.supervisor.nowMs() - progressedMs > startPhaseMs;
   }
 
   private handleAdmission(isIsolated: boolean): void {
--- a/src/gateway/suspects/test/common/supervisedRequest.test.ts
+++ b/src/gateway/suspects/test/common/supervisedRequest.test.ts
@@ -68,4 +68,14 @@
     answered.request.recordLoss([endpoint], true);
     expect(answered.events).to.deep.equal(['start']);
   });
+
+  it('examines a loss soon after the first events of a run that waited long for them', () => {
+    const { events, request, advance } = createIsolated();
+    advance(900);
+    request.recordProgress();
+    advance(100);
+    request.recordProgress();
+    request.recordLoss([endpoint], true);
+    expect(events).to.deep.equal(['start', 'lost']);
+  });
 });
