Prefer a part that no endpoint survived when two have equally many crashes

Survivals now decide such ties. Tests of the guard (trials of a part) and of the gossip (a quarantined part goes before its neighbours) besides.

--- a/src/gateway/suspects/test/common/suspicionGossip.test.ts
+++ b/src/gateway/suspects/test/common/suspicionGossip.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai';
 import { CrashSuspects, strictPolicy } from '../../../../services/suspects/common/crashSuspects.js';
+import { partSubject } from '../../../../services/suspects/common/subject.js';
 import { SuspicionGossip } from '../../common/suspicionGossip.js';
 
 describe('SuspicionGossip', () => {
@@ -42,6 +43,17 @@
     expect(firstSent).to.have.length(new Set(firstSent).size);
   });
 
+  it('sends a quarantined part before the neighbours that have changed', () => {
+    const suspects = new CrashSuspects('gw');
+    const gossip = new SuspicionGossip(suspects);
+    const neighbours = Array.from({ length: 40 }, (_unused, index) => `neighbour-${index}`);
+    const part = partSubject('p');
+    suspects.recordCrash('e@1', [...neighbours, part], 0);
+    suspects.recordCrash('e@2', [part], 0);
+    gossip.prioritise([...neighbours, part].flatMap((subject) => suspects.recordsOf(subject)));
+    expect(gossip.next().map(({ fingerprint }) => fingerprint)).to.include(part);
+  });
+
   it('sends nothing while nothing is suspected', () => {
     expect(new SuspicionGossip(new CrashSuspects('gw')).next()).to.deep.equal([]);
   });
--- a/src/services/suspects/common/convictions.ts
+++ b/src/services/suspects/common/convictions.ts
@@ -4,6 +4,8 @@
 export interface Evidence {
   readonly subject: string;
   readonly crashes: readonly string[];
+  /** Number of crashes that survivals outweigh, beside those that count. */
+  readonly survivals: number;
 }
 
 /** Outcome of weighing the evidence against all subjects together. */
@@ -37,10 +39,14 @@
   }
 }
 
-/** Compares subjects with equally many crashes: whole requests first, since they restrict less. */
-function compareSubjects(a: string, b: string): number {
-  const rank = Number(isPartSubject(a)) - Number(isPartSubject(b));
-  return rank !== 0 ? rank : Number(a > b) - Number(a < b);
+/**
+ * Compares subjects with equally many crashes: those that endpoints never survived come first, and whole
+ * requests before parts, since they restrict less.
+ */
+function compareSubjects(a: Evidence, b: Evidence): number {
+  const rank = Number(isPartSubject(a.subject)) - Number(isPartSubject(b.subject));
+  const order = Number(a.subject > b.subject) - Number(a.subject < b.subject);
+  return a.survivals - b.survivals || rank || order;
 }
 
 /**
@@ -66,7 +72,7 @@
       const isWorse =
         a === undefined ||
         b.count > a.count ||
-        (b.count === a.count && compareSubjects(b.candidate.subject, a.candidate.subject) < 0);
+        (b.count === a.count && compareSubjects(b.candidate, a.candidate) < 0);
       return isWorse ? b : a;
     }, undefined);
     if (worst !== undefined) {
--- a/src/services/suspects/common/crashSuspects.ts
+++ b/src/services/suspects/common/crashSuspects.ts
@@ -311,6 +311,7 @@
       this.snapshot().map((record) => ({
         subject: record.fingerprint,
         crashes: countingCrashes(record),
+        survivals: record.cleared.length,
       })),
       this.policy.quarantineCrashes,
     );
--- a/src/services/suspects/test/common/convictions.test.ts
+++ b/src/services/suspects/test/common/convictions.test.ts
@@ -6,7 +6,11 @@
 const first = partSubject('f');
 
 function convicted(evidence: Readonly<Record<string, readonly string[]>>): readonly string[] {
-  const subjects = Object.entries(evidence).map(([subject, crashes]) => ({ subject, crashes }));
+  const subjects = Object.entries(evidence).map(([subject, crashes]) => ({
+    subject,
+    crashes,
+    survivals: 0,
+  }));
   return [...weighEvidence(subjects, 3).convicted].sort();
 }
 
@@ -46,6 +50,17 @@
     expect(convicted(evidence)).to.deep.equal([guilty]);
   });
 
+  it('prefers a part that no endpoint survived to one that some did, at equally many crashes', () => {
+    const evidence = [first, deadly].map((subject) => ({
+      subject,
+      crashes: ['1', '2', '3'],
+      survivals: subject === first ? 0 : 2,
+    }));
+    const reversed = evidence.map((each) => ({ ...each, survivals: 2 - each.survivals }));
+    expect([...weighEvidence(evidence, 3).convicted]).to.deep.equal([first]);
+    expect([...weighEvidence(reversed, 3).convicted]).to.deep.equal([deadly]);
+  });
+
   it('lets no whole request explain the crashes of another one', () => {
     const crashes = ['1', '2', '3'];
     expect(convicted({ one: crashes, two: crashes })).to.deep.equal(['one', 'two']);
--- a/src/services/suspects/test/common/suspectGuard.test.ts
+++ b/src/services/suspects/test/common/suspectGuard.test.ts
@@ -2,6 +2,7 @@
 import { FakeClock } from '../../../../base/test/common/fakeClock.js';
 import type { SuspectRecord } from '../../common/suspectRecord.js';
 import { CrashSuspects } from '../../common/crashSuspects.js';
+import { partSubject } from '../../common/subject.js';
 import { SuspectGuard } from '../../common/suspectGuard.js';
 
 function nextTurn(): Promise<void> {
@@ -28,7 +29,7 @@
     onAdmitted: (isIsolated: boolean) => events.push(isIsolated ? 'isolated' : 'unrestricted'),
     onRefused: () => events.push('refused'),
   };
-  return { guard, shares, events, request };
+  return { guard, shares, events, request, clock };
 }
 
 describe('SuspectGuard', () => {
@@ -79,6 +80,49 @@
     expect(events).to.deep.equal(['refused']);
   });
 
+  it('runs one request that holds a part on probation, and refuses the others', async () => {
+    const { guard, shares, events, request, clock } = create();
+    const parts = [partSubject('p')];
+    guard.recordCrash('e#1', 'g', parts);
+    guard.recordCrash('e#2', 'h', parts);
+    guard.admit({ ...request, parts });
+    await nextTurn();
+    shares[0].done();
+    await nextTurn();
+    expect(events).to.deep.equal(['refused']);
+    clock.advance(300_000);
+    guard.admit({ ...request, parts });
+    guard.admit({ ...request, parts });
+    await nextTurn();
+    shares.slice(1).forEach((share) => share.done());
+    await nextTurn();
+    expect(events).to.deep.equal(['refused', 'isolated', 'refused']);
+    guard.recordPartSurvivals(parts);
+    guard.admit({ ...request, parts });
+    expect(events.at(-1)).to.equal('unrestricted');
+  });
+
+  it('runs no trial of a part while the other processes can not be asked', async () => {
+    const clock = new FakeClock();
+    const suspects = new CrashSuspects('a');
+    const sharing = { share: () => Promise.resolve(undefined) };
+    const guard = new SuspectGuard(suspects, sharing, clock, clock, { log: () => undefined });
+    const parts = [partSubject('p')];
+    guard.recordCrash('e#1', 'g', parts);
+    guard.recordCrash('e#2', 'h', parts);
+    clock.advance(300_000);
+    const events: string[] = [];
+    guard.admit({
+      fingerprint: 'f',
+      parts,
+      onAdmitted: () => events.push('admitted'),
+      onRefused: () => events.push('refused'),
+    });
+    await nextTurn();
+    await nextTurn();
+    expect(events).to.deep.equal(['refused']);
+  });
+
   it('stores suspicions again until the platform has them', async () => {
     const clock = new FakeClock();
     const outcomes = [undefined, undefined, []];
