Log an endpoint's undecided crashes once a minute

Change: the first line of an endpoint in a minute is written, the number left out with its next one or on its own. The watching is as before, and each lost run has its line.

--- a/src/gateway/suspects/common/crashProtection.ts
+++ b/src/gateway/suspects/common/crashProtection.ts
@@ -1,6 +1,7 @@
 import type { CancelTimer, IClock, ITimers } from '../../../base/common/clock.js';
 import type { ILogger } from '../../../base/common/logger.js';
 import type { IRandom } from '../../../base/common/random.js';
+import { RepeatLimitedLogger } from '../../../base/common/repeatLimitedLogger.js';
 import type { IObjectStore } from '../../../services/objects/common/objects.js';
 import {
   CrashSuspects,
@@ -38,6 +39,13 @@
 const minStoreDelayMs = 1_000;
 const maxStoreDelayMs = 4_000;
 
+/** A lookup that hangs is watched for seconds without a result; an endpoint may have many of them. */
+const undecidedLineLimit = {
+  event: 'crash-undecided',
+  subjectField: 'endpoint',
+  intervalMs: 60_000,
+};
+
 /** What the protection of a gateway's endpoints depends on. */
 export interface CrashProtectionDependencies {
   /** Incarnation of this gateway. */
@@ -97,7 +105,7 @@
       control,
       () => dependencies.onDidCrash(),
       clock,
-      logger,
+      new RepeatLimitedLogger(logger, undecidedLineLimit, clock),
     );
     this.supervisor = new RunSupervisor(
       this.guard,
