Admit new requests past resumed streams for which no path exists

A stream whose two endpoints were lost may not run at a third one. Since resumed streams wait for a path instead of being refused, such streams stay in the queue for 1.5 s, and again after that while their endpoint is silent. They came first in each pass and used up its six failures, and they counted towards a full queue: with five of them, new requests were refused although an endpoint with free places existed.

Resumed streams and new requests now have a bound each on the failures in one pass, and only new requests count towards a full queue.

--- a/src/gateway/admission/common/modelAdmission.ts
+++ b/src/gateway/admission/common/modelAdmission.ts
@@ -83,8 +83,8 @@
 const queueCheckIntervalMs = 25;
 
 /**
- * Maximum number of waiting requests that fail to get a path in one pass over the queue. It is greater
- * than 1 so that a large request doesn't block smaller ones behind it.
+ * Maximum numbers of new requests and of resumed streams that fail to get a path in one pass over the
+ * queue. It is greater than 1 so that a large request doesn't block smaller ones behind it.
  */
 const maxFailuresPerPass = 6;
 
@@ -218,18 +218,22 @@
     const now = this.clock.monotonicMs();
     const permittedKey = this.permittedKey();
     this.queue.sort((a, b) => this.compareUrgency(a, b, now));
-    let failures = 0;
+    let newFailures = 0;
+    let resumedFailures = 0;
     for (const entry of [...this.queue]) {
       if (entry.deadlineMs <= now) {
         this.settle(
           entry,
           Err(new AdmissionRefusedError(RefusalReason.WaitTimeout, this.retryAfterMs())),
         );
-      } else if (failures < maxFailuresPerPass) {
+      } else if ((entry.req.isResumed ? resumedFailures : newFailures) < maxFailuresPerPass) {
         const outcome = this.tryAgain(entry, permittedKey);
-        failures += outcome ? 0 : 1;
         if (outcome) {
           this.settle(entry, outcome);
+        } else if (entry.req.isResumed) {
+          resumedFailures += 1;
+        } else {
+          newFailures += 1;
         }
       }
     }
@@ -333,7 +337,8 @@
     const now = this.clock.monotonicMs();
     this.admittedAtMs = this.admittedAtMs.filter((atMs) => atMs > now - rateWindowMs);
     const admissionsPerMs = this.admittedAtMs.length / rateWindowMs;
-    const requestsAhead = this.queue.length;
+    // Resumed streams may wait for endpoints that new requests can do without.
+    const requestsAhead = this.queue.filter((entry) => !entry.req.isResumed).length;
     if (requestsAhead > minQueueCapacity + admissionsPerMs * req.maxWaitMs) {
       return new AdmissionRefusedError(RefusalReason.QueueFull, this.retryAfterMs());
     }
--- a/src/gateway/admission/test/common/modelAdmission.test.ts
+++ b/src/gateway/admission/test/common/modelAdmission.test.ts
@@ -380,4 +380,17 @@
     const share = (crossed * 800 * hugeEngine.activationBytesPerToken) / 10 / bytesPerSecond;
     expect(share).to.be.greaterThan(0.3).and.lessThan(0.5);
   });
+
+  it('does not refuse or delay new requests because of resumed streams for which no path exists', async () => {
+    endpoints.push({ ...allLayersEndpoint, id: 'f', address: 'f', slots: 20 });
+    const streams = Array.from({ length: 12 }, () =>
+      admission.request(
+        createRequest({ isResumed: true, excludedAddresses: new Set(['e', 'f']), arrivedMs: -1 }),
+      ),
+    );
+    const { outcome } = admission.request(createRequest());
+    clock.advance(100);
+    expect((await outcome).isOk()).to.equal(true);
+    streams.forEach(({ cancel }) => cancel());
+  });
 });
