Keep the weighed evidence when a peer repeats what is known

Each merged record was stored anew, which made the next verdict weigh all evidence again, also when the message held nothing new; peers repeat restricted records in every message.

--- a/src/services/suspects/common/crashSuspects.ts
+++ b/src/services/suspects/common/crashSuspects.ts
@@ -299,11 +299,15 @@
       return;
     }
     const newest = known.atMs >= remote.atMs ? known : remote;
-    this.store({
-      ...newest,
-      crashes: union(known.crashes, remote.crashes),
-      cleared: union(known.cleared, remote.cleared),
-    });
+    const crashes = union(known.crashes, remote.crashes);
+    const cleared = union(known.cleared, remote.cleared);
+    const isKnown =
+      newest === known &&
+      crashes.length === known.crashes.length &&
+      cleared.length === known.cleared.length;
+    if (!isKnown) {
+      this.store({ ...newest, crashes, cleared });
+    }
   }
 
   private weigh(): Convictions {
--- a/src/services/suspects/test/common/crashSuspects.test.ts
+++ b/src/services/suspects/test/common/crashSuspects.test.ts
@@ -135,4 +135,12 @@
     suspects.recordCrash('e#2', ['f'], 1_000);
     expect(suspects.quarantineRemainingMs('f', 61_000)).to.equal(3_540_000);
   });
+
+  it('does not weigh the evidence again when a peer repeats what is known', () => {
+    const suspects = new CrashSuspects('a');
+    suspects.recordCrash('e#1', ['f'], 0);
+    const [record] = suspects.recordsOf('f');
+    suspects.merge([{ ...record, crashes: [...record.crashes] }], 1);
+    expect(suspects.recordsOf('f')[0]).to.equal(record);
+  });
 });
