Take the retry of a silent stream only once its path is reserved

Cause: a stream that waited for another path held a retry for up to 1.5 s, again and again while no path was free, and thus denied it to a stream whose endpoint had crashed and whose path was free.

Change: the path is reserved first, then the retry is taken; without one the path is released and the run goes on.

--- a/src/gateway/relay/node/streamRelay.ts
+++ b/src/gateway/relay/node/streamRelay.ts
@@ -296,8 +296,8 @@
     const remainingMs = deadlineOf(this.req) - clock.monotonicMs();
     const mayResume =
       this.req.route.isResumable && this.sendCount < maxSends && remainingMs > minRemainingMs;
-    if (!mayResume || !this.retry.tryTake(SendFailure.EndpointSilent)) {
-      this.logKept(address, mayResume ? 'no retry left' : 'must not be resumed');
+    if (!mayResume) {
+      this.logKept(address, 'must not be resumed');
       return;
     }
     this.recordPossibleRun();
@@ -313,14 +313,16 @@
     if (outcome === undefined) {
       return;
     }
+    if (outcome.isErr()) {
+      this.logKept(address, outcome.error.reason);
+      return;
+    }
+    // The retry is taken last: one that a stream without a path holds would be denied to others.
     const hasProgressed = this.progress.lastSignMs > askedAtMs;
-    if (outcome.isErr() || hasProgressed) {
-      this.retry.giveBack();
-      if (outcome.isOk()) {
-        ledger.release(outcome.value.reservations);
-        this.admission.admitWaiting();
-      }
-      this.logKept(address, outcome.isErr() ? outcome.error.reason : 'responds again');
+    if (hasProgressed || !this.retry.tryTake(SendFailure.EndpointSilent)) {
+      ledger.release(outcome.value.reservations);
+      this.admission.admitWaiting();
+      this.logKept(address, hasProgressed ? 'responds again' : 'no retry left');
       return;
     }
     metrics.retries.inc({ reason: SendFailure.EndpointSilent });
