Give no lease token twice after a write of an earlier era

Cause: a renewal that is on its way during a drill is executed if its revision was given out again. It replaces the record of the new era's holder by one with a lower term. The next holder continued from that term, so that a token of the era was given out a second time. Ruled out: the era itself (both tokens have the same); the holder's clock (it had stopped by then). Change: after a record of an earlier era, the next term is the revision of that record plus one. Terms of an era don't exceed the revision that they were written with, so the token is new.

--- a/src/services/lease/common/lease.ts
+++ b/src/services/lease/common/lease.ts
@@ -5,6 +5,7 @@
   type IObjectStore,
   type StoredObject,
 } from '../../objects/common/objects.js';
+import { revisionOf } from '../../objects/common/eraTracker.js';
 
 /** Stored state of a lease. */
 export interface LeaseRecord {
@@ -173,13 +174,14 @@
       return;
     }
     if (stored?.value.holder === this.options.candidate) {
-      await this.write(stored, stored.value.term + (this.mustRaiseTerm ? 1 : 0), startedMs);
+      const mustRaise = this.mustRaiseTerm || this.isFromPastEra(stored);
+      await this.write(stored, mustRaise ? this.nextTerm(stored) : stored.value.term, startedMs);
     } else if (
       stored === undefined ||
       stored.value.holder === '' ||
       this.canTakeOver(stored.version, startedMs, isAbandoned)
     ) {
-      await this.write(stored, (stored?.value.term ?? 0) + 1, startedMs);
+      await this.write(stored, this.nextTerm(stored), startedMs);
     } else {
       this.heldTerm = undefined;
     }
@@ -205,13 +207,12 @@
     stored: StoredObject<LeaseRecord> | undefined,
     startedMs: number,
   ): Promise<void> {
-    const heldTerm = this.term();
-    if (heldTerm === undefined || (stored !== undefined && !this.isFromPastEra(stored))) {
+    if (this.term() === undefined || (stored !== undefined && !this.isFromPastEra(stored))) {
       this.mustReclaim = false;
       this.heldTerm = undefined;
       this.forbidTakeover(startedMs);
     } else {
-      await this.write(stored, Math.max(stored?.value.term ?? 0, heldTerm) + 1, startedMs);
+      await this.write(stored, this.nextTerm(stored), startedMs);
     }
   }
 
@@ -220,6 +221,17 @@
     return stored !== undefined && (stored.value.era ?? 0) < this.currentEra();
   }
 
+  /**
+   * Returns a term that no process has held in this era. A record of an earlier era may have replaced
+   * one of this era, but terms don't exceed the revision of the record that they were written with.
+   */
+  private nextTerm(stored: StoredObject<LeaseRecord> | undefined): number {
+    if (stored === undefined) {
+      return 1;
+    }
+    return (this.isFromPastEra(stored) ? revisionOf(stored.version) : stored.value.term) + 1;
+  }
+
   /** Waits until a holder of which the store knows nothing has stopped. */
   private forbidTakeover(nowMs: number): void {
     this.noTakeoverUntilMs = nowMs + this.options.durationMs;
--- a/src/services/lease/test/common/leaseDrill.test.ts
+++ b/src/services/lease/test/common/leaseDrill.test.ts
@@ -134,4 +134,29 @@
     expect(holder.fencingToken()).to.be.greaterThan(before);
     expect(other.fencingToken()).to.equal(undefined);
   });
+
+  it('gives no token twice although a write of the earlier era has replaced the record of its holder', async () => {
+    const candidates = new Candidates();
+    const { store, clock } = candidates;
+    candidates.start(0, false);
+    const [late] = candidates.current;
+    await late.acquireOrRenew();
+    const copy = store.copy();
+    await late.acquireOrRenew();
+    store.comeBackFrom(copy);
+    candidates.start(1, true);
+    const holder = candidates.current[1];
+    for (let call = 0; call < 5; call += 1) {
+      await holder.acquireOrRenew();
+      clock.advance(durationMs * 0.6);
+    }
+    const token = holder.fencingToken() ?? 0;
+    expect(token).to.be.greaterThan(0);
+    // This renewal is conditional on a revision that was given out again to the holder's record.
+    for (let call = 0; call < 5; call += 1) {
+      await late.acquireOrRenew();
+      clock.advance(durationMs * 0.6);
+    }
+    expect(late.fencingToken()).to.be.greaterThan(token);
+  });
 });
