Keep the placement lease of entries over a drill of the store

Cause: entries took their lease without the era. After a drill the copy could lack the lease or name an earlier holder, so a second entry took it at once while the first still acted, with a term that had been given out before. Ruled out: the store's conditional writes, which can't tell (the revision exists again). Change: the candidate follows the era as that of gateways does: era as the high part of the token, the holder writes the lease again, all others wait one duration. Orders, placement records and the log carry the token. An absent lease is taken at once only in the store's first era.

--- a/src/entry/node/entryProgram.ts
+++ b/src/entry/node/entryProgram.ts
@@ -8,7 +8,7 @@
 import { ClaimLedger } from '../../services/claims/common/claimLedger.js';
 import { InstanceRole } from '../../services/instances/common/instance.js';
 import { PlatformInstanceList } from '../../services/instances/node/platformInstanceList.js';
-import { LeaseCandidate } from '../../services/lease/common/lease.js';
+import type { LeaseCandidate } from '../../services/lease/common/lease.js';
 import {
   linkVersion,
   MessageKind,
@@ -40,6 +40,7 @@
 import { createEntryServer } from '../http/node/entryServer.js';
 import { RequestGuard, type ChatSubmissionStarter } from '../http/node/requestGuard.js';
 import { addServiceRoutes, type ServiceSubmissionStarter } from '../http/node/serviceRoutes.js';
+import { createPlacementLease } from '../placement/node/placementLease.js';
 import { Placer, type ModelRecord } from '../placement/node/placer.js';
 import { RandomRouter, RoundRobinRouter } from '../routing/common/baselineRouters.js';
 import { FastestChainRouter, type IChainRouter } from '../routing/common/chainRouter.js';
@@ -344,9 +345,12 @@
 
   private createLease(): LeaseCandidate {
     const { settings, store, clock } = this.dependencies;
-    const name = `placement-${settings.region}`;
-    const options = { name, candidate: this.incarnation, durationMs: settings.leaseMs };
-    return new LeaseCandidate(options, store, clock);
+    const { region, leaseMs: durationMs } = settings;
+    return createPlacementLease(
+      { region, incarnation: this.incarnation, durationMs },
+      store,
+      clock,
+    );
   }
 
   private createPlacer(): Placer {
--- a/src/entry/placement/node/placer.ts
+++ b/src/entry/placement/node/placer.ts
@@ -21,7 +21,7 @@
 /** Placement of one model in one region, as stored in the platform. */
 export interface PlacementRecord {
   readonly model: string;
-  /** Lease term under which the record was written. */
+  /** Fencing token of the placer that wrote the record. */
   readonly term: number;
   readonly chains: readonly PlannedChain[];
 }
@@ -74,7 +74,7 @@
     this.isStepping = true;
     try {
       await this.lease.acquireOrRenew();
-      const term = this.lease.term();
+      const term = this.lease.fencingToken();
       if (term !== undefined && (await this.prepareTerm(term))) {
         await this.updatePlacement(term, nowMs);
       }
--- /dev/null
+++ b/src/entry/placement/test/node/placerDrill.test.ts
@@ -0,0 +1,71 @@
+import { expect } from 'chai';
+import fc from 'fast-check';
+import { FakeClock } from '../../../../base/test/common/fakeClock.js';
+import { DrillStore } from '../../../../services/objects/test/common/drillStore.js';
+import { PlacingEntry } from './placementFixtures.js';
+
+/** What happens in one step of a run. */
+enum Step {
+  Place = 'place',
+  Copy = 'copy',
+  Drill = 'drill',
+  Restart = 'restart',
+}
+
+const steps = fc.array(
+  fc.record({
+    step: fc.oneof(
+      { weight: 12, arbitrary: fc.constant(Step.Place) },
+      { weight: 1, arbitrary: fc.constantFrom(Step.Copy, Step.Drill, Step.Restart) },
+    ),
+    index: fc.nat(2),
+    waitMs: fc.integer({ min: 0, max: 2_400 }),
+  }),
+  { minLength: 20, maxLength: 200 },
+);
+
+describe('Placer on a store that comes back from older copies', () => {
+  it('lets one entry place at a time, with tokens that never repeat or fall', async () => {
+    let drills = 0;
+    let changesOfPlacer = 0;
+    await fc.assert(
+      fc.asyncProperty(steps, async (plan) => {
+        const clock = new FakeClock();
+        const store = new DrillStore();
+        let copy = store.copy();
+        let incarnations = 0;
+        const start = () => {
+          incarnations += 1;
+          return new PlacingEntry(`e-${incarnations}`, store, clock);
+        };
+        const entries = [start(), start(), start()];
+        const owners = new Map<number, PlacingEntry>();
+        for (const { step, index, waitMs } of plan) {
+          clock.advance(waitMs);
+          if (step === Step.Copy) {
+            copy = store.copy();
+          } else if (step === Step.Drill) {
+            store.comeBackFrom(copy);
+            drills += 1;
+          } else if (step === Step.Restart) {
+            entries[index] = start();
+          } else {
+            const entry = entries[index];
+            for (const token of await entry.step()) {
+              const highest = Math.max(0, ...owners.keys());
+              expect(token).to.be.at.least(highest);
+              expect(owners.get(token) ?? entry).to.equal(entry);
+              changesOfPlacer += owners.has(token) ? 0 : 1;
+              owners.set(token, entry);
+            }
+          }
+          const acting = entries.filter(({ lease }) => lease.fencingToken() !== undefined);
+          expect(acting.length).to.be.at.most(1);
+        }
+      }),
+      { seed: 19, numRuns: 400 },
+    );
+    expect(drills).to.be.greaterThan(200);
+    expect(changesOfPlacer).to.be.greaterThan(400);
+  });
+});
--- a/src/services/claims/common/claimLedger.ts
+++ b/src/services/claims/common/claimLedger.ts
@@ -3,6 +3,7 @@
 import type { CancelTimer, IClock, ITimers } from '../../../base/common/clock.js';
 import {
   absentVersion,
+  firstEra,
   ObjectKind,
   VersionConflictError,
   type IObjectStore,
@@ -49,9 +50,6 @@
  */
 export const restoreMs = 6_000;
 
-/** Era of a store that has never come back from a copy. */
-const firstEra = 1;
-
 /** Pause before another try to write claims again, in milliseconds. */
 const restoreRetryMs = 200;
 
--- a/src/services/link/common/messages.ts
+++ b/src/services/link/common/messages.ts
@@ -47,7 +47,7 @@
   readonly answering: boolean;
   /** True while the engine also has layers loaded, so that it can run steps. */
   readonly ready: boolean;
-  /** Highest lease term that the agent has seen in an order. */
+  /** Highest fencing token that the agent knows. */
   readonly term: number;
 }
 
@@ -256,9 +256,10 @@
   readonly run: RunState;
 }
 
-/** Tells an agent which layers its engine must load; a higher term overrides a lower one. */
+/** Tells an agent which layers its engine must load. */
 export interface OrderMessage {
   readonly kind: MessageKind.Order;
+  /** Fencing token of the placer; an order with a higher one overrides those with lower ones. */
   readonly term: number;
   readonly model: string;
   readonly version: string;
@@ -270,7 +271,7 @@
   readonly kind: MessageKind.OrderResult;
   readonly term: number;
   readonly accepted: boolean;
-  /** Highest lease term that the agent has seen. */
+  /** Highest fencing token that the agent knows. */
   readonly highestTerm: number;
 }
 
--- a/src/services/objects/common/objects.ts
+++ b/src/services/objects/common/objects.ts
@@ -51,6 +51,9 @@
 /** Expected version of a conditional update that may only create the object. */
 export const absentVersion = 0;
 
+/** Era of a store that has never come back from a copy. */
+export const firstEra = 1;
+
 /** Changes that a watch call returned. */
 export interface WatchBatch {
   /** Sequence number to pass to the next watch call. */
--- a/src/services/objects/test/common/drillStore.ts
+++ b/src/services/objects/test/common/drillStore.ts
@@ -48,6 +48,13 @@
     return this.objects.get(key);
   }
 
+  /** Returns the objects whose keys have a prefix, by the rest of their keys. */
+  readAll(prefix: string): readonly (readonly [string, DrillObject])[] {
+    return [...this.objects]
+      .filter(([key]) => key.startsWith(prefix))
+      .map(([key, object]) => [key.slice(prefix.length), object]);
+  }
+
   /** Writes an object if its revision is the expected one; returns the new revision. */
   write(key: string, value: unknown, expected: number): number | undefined {
     if ((this.objects.get(key)?.revision ?? 0) !== expected) {
@@ -84,8 +91,15 @@
     );
   }
 
-  list(): Promise<Result<never, PlatformUnavailableError>> {
-    return Promise.resolve(Err(new PlatformUnavailableError('list is not supported')));
+  list<T>(kind: ObjectKind): Promise<Result<readonly StoredObject<T>[], never>> {
+    this.observeEra();
+    const items = this.store.readAll(`${kind}/`).map(([name, { revision, value }]) => ({
+      kind,
+      name,
+      version: toVersion(this.era, revision),
+      value: value as T,
+    }));
+    return Promise.resolve(Ok(items));
   }
 
   put<T>(
