Stop a placer by its own clock after a slow store call

Cause: the placer asked for its token once a step. A write that outlasts the lease was followed by orders under a token whose lease another entry may hold by then. Ruled out: the lease itself, which no longer gave a token at that moment. Change: the token is asked for again before the orders of each model.

--- a/src/entry/placement/node/placer.ts
+++ b/src/entry/placement/node/placer.ts
@@ -117,7 +117,9 @@
     const planned = planPlacement(demands, views.map(toCandidate), current);
     for (const { model } of demands) {
       const chains = planned.get(model.name) ?? [];
-      if (await this.save(model.name, chains, term)) {
+      const isSaved = await this.save(model.name, chains, term);
+      // A slow write may outlast the lease.
+      if (isSaved && this.lease.fencingToken() === term) {
         chains.flat().forEach((stage) => this.sendOrder(stage, model, term, views));
       }
     }
--- a/src/entry/placement/test/node/placerDrill.test.ts
+++ b/src/entry/placement/test/node/placerDrill.test.ts
@@ -1,8 +1,12 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
 import { FakeClock } from '../../../../base/test/common/fakeClock.js';
-import { DrillStore } from '../../../../services/objects/test/common/drillStore.js';
-import { PlacingEntry } from './placementFixtures.js';
+import type { IObjectStore } from '../../../../services/objects/common/objects.js';
+import {
+  DrillStore,
+  type DrillStoreClient,
+} from '../../../../services/objects/test/common/drillStore.js';
+import { leaseDurationMs, PlacingEntry } from './placementFixtures.js';
 
 /** What happens in one step of a run. */
 enum Step {
@@ -68,4 +72,25 @@
     expect(drills).to.be.greaterThan(200);
     expect(changesOfPlacer).to.be.greaterThan(400);
   });
+
+  it('sends no orders once its lease has expired during a slow write', async () => {
+    const clock = new FakeClock();
+    const store = new DrillStore();
+    const slowStore = (client: DrillStoreClient): IObjectStore => ({
+      get: (kind, name) => client.get(kind, name),
+      list: (kind) => client.list(kind),
+      put: (kind, name, value, version) => {
+        clock.advance(leaseDurationMs);
+        return client.put(kind, name, value, version);
+      },
+      watch: () => client.watch(),
+    });
+    const slow = new PlacingEntry('e-1', store, clock, ['a', 'b'], slowStore);
+    expect(await slow.step()).to.deep.equal([]);
+    const prompt = new PlacingEntry('e-2', store, clock, ['a', 'b']);
+    await prompt.step();
+    clock.advance(leaseDurationMs + 1);
+    expect(await prompt.step()).to.have.length(2);
+    expect(await slow.step()).to.deep.equal([]);
+  });
 });
