Write a placement again that the store has forgotten

Cause: after a drill the placer read the older copy and placed by it, which moved layers back to endpoints that it had replaced since. Ruled out: the planner, which keeps what it is given. Change: a record of an earlier era that the placer knows replaces the copy's, unless another placer has written a newer one, and is written again, also after a failed write. The log line `placement` says so (`again`). Measured: the new test with an older copy failed before and passes, one of two writes failing; the one with a copy that lacks the record passed before.

--- a/src/entry/placement/node/placer.ts
+++ b/src/entry/placement/node/placer.ts
@@ -2,6 +2,7 @@
 import type { LeaseCandidate } from '../../../services/lease/common/lease.js';
 import { MessageKind } from '../../../services/link/common/messages.js';
 import { formatRange, type ModelSpec } from '../../../services/model/common/model.js';
+import { eraOf } from '../../../services/objects/common/eraTracker.js';
 import {
   absentVersion,
   ObjectKind,
@@ -40,6 +41,9 @@
 
   private records = new Map<string, StoredObject<PlacementRecord>>();
 
+  /** Names of the records that must be written again. */
+  private readonly forgottenRecords = new Set<string>();
+
   private readonly lastAvailableMs = new Map<string, number>();
 
   private isStepping = false;
@@ -96,12 +100,26 @@
     if (list.isErr()) {
       return false;
     }
+    const known = [...this.records.values()];
     this.records = new Map(list.value.map((object) => [object.name, object]));
+    known.forEach((record) => this.keepIfForgotten(record));
     this.lastTerm = term;
     this.logger.log(LogLevel.Info, 'lease-held', { region: this.region, term });
     return true;
   }
 
+  /** Keeps a known record that the store lacks since it came back from an older copy. */
+  private keepIfForgotten(known: StoredObject<PlacementRecord>): void {
+    const { name, value } = known;
+    const stored = this.records.get(name);
+    const isSameEra = stored !== undefined && eraOf(stored.version) === eraOf(known.version);
+    const wasForgotten = this.forgottenRecords.delete(name) || !isSameEra;
+    if (wasForgotten && (stored?.value.term ?? 0) <= value.term) {
+      this.records.set(name, { ...known, version: stored?.version ?? absentVersion });
+      this.forgottenRecords.add(name);
+    }
+  }
+
   private async updatePlacement(term: number, nowMs: number): Promise<void> {
     const views = this.findCandidates(nowMs);
     const demands: PlacementDemand[] = this.models().map((model) => ({
@@ -148,7 +166,8 @@
   ): Promise<boolean> {
     const name = this.objectNameOf(model);
     const stored = this.records.get(name);
-    if (JSON.stringify(stored?.value.chains ?? []) === JSON.stringify(chains)) {
+    const isUnchanged = JSON.stringify(stored?.value.chains ?? []) === JSON.stringify(chains);
+    if (isUnchanged && !this.forgottenRecords.has(name)) {
       return true;
     }
     const value: PlacementRecord = { model, term, chains };
@@ -159,10 +178,12 @@
       return false;
     }
     const kind = ObjectKind.Placements;
+    const again = this.forgottenRecords.delete(name);
     this.records.set(name, { kind, name, version: put.value, value });
     this.logger.log(LogLevel.Info, 'placement', {
       model,
       term,
+      again,
       chains: chains.map(formatChain).join(' '),
     });
     return true;
--- a/src/entry/placement/test/node/placerDrill.test.ts
+++ b/src/entry/placement/test/node/placerDrill.test.ts
@@ -1,12 +1,18 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
+import { Err } from 'ts-results-es';
 import { FakeClock } from '../../../../base/test/common/fakeClock.js';
-import type { IObjectStore } from '../../../../services/objects/common/objects.js';
+import { eraOf } from '../../../../services/objects/common/eraTracker.js';
+import {
+  PlatformUnavailableError,
+  type IObjectStore,
+} from '../../../../services/objects/common/objects.js';
 import {
   DrillStore,
   type DrillStoreClient,
 } from '../../../../services/objects/test/common/drillStore.js';
-import { leaseDurationMs, PlacingEntry } from './placementFixtures.js';
+import type { PlacementRecord } from '../../node/placer.js';
+import { FakeFleet, leaseDurationMs, PlacingEntry, region } from './placementFixtures.js';
 
 /** What happens in one step of a run. */
 enum Step {
@@ -93,4 +99,57 @@
     expect(await prompt.step()).to.have.length(2);
     expect(await slow.step()).to.deep.equal([]);
   });
+
+  it('writes the placement again that the copy lacks', async () => {
+    const clock = new FakeClock();
+    const store = new DrillStore();
+    const entry = new PlacingEntry('e-1', store, clock, ['a', 'b']);
+    const copy = store.copy();
+    await entry.step();
+    const readChains = () =>
+      (store.read(`placements/m.${region}`)?.value as PlacementRecord | undefined)?.chains;
+    const chains = readChains();
+    expect(chains).to.have.length(1);
+    store.comeBackFrom(copy);
+    for (let step = 0; step < 3; step += 1) {
+      clock.advance(500);
+      await entry.step();
+    }
+    expect(readChains()).to.deep.equal(chains);
+  });
+
+  it('writes the newer placement again if the copy has an older one', async () => {
+    const clock = new FakeClock();
+    const store = new DrillStore();
+    let failingWrites = 0;
+    const failingStore = (client: DrillStoreClient): IObjectStore => ({
+      get: (kind, name) => client.get(kind, name),
+      list: (kind) => client.list(kind),
+      put: (kind, name, value, version) => {
+        const isFailing = failingWrites > 0 && eraOf(version) === store.era;
+        failingWrites -= isFailing ? 1 : 0;
+        return isFailing
+          ? Promise.resolve(Err(new PlatformUnavailableError('unavailable')))
+          : client.put(kind, name, value, version);
+      },
+      watch: () => client.watch(),
+    });
+    const entry = new PlacingEntry('e-1', store, clock, ['a', 'b', 'c'], failingStore);
+    await entry.step();
+    const copy = store.copy();
+    entry.fleet.views = entry.fleet.views.filter(({ id }) => id !== 'a');
+    clock.advance(3_000);
+    await entry.step();
+    const newest = JSON.stringify(store.read(`placements/m.${region}`)?.value);
+    expect(newest).not.to.contain('"a"');
+    entry.fleet.views = new FakeFleet(['a', 'b', 'c']).views;
+    store.comeBackFrom(copy);
+    failingWrites = 1;
+    for (let step = 0; step < 4; step += 1) {
+      clock.advance(500);
+      await entry.step();
+    }
+    expect(failingWrites).to.equal(0);
+    expect(JSON.stringify(store.read(`placements/m.${region}`)?.value)).not.to.contain('"a"');
+  });
 });
