--- a/src/services/claims/common/claimLedger.ts
+++ b/src/services/claims/common/claimLedger.ts
@@ -3,12 +3,12 @@
 import type { CancelTimer, IClock, ITimers } from '../../../base/common/clock.js';
 import {
   absentVersion,
-  firstEra,
   ObjectKind,
   VersionConflictError,
   type IObjectStore,
   type IStoreEra,
 } from '../../objects/common/objects.js';
+import { RestorePeriod } from '../../objects/common/restorePeriod.js';
 import {
   applyChanges,
   dropOldSegments,
@@ -43,13 +43,6 @@
   readonly timeoutMs: number;
 }
 
-/**
- * Time after the return of the store from an older copy in which no key is claimed for the first time, in
- * milliseconds. All processes notice the return and write their claims again within it; a watch of each
- * ends within four seconds.
- */
-export const restoreMs = 6_000;
-
 /** Pause before another try to write claims again, in milliseconds. */
 const restoreRetryMs = 200;
 
@@ -363,9 +356,6 @@
 export class ClaimLedger {
   private readonly shards: readonly ClaimShard[];
 
-  /** Monotonic time at which this process began, or noticed the last return from an older copy. */
-  private eraSinceMs: number;
-
   /**
    * @param options - Number of shards, limits and times.
    * @param store - Object store of the platform.
@@ -373,25 +363,17 @@
    */
   constructor(
     private readonly options: ClaimLedgerOptions,
-    private readonly store: IObjectStore & IStoreEra,
+    store: IObjectStore & IStoreEra,
     private readonly clock: IClock & ITimers,
   ) {
-    this.eraSinceMs = clock.monotonicMs();
+    // Subscribes before the shards are restored, which rely on it.
+    const restorePeriod = new RestorePeriod(store, clock);
     this.shards = Array.from(
       { length: options.shards },
       (_unused, index) =>
-        new ClaimShard(String(index), options, store, clock, () => this.mayClaimFirst),
+        new ClaimShard(String(index), options, store, clock, () => restorePeriod.isOver),
     );
-    store.onDidChangeEra(() => {
-      this.eraSinceMs = clock.monotonicMs();
-      this.shards.forEach((shard) => shard.restore());
-    });
-  }
-
-  /** Whether the absence of a claim shows that its key was never claimed. */
-  private get mayClaimFirst(): boolean {
-    const isFirstEra = this.store.era <= firstEra;
-    return isFirstEra || this.clock.monotonicMs() - this.eraSinceMs >= restoreMs;
+    store.onDidChangeEra(() => this.shards.forEach((shard) => shard.restore()));
   }
 
   /**
--- a/src/services/claims/test/common/claimDrill.test.ts
+++ b/src/services/claims/test/common/claimDrill.test.ts
@@ -4,7 +4,8 @@
 import { ObjectKind } from '../../../objects/common/objects.js';
 import { DrillStore, DrillStoreClient } from '../../../objects/test/common/drillStore.js';
 import { ClaimState, type Claim } from '../../common/claim.js';
-import { ClaimLedger, restoreMs } from '../../common/claimLedger.js';
+import { restoreMs } from '../../../objects/common/restorePeriod.js';
+import { ClaimLedger } from '../../common/claimLedger.js';
 
 const options = { shards: 2, maxHeadClaims: 6, retentionMs: 1_000_000, timeoutMs: 1_000_000 };
 
