--- a/src/entry/node/entryProgram.ts
+++ b/src/entry/node/entryProgram.ts
@@ -18,6 +18,8 @@
 import { ObjectKind } from '../../services/objects/common/objects.js';
 import type { HttpObjectStore } from '../../services/objects/node/httpObjectStore.js';
 import { ObjectCache } from '../../services/objects/node/objectCache.js';
+import { RestorePeriod } from '../../services/objects/common/restorePeriod.js';
+import { RuleHistory } from '../../services/rules/common/ruleHistory.js';
 import { RuleStore } from '../../services/rules/common/ruleStore.js';
 import {
   QueueingPolicy,
@@ -163,9 +165,11 @@
     this.logger = new DecisionLog(dependencies.logger);
     const random = new SeededRandom(Number.parseInt(sha256Hex(this.incarnation).slice(0, 8), 16));
     this.pool = this.createPool();
-    this.ruleStore = new RuleStore(store, sha256Hex);
-    const knownRevision = () => this.pool.highestRevision;
-    this.rules = new RuleFeed(this.ruleStore, store, knownRevision, this.logger);
+    const history = new RuleHistory(new RestorePeriod(store, clock), () =>
+      Math.max(this.pool.highestRevision, this.rules.current.revision),
+    );
+    this.ruleStore = new RuleStore(store, sha256Hex, history);
+    this.rules = new RuleFeed(this.ruleStore, store, history, this.logger);
     this.models = new ObjectCache(store, ObjectKind.Models);
     this.services = new ObjectCache(store, ObjectKind.Services);
     this.organisations = new ObjectCache(store, ObjectKind.Organisations);
--- a/src/entry/rules/node/ruleFeed.ts
+++ b/src/entry/rules/node/ruleFeed.ts
@@ -1,8 +1,13 @@
 import { Emitter } from '../../../base/common/event.js';
 import { LogLevel, type ILogger } from '../../../base/common/logger.js';
 import { sleep } from '../../../base/node/systemClock.js';
-import { ObjectKind, type IObjectStore } from '../../../services/objects/common/objects.js';
+import {
+  ObjectKind,
+  type IObjectStore,
+  type IStoreEra,
+} from '../../../services/objects/common/objects.js';
 import { Agreement } from '../../../services/rules/common/agreement.js';
+import type { IRuleHistory } from '../../../services/rules/common/ruleHistory.js';
 import type { RuleFile, RuleStore } from '../../../services/rules/common/ruleStore.js';
 
 /**
@@ -37,13 +42,13 @@
   /**
    * @param store - Reads the rules from the platform.
    * @param objects - Object store that is watched for changes of the rules.
-   * @param knownRevision - Returns the highest revision that any peer is known to have.
+   * @param history - What else is known of the rules.
    * @param logger - Receives an event for each new revision.
    */
   constructor(
     private readonly store: RuleStore,
-    private readonly objects: IObjectStore,
-    private readonly knownRevision: () => number,
+    private readonly objects: IObjectStore & IStoreEra,
+    private readonly history: IRuleHistory,
     private readonly logger: ILogger,
   ) {}
 
@@ -54,7 +59,7 @@
 
   /** True once the rules were read and are at least as new as those of any known peer. */
   get isReady(): boolean {
-    return this.hasRead && this.ruleFile.revision >= this.knownRevision();
+    return this.hasRead && this.ruleFile.revision >= this.history.highestRevision;
   }
 
   /** Starts to watch the rules. */
@@ -84,7 +89,7 @@
       this.logger.log(LogLevel.Info, 'rules-in-force', { revision: this.ruleFile.revision });
       this.changes.fire(this.ruleFile);
     }
-    return this.ruleFile.revision >= this.knownRevision();
+    return this.ruleFile.revision >= this.history.highestRevision;
   }
 
   private async followChanges(): Promise<void> {
--- a/src/services/rules/common/ruleStore.ts
+++ b/src/services/rules/common/ruleStore.ts
@@ -5,21 +5,13 @@
   ObjectKind,
   VersionConflictError,
   type IObjectStore,
+  type IStoreEra,
   type StoredObject,
 } from '../../objects/common/objects.js';
 import { Agreement } from './agreement.js';
 import { parseRules } from './parseRules.js';
 import type { RuleFault } from './rule.js';
-
-/** Accepted change of the rule file, as listed in the manifest. */
-export interface RuleChange {
-  /** Idempotency key chosen by the operator's client: an edit with the same id is applied once. */
-  readonly id: string;
-  readonly revision: number;
-  readonly by: string;
-  /** Wall-clock time of the change, in milliseconds since 1970. */
-  readonly atMs: number;
-}
+import { completeHistory, type IRuleHistory, type RuleChange } from './ruleHistory.js';
 
 /** Manifest object of the rule file: its revision, chunks and latest changes. */
 export interface RuleManifest {
@@ -116,10 +108,12 @@
   /**
    * @param store - Object store of the platform.
    * @param digest - Digest function; a chunk is named by the digest of its content.
+   * @param history - What else is known of the rules.
    */
   constructor(
-    private readonly store: IObjectStore,
+    private readonly store: IObjectStore & IStoreEra,
     private readonly digest: Digest,
+    private readonly history: IRuleHistory = completeHistory,
   ) {}
 
   /** Reads the current rule file; before the first change it is empty and has revision 0. */
@@ -173,12 +167,19 @@
       return this.createConflict(manifest);
     }
     const { id, by, atMs } = edit;
-    const revision = manifest.revision + 1;
+    const revision = Math.max(manifest.revision, this.history.highestRevision) + 1;
     const changes = [...manifest.changes, { id, revision, by, atMs }].slice(-maxListedChanges);
-    const next: RuleManifest = { revision, chunks, changes };
-    const version = read.value?.version ?? absentVersion;
-    const put = await this.store.put(ObjectKind.RuleManifest, manifestName, next, version);
-    return put.isOk() ? Ok(revision) : undefined;
+    const isWritten = await this.writeManifest({ revision, chunks, changes }, read.value);
+    return isWritten ? Ok(revision) : undefined;
+  }
+
+  private async writeManifest(
+    manifest: RuleManifest,
+    replaced: StoredObject<RuleManifest> | undefined,
+  ): Promise<boolean> {
+    const version = replaced?.version ?? absentVersion;
+    const put = await this.store.put(ObjectKind.RuleManifest, manifestName, manifest, version);
+    return put.isOk();
   }
 
   private async createConflict(
