--- a/src/entry/rules/node/ruleFeed.ts
+++ b/src/entry/rules/node/ruleFeed.ts
@@ -2,13 +2,22 @@
 import { LogLevel, type ILogger } from '../../../base/common/logger.js';
 import { sleep } from '../../../base/node/systemClock.js';
 import {
+  firstEra,
   ObjectKind,
   type IObjectStore,
   type IStoreEra,
 } from '../../../services/objects/common/objects.js';
 import { Agreement } from '../../../services/rules/common/agreement.js';
-import type { IRuleHistory } from '../../../services/rules/common/ruleHistory.js';
-import type { RuleFile, RuleStore } from '../../../services/rules/common/ruleStore.js';
+import {
+  includesChanges,
+  latestChange,
+  type IRuleHistory,
+} from '../../../services/rules/common/ruleHistory.js';
+import {
+  RuleRestoration,
+  type RuleFile,
+  type RuleStore,
+} from '../../../services/rules/common/ruleStore.js';
 
 /**
  * Maximum wait of one watch call, in milliseconds. It bounds how long a watch that delivers nothing
@@ -36,6 +45,9 @@
 
   private hasRead = false;
 
+  /** Ends the current watch call. */
+  private watchController = new AbortController();
+
   /** Fires when a new revision comes into force. */
   readonly onDidChange = this.changes.event;
 
@@ -59,11 +71,12 @@
 
   /** True once the rules were read and are at least as new as those of any known peer. */
   get isReady(): boolean {
-    return this.hasRead && this.ruleFile.revision >= this.history.highestRevision;
+    return this.hasRead && this.isAsNewAsPeers;
   }
 
   /** Starts to watch the rules. */
   start(): void {
+    this.objects.onDidChangeEra(() => this.watchController.abort());
     void this.followChanges();
   }
 
@@ -81,15 +94,61 @@
   async refresh(): Promise<boolean> {
     const read = await this.store.read();
     if (read.isErr()) {
+      await this.restore(undefined);
       return false;
     }
     this.hasRead = true;
+    if (!(await this.restore(read.value))) {
+      return false;
+    }
     if (read.value.revision > this.ruleFile.revision) {
       this.ruleFile = read.value;
       this.logger.log(LogLevel.Info, 'rules-in-force', { revision: this.ruleFile.revision });
       this.changes.fire(this.ruleFile);
     }
-    return this.ruleFile.revision >= this.history.highestRevision;
+    return this.isAsNewAsPeers;
+  }
+
+  private get isAsNewAsPeers(): boolean {
+    const { highestRevision } = this.history;
+    return highestRevision <= this.ruleFile.revision;
+  }
+
+  /**
+   * Writes the rules in force again if the store came back without them.
+   *
+   * @param stored - Rules that the store has; undefined if they can't be read.
+   * @returns True if the stored rules may be applied.
+   */
+  private async restore(stored: RuleFile | undefined): Promise<boolean> {
+    const known = this.ruleFile;
+    const mayLackKnown = this.objects.era > firstEra && known.revision > 0;
+    if (!mayLackKnown || (stored !== undefined && includesChanges(stored, known))) {
+      return true;
+    }
+    const restored = await this.store.restore(known);
+    if (restored.isErr()) {
+      return false;
+    }
+    const { revision } = known;
+    const change = latestChange(known);
+    switch (restored.value) {
+      case RuleRestoration.WrittenAgain:
+        this.logger.log(LogLevel.Warn, 'rules-written-again', { revision, change: change?.id });
+        return true;
+      case RuleRestoration.Superseded:
+      case RuleRestoration.Renumbered:
+        this.logger.log(LogLevel.Error, 'rules-change-lost', {
+          revision,
+          change: change?.id,
+          by: change?.by,
+          renumbered: restored.value === RuleRestoration.Renumbered,
+        });
+        // The rules are read again under the revision that they have now.
+        return restored.value === RuleRestoration.Superseded;
+      default:
+        return true;
+    }
   }
 
   private async followChanges(): Promise<void> {
@@ -100,11 +159,12 @@
         await sleep(retryDelayMs, signal);
         continue;
       }
+      this.watchController = new AbortController();
       const batch = await this.objects.watch(
         ObjectKind.RuleManifest,
         sequence,
         maxWatchWaitMs,
-        signal,
+        AbortSignal.any([signal, this.watchController.signal]),
       );
       if (batch.isOk()) {
         sequence = batch.value.sequence;
--- a/src/services/rules/common/ruleHistory.ts
+++ b/src/services/rules/common/ruleHistory.ts
@@ -10,6 +10,13 @@
   readonly atMs: number;
 }
 
+/** Revision of the rules with the changes that led to it. */
+export interface RuleLine {
+  readonly revision: number;
+  /** Latest changes, oldest first. */
+  readonly changes: readonly RuleChange[];
+}
+
 /** What a process knows of the rules besides what the store holds. */
 export interface IRuleHistory {
   /** Whether the store may lack accepted changes that other processes still write again. */
@@ -40,3 +47,31 @@
 
 /** History of a system whose store forgets nothing. */
 export const completeHistory: IRuleHistory = { isIncomplete: false, highestRevision: 0 };
+
+/**
+ * Returns the change that made a revision.
+ *
+ * @param line - The revision with its changes.
+ * @returns The change, or undefined if an operator wrote the rules without the administration API.
+ */
+export function latestChange({ changes }: RuleLine): RuleChange | undefined {
+  return changes[changes.length - 1];
+}
+
+/**
+ * Returns whether a revision of the rules was made from another one, or is the same.
+ *
+ * @param later - The revision that may include the other one.
+ * @param earlier - The other revision.
+ * @returns True if it has the other's latest change among its own. Only the latest changes are listed; one
+ *   that is older than those counts as included.
+ */
+export function includesChanges(later: RuleLine, earlier: RuleLine): boolean {
+  const latest = latestChange(earlier);
+  return (
+    later.revision >= earlier.revision &&
+    (latest === undefined ||
+      later.changes.some(({ id }) => id === latest.id) ||
+      (later.changes[0]?.revision ?? 0) > latest.revision)
+  );
+}
--- a/src/services/rules/common/ruleStore.ts
+++ b/src/services/rules/common/ruleStore.ts
@@ -11,7 +11,12 @@
 import { Agreement } from './agreement.js';
 import { parseRules } from './parseRules.js';
 import type { RuleFault } from './rule.js';
-import { completeHistory, type IRuleHistory, type RuleChange } from './ruleHistory.js';
+import {
+  completeHistory,
+  includesChanges,
+  type IRuleHistory,
+  type RuleChange,
+} from './ruleHistory.js';
 
 /** Manifest object of the rule file: its revision, chunks and latest changes. */
 export interface RuleManifest {
@@ -21,6 +26,8 @@
   readonly chunks: readonly string[];
   /** Latest changes, oldest first. */
   readonly changes: readonly RuleChange[];
+  /** Era of the store in which the manifest was prepared. */
+  readonly era?: number;
 }
 
 /** The rules cannot currently be read or written. */
@@ -73,6 +80,17 @@
   readonly atMs: number;
 }
 
+/** What became of a rule file in force that the store may have forgotten. */
+export enum RuleRestoration {
+  /** The store has it, or a later one. */
+  Kept = 'kept',
+  WrittenAgain = 'written-again',
+  /** A change that was accepted without it has replaced it, under a higher revision. */
+  Superseded = 'superseded',
+  /** As `Superseded`, and that change got a higher revision. */
+  Renumbered = 'renumbered',
+}
+
 /** Returns the digest of a text as hexadecimal digits. */
 export type Digest = (text: string) => string;
 
@@ -89,6 +107,10 @@
 
 const emptyManifest: RuleManifest = { revision: 0, chunks: [], changes: [] };
 
+function unconfirmedRestoration(): RulesUnavailableError {
+  return new RulesUnavailableError('the platform did not confirm the rules written again');
+}
+
 function splitIntoChunks(text: string): readonly string[] {
   const chunks: string[] = [];
   let current = '';
@@ -136,12 +158,17 @@
     if (parsed.isErr()) {
       return Err(new RulesInvalidError(parsed.error));
     }
+    const { era } = this.store;
     const chunks = await this.writeChunks(edit.text);
     if (chunks === undefined) {
       return Err(new RulesUnavailableError('the platform did not take the rule text'));
     }
     for (let attempt = 0; attempt < maxManifestAttempts; attempt += 1) {
       const outcome = await this.tryUpdateManifest(edit, chunks);
+      if (this.store.era !== era) {
+        // The store may have executed the update and forgotten the chunks.
+        await this.writeChunks(edit.text);
+      }
       if (outcome !== undefined) {
         return outcome;
       }
@@ -149,6 +176,51 @@
     return Err(new RulesUnavailableError(`the platform did not confirm change ${edit.id}`));
   }
 
+  /**
+   * Writes a rule file again if the store lacks it since it came back from an older copy. A manifest that was
+   * prepared in an earlier era gives way to it; a change that was accepted in this era doesn't.
+   *
+   * @param known - Rule file in force.
+   * @returns What became of the file.
+   */
+  async restore(known: RuleFile): Promise<Result<RuleRestoration, RulesUnavailableError>> {
+    const read = await this.readManifest();
+    if (read.isErr()) {
+      return read;
+    }
+    const stored = read.value;
+    const manifest = stored?.value ?? emptyManifest;
+    const isOfThisEra = manifest.era === this.store.era;
+    if (includesChanges(manifest, known) && (isOfThisEra || !(await this.lacksChunk(manifest)))) {
+      return Ok(RuleRestoration.Kept);
+    }
+    if (!isOfThisEra || includesChanges(known, manifest)) {
+      const { revision, text, changes } = known;
+      const chunks = await this.writeChunks(text);
+      const isWritten =
+        chunks !== undefined && (await this.writeManifest({ revision, chunks, changes }, stored));
+      return isWritten ? Ok(RuleRestoration.WrittenAgain) : Err(unconfirmedRestoration());
+    }
+    if (manifest.revision > known.revision) {
+      return Ok(RuleRestoration.Superseded);
+    }
+    // Without a higher revision, no process with the known file would take over the stored one.
+    const renumbered = { ...manifest, revision: known.revision + 1 };
+    return (await this.writeManifest(renumbered, stored))
+      ? Ok(RuleRestoration.Renumbered)
+      : Err(unconfirmedRestoration());
+  }
+
+  private async lacksChunk(manifest: RuleManifest): Promise<boolean> {
+    for (const name of manifest.chunks) {
+      const read = await this.store.get(ObjectKind.RuleChunks, name);
+      if (read.isOk() && read.value === undefined) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Tries one conditional update of the manifest; returns undefined if its outcome is unknown. */
   private async tryUpdateManifest(
     edit: RuleEdit,
@@ -158,6 +230,9 @@
     if (read.isErr()) {
       return undefined;
     }
+    if (this.history.isIncomplete) {
+      return Err(new RulesUnavailableError('the store came back without its latest changes'));
+    }
     const manifest = read.value?.value ?? emptyManifest;
     const accepted = manifest.changes.find((change) => change.id === edit.id);
     if (accepted) {
@@ -177,8 +252,9 @@
     manifest: RuleManifest,
     replaced: StoredObject<RuleManifest> | undefined,
   ): Promise<boolean> {
+    const next: RuleManifest = { ...manifest, era: this.store.era };
     const version = replaced?.version ?? absentVersion;
-    const put = await this.store.put(ObjectKind.RuleManifest, manifestName, manifest, version);
+    const put = await this.store.put(ObjectKind.RuleManifest, manifestName, next, version);
     return put.isOk();
   }
 
