--- a/src/entry/rules/node/ruleFeed.ts
+++ b/src/entry/rules/node/ruleFeed.ts
@@ -45,6 +45,9 @@
 
   private hasRead = false;
 
+  /** Highest revision that the store lacks and no process has written again in time. */
+  private lostRevision = 0;
+
   /** Ends the current watch call. */
   private watchController = new AbortController();
 
@@ -106,12 +109,13 @@
       this.logger.log(LogLevel.Info, 'rules-in-force', { revision: this.ruleFile.revision });
       this.changes.fire(this.ruleFile);
     }
+    this.noteLostRevision();
     return this.isAsNewAsPeers;
   }
 
   private get isAsNewAsPeers(): boolean {
     const { highestRevision } = this.history;
-    return highestRevision <= this.ruleFile.revision;
+    return highestRevision <= Math.max(this.ruleFile.revision, this.lostRevision);
   }
 
   /**
@@ -151,6 +155,16 @@
     }
   }
 
+  /** Gives up a revision that nobody has written again, so that this entry serves with what the store has. */
+  private noteLostRevision(): void {
+    const isRestored = this.objects.era > firstEra && !this.history.isIncomplete;
+    if (isRestored && !this.isAsNewAsPeers) {
+      const { revision } = this.ruleFile;
+      this.lostRevision = this.history.highestRevision;
+      this.logger.log(LogLevel.Error, 'rules-revision-lost', { revision, lost: this.lostRevision });
+    }
+  }
+
   private async followChanges(): Promise<void> {
     const { signal } = this.abortController;
     let sequence = 0;
--- a/src/entry/rules/test/node/ruleDrill.test.ts
+++ b/src/entry/rules/test/node/ruleDrill.test.ts
@@ -142,6 +142,20 @@
     expect(await started.change('change-3', 3)).to.equal(3);
   });
 
+  it('are served from the copy once nobody can write a forgotten revision again, and the log says so', async () => {
+    const entry = new Entry(world);
+    await entry.change('change-1', 1);
+    const copy = world.store.copy();
+    await entry.change('change-2', 2);
+    world.store.comeBackFrom(copy);
+    const started = new Entry(world);
+    expect(await started.refresh()).to.equal(false);
+    expect(started.feed.isReady).to.equal(false);
+    await outlastRestoring([started]);
+    expect(started.feed.isReady).to.equal(true);
+    expect(started.events).to.include('rules-revision-lost');
+  });
+
   it('replace a change that was prepared in the earlier era and is unconfirmed', async () => {
     const holder = new Entry(world);
     await holder.change('change-1', 1);
