Refuse orders of an earlier era at agents, also after their restart

Cause: an agent that restarts read the term of the lease and compared it with the token of its first order, so it took any token of an era as new enough; a copy without the lease, or with an older one, let orders of the era before through. Ruled out: the fence, which held in a process that had seen a newer order. Change: the agent requires the token of the lease and, once the store has come back from a copy, one of the store's era. In the first era, plain terms of entries of the version before still pass.

--- a/src/agent/node/agentProgram.ts
+++ b/src/agent/node/agentProgram.ts
@@ -27,7 +27,7 @@
 import { StageRunner } from '../stage/common/stageRunner.js';
 import { HttpPlainService } from './httpPlainService.js';
 import { HttpStageEngine, type EngineState } from './httpStageEngine.js';
-import { LeaseTermSource, readLayerMiB } from './platformReads.js';
+import { LeaseTokenSource, readLayerMiB } from './platformReads.js';
 import { StageLinks } from './stageLinks.js';
 
 /** Engine state that is assumed until the engine's state has been read. */
@@ -119,7 +119,7 @@
       answerRetentionMs: settings.keepAnswerMs,
       outcomeRetentionMs: settings.keepOutcomeMs,
     });
-    this.orderFence = new OrderFence(new LeaseTermSource(store, settings.region));
+    this.orderFence = new OrderFence(new LeaseTokenSource(store, settings.region));
     if (settings.engineUrl !== undefined) {
       const timeouts = { stepMs: settings.engineStepMs, stateMs: settings.engineStateMs };
       this.engine = new HttpStageEngine(this.incarnation, settings.engineUrl, timeouts);
@@ -252,7 +252,7 @@
       leaving: this.isDraining,
       answering: this.isAnswering,
       ready: this.isReady && !this.isLoading,
-      term: this.orderFence.highestTerm,
+      term: this.orderFence.highestToken,
     };
   }
 
@@ -338,7 +338,7 @@
   ): Promise<void> {
     const { term } = order;
     const accepted = await this.orderFence.admit(order);
-    const { highestTerm } = this.orderFence;
+    const { highestToken: highestTerm } = this.orderFence;
     send({ kind: MessageKind.OrderResult, term, accepted, highestTerm });
     if (this.isLoading || (accepted && this.isLoaded(order))) {
       return;
--- a/src/agent/node/platformReads.ts
+++ b/src/agent/node/platformReads.ts
@@ -1,22 +1,35 @@
 import type { ModelSpec } from '../../services/model/common/model.js';
-import type { LeaseRecord } from '../../services/lease/common/lease.js';
-import { ObjectKind, type IObjectStore } from '../../services/objects/common/objects.js';
-import type { ITermSource } from '../order/common/orderFence.js';
+import { toFencingToken, type LeaseRecord } from '../../services/lease/common/lease.js';
+import {
+  firstEra,
+  ObjectKind,
+  type IObjectStore,
+  type IStoreEra,
+} from '../../services/objects/common/objects.js';
+import type { ITokenSource } from '../order/common/orderFence.js';
 
-/** Reads the current term of a region's placement lease from the platform. */
-export class LeaseTermSource implements ITermSource {
+/** Reads the fencing token of a region's placement lease from the platform. */
+export class LeaseTokenSource implements ITokenSource {
   /**
    * @param store - Object store of the platform.
    * @param region - Region whose placement lease is read.
    */
   constructor(
-    private readonly store: IObjectStore,
+    private readonly store: IObjectStore & IStoreEra,
     private readonly region: string,
   ) {}
 
-  async currentTerm(): Promise<number | undefined> {
+  get lowestToken(): number {
+    return this.store.era > firstEra ? toFencingToken(this.store.era, 0) : 0;
+  }
+
+  async currentToken(): Promise<number | undefined> {
     const result = await this.store.get<LeaseRecord>(ObjectKind.Leases, `placement-${this.region}`);
-    return result.isOk() ? (result.value?.value.term ?? 0) : undefined;
+    if (result.isErr()) {
+      return undefined;
+    }
+    const { era = 0, term = 0 } = result.value?.value ?? {};
+    return toFencingToken(era, term);
   }
 }
 
--- a/src/services/lease/common/lease.ts
+++ b/src/services/lease/common/lease.ts
@@ -46,6 +46,17 @@
  */
 const termsPerEra = 2 ** 32;
 
+/**
+ * Returns the fencing token that stands for a term in an era.
+ *
+ * @param era - Era of the store in which the term began.
+ * @param term - The term; 0 for a token that is below all tokens of the era.
+ * @returns The token.
+ */
+export function toFencingToken(era: number, term: number): number {
+  return era * termsPerEra + term;
+}
+
 interface ObservedVersion {
   readonly version: number;
   readonly firstSeenMs: number;
@@ -112,7 +123,7 @@
    */
   fencingToken(): number | undefined {
     const term = this.term();
-    return term === undefined ? undefined : this.heldEra * termsPerEra + term;
+    return term === undefined ? undefined : toFencingToken(this.heldEra, term);
   }
 
   /**
