Tell the placer when the engine refuses a token that the agent accepted

Cause: an engine that outlives its agent may know a higher token. Ruled out: a slow load, which ends with the layers held. Change: the agent takes over the engine's token, answers the order as refused and logs it. Measured: the new test got no refusal before, now the engine's token, and a higher token is accepted.

--- a/src/agent/node/agentProgram.ts
+++ b/src/agent/node/agentProgram.ts
@@ -351,22 +351,29 @@
       to: order.range.to,
       accepted,
     });
-    if (accepted) {
-      await this.loadLayers(order);
+    const refusedBy = accepted ? await this.loadLayers(order) : undefined;
+    if (refusedBy !== undefined) {
+      this.orderFence.record(refusedBy);
+      send({ kind: MessageKind.OrderResult, term, accepted: false, highestTerm: refusedBy });
+      this.dependencies.logger.log(LogLevel.Warn, 'order-refused-by-engine', {
+        term,
+        highestTerm: refusedBy,
+      });
     }
   }
 
-  private async loadLayers(order: OrderMessage): Promise<void> {
+  /** Carries out an order; returns the higher fencing token of the engine if that refused it. */
+  private async loadLayers(order: OrderMessage): Promise<number | undefined> {
     this.isLoading = true;
     this.stageRunner?.setPaused(true);
     await this.waitUntilIdle(reloadDrainTimeoutMs);
     const layerMiB = await readLayerMiB(this.dependencies.store, order.model);
-    if (layerMiB !== undefined) {
-      await this.engine?.loadLayers(order, layerMiB);
-    }
+    const refusedBy =
+      layerMiB === undefined ? undefined : await this.engine?.loadLayers(order, layerMiB);
     await this.pollEndpoint();
     this.isLoading = false;
     this.stageRunner?.setPaused(false);
+    return refusedBy;
   }
 
   /** Waits until no work is in progress or the timeout is over. */
--- a/src/agent/node/httpStageEngine.ts
+++ b/src/agent/node/httpStageEngine.ts
@@ -105,18 +105,20 @@
   /**
    * Sends an order to the engine; resolves once the weights are loaded.
    *
-   * @param order - Model, layer range and lease term to pass on.
+   * @param order - Model, layer range and fencing token to pass on.
    * @param layerMiB - Memory of one layer, in MiB.
-   * @returns True if the engine carried out the order.
+   * @returns The higher fencing token that the engine knows, if it refused the order for that reason.
    */
-  async loadLayers(order: OrderMessage, layerMiB: number): Promise<boolean> {
+  async loadLayers(order: OrderMessage, layerMiB: number): Promise<number | undefined> {
     const { term, model, version, range } = order;
     const body = JSON.stringify({ term, model, version, range, layerMiB });
     try {
       const reply = await this.sendRequest('PUT', '/order', body, undefined);
-      return reply.status === 200;
+      const { highestTerm } = reply.body as { readonly highestTerm?: number };
+      const isFenced = reply.status === 409 && highestTerm !== undefined && highestTerm > term;
+      return isFenced ? highestTerm : undefined;
     } catch {
-      return false;
+      return undefined;
     }
   }
 
--- a/src/agent/order/common/orderFence.ts
+++ b/src/agent/order/common/orderFence.ts
@@ -25,6 +25,11 @@
     return this.token ?? 0;
   }
 
+  /** Records a token that the engine knows. */
+  record(token: number): void {
+    this.token = Math.max(this.highestToken, token);
+  }
+
   /**
    * Decides whether an order may be carried out, and records its token.
    *
--- a/src/bench/test/node/orderDrill.test.ts
+++ b/src/bench/test/node/orderDrill.test.ts
@@ -181,4 +181,18 @@
     await agent.store.get(ObjectKind.Models, 'm');
     expect((await agent.order(tokenOf(1, 8))).accepted).to.equal(false);
   });
+
+  it('are not accepted again with a token that the engine refused', async () => {
+    await writeLease(8);
+    const held = { from: 0, to: 1 };
+    const body = { term: tokenOf(1, 9), model: 'm', version: '1', range: held, layerMiB: 1 };
+    const headers = { 'content-type': 'application/json' };
+    await fetch(`${engineUrl}/order`, { method: 'PUT', headers, body: JSON.stringify(body) });
+    const agent = await startAgent();
+    expect((await agent.order(tokenOf(1, 8))).accepted).to.equal(true);
+    const refusal = await agent.waitForResult(1);
+    expect(refusal).to.include({ accepted: false, highestTerm: tokenOf(1, 9) });
+    expect((await agent.order(tokenOf(1, 8))).accepted).to.equal(false);
+    expect((await agent.order(tokenOf(1, 10))).accepted).to.equal(true);
+  });
 });
