Send no order with a token that an agent has refused

Cause: the placer ignored the results of its orders and the tokens in the agents' reports, and sent an order that was refused as too low again in each step. Ruled out: the lease, which raises its term when told. Change: an agent that knows a higher token gets no order, and the lease takes a higher term for the next step, as that of gateways does; the other agents get their orders. The log line `order-fenced` names the agent and both tokens.

--- a/src/entry/placement/node/placer.ts
+++ b/src/entry/placement/node/placer.ts
@@ -44,6 +44,12 @@
   /** Names of the records that must be written again. */
   private readonly forgottenRecords = new Set<string>();
 
+  /** Highest token that each agent knew when it last refused an order, by incarnation. */
+  private readonly refusals = new Map<string, number>();
+
+  /** Whether an agent knows a higher token than that of the current term. */
+  private isFenced = false;
+
   private readonly lastAvailableMs = new Map<string, number>();
 
   private isStepping = false;
@@ -63,7 +69,13 @@
     private readonly fleet: IFleet,
     private readonly models: () => readonly ModelRecord[],
     private readonly logger: ILogger,
-  ) {}
+  ) {
+    fleet.onDidReceive(({ incarnation, message }) => {
+      if (message.kind === MessageKind.OrderResult && !message.accepted) {
+        this.refusals.set(incarnation, message.highestTerm);
+      }
+    });
+  }
 
   /**
    * Renews the lease and, while it is held, updates the placement and sends orders to endpoints.
@@ -122,6 +134,10 @@
 
   private async updatePlacement(term: number, nowMs: number): Promise<void> {
     const views = this.findCandidates(nowMs);
+    const incarnations = new Set(views.map(({ incarnation }) => incarnation));
+    [...this.refusals.keys()]
+      .filter((incarnation) => !incarnations.has(incarnation))
+      .forEach((incarnation) => this.refusals.delete(incarnation));
     const demands: PlacementDemand[] = this.models().map((model) => ({
       model,
       replicas: model.replicas,
@@ -141,6 +157,10 @@
         chains.flat().forEach((stage) => this.sendOrder(stage, model, term, views));
       }
     }
+    if (this.isFenced) {
+      this.isFenced = false;
+      this.lease.handleFencedOrder();
+    }
   }
 
   /**
@@ -198,7 +218,14 @@
     const view = views.find((candidate) => candidate.id === stage.endpoint);
     const { report } = view ?? {};
     const isRangeHeld = report?.model === model.name && sameRange(report.range, stage.range);
-    if (view && !(isRangeHeld && report.term === term)) {
+    const highestTerm = Math.max(
+      report?.term ?? 0,
+      this.refusals.get(view?.incarnation ?? '') ?? 0,
+    );
+    if (view && highestTerm > term) {
+      this.isFenced = true;
+      this.logger.log(LogLevel.Warn, 'order-fenced', { endpoint: view.id, term, highestTerm });
+    } else if (view && !(isRangeHeld && report?.term === term)) {
       const { name, version } = model;
       const { range } = stage;
       this.fleet.send(view.incarnation, {
--- a/src/entry/placement/test/node/placementFixtures.ts
+++ b/src/entry/placement/test/node/placementFixtures.ts
@@ -70,6 +70,8 @@
 export class FakeFleet implements IFleet {
   readonly orders: OrderMessage[] = [];
 
+  private readonly tokensByIncarnation = new Map<string, readonly number[]>();
+
   readonly received = new Emitter<FleetMessage>();
 
   readonly onDidReceive = this.received.event;
@@ -86,13 +88,19 @@
     this.views = ids.map(createView);
   }
 
+  /** Returns the tokens of all orders that an agent got. */
+  tokensOf(incarnation: string): readonly number[] {
+    return this.tokensByIncarnation.get(incarnation) ?? [];
+  }
+
   endpoints(): readonly EndpointView[] {
     return this.views;
   }
 
-  send(_incarnation: string, message: LinkMessage): boolean {
+  send(incarnation: string, message: LinkMessage): boolean {
     if (message.kind === MessageKind.Order) {
       this.orders.push(message);
+      this.tokensByIncarnation.set(incarnation, [...this.tokensOf(incarnation), message.term]);
     }
     return true;
   }
--- a/src/entry/placement/test/node/placerDrill.test.ts
+++ b/src/entry/placement/test/node/placerDrill.test.ts
@@ -2,6 +2,7 @@
 import fc from 'fast-check';
 import { Err } from 'ts-results-es';
 import { FakeClock } from '../../../../base/test/common/fakeClock.js';
+import { MessageKind } from '../../../../services/link/common/messages.js';
 import { eraOf } from '../../../../services/objects/common/eraTracker.js';
 import {
   PlatformUnavailableError,
@@ -152,4 +153,37 @@
     expect(failingWrites).to.equal(0);
     expect(JSON.stringify(store.read(`placements/m.${region}`)?.value)).not.to.contain('"a"');
   });
+
+  it('sends no token again that an agent refused as too low, but higher ones', async () => {
+    const clock = new FakeClock();
+    const entry = new PlacingEntry('e-1', new DrillStore(), clock, ['a', 'b']);
+    const [term] = await entry.step();
+    const highestTerm = term + 2;
+    const kind = MessageKind.OrderResult as const;
+    const message = { kind, term, accepted: false, highestTerm };
+    entry.fleet.received.fire({ endpoint: 'a', incarnation: 'a-1', message });
+    for (let step = 0; step < 5; step += 1) {
+      clock.advance(500);
+      await entry.step();
+    }
+    const [first, ...later] = entry.fleet.tokensOf('a-1');
+    expect(first).to.equal(term);
+    expect(later.length).to.be.greaterThan(0);
+    later.forEach((token) => expect(token).to.be.at.least(highestTerm));
+    expect(entry.fleet.tokensOf('b-1')).to.include(term + 1);
+  });
+
+  it('sends no token that is lower than the one that an agent reports', async () => {
+    const clock = new FakeClock();
+    const entry = new PlacingEntry('e-1', new DrillStore(), clock, ['a', 'b']);
+    const highest = 2 ** 32 + 3;
+    entry.fleet.views = entry.fleet.views.map((view) =>
+      view.id === 'a' ? { ...view, report: { ...view.report, term: highest } } : view,
+    );
+    for (let step = 0; step < 5; step += 1) {
+      clock.advance(500);
+      await entry.step();
+    }
+    expect(entry.fleet.tokensOf('a-1')[0]).to.be.at.least(highest);
+  });
 });
