Let an entry that starts long after a drill claim at once

Cause: an entry that starts in a later era can't know when the era began, and answered new submissions for six seconds with 503, after each restart for good. Ruled out: the drill itself, whose end lay before the restart. Change: an entry that has seen six seconds of an era says so in the store; one that starts reads it before it is ready. Claims and rules share the period.

--- a/src/entry/node/entryLimits.ts
+++ b/src/entry/node/entryLimits.ts
@@ -19,6 +19,9 @@
   maxExpectedFailures: 5,
 };
 
+/** Interval at which an entry asks whether the store is restored after its return, in milliseconds. */
+export const restoreCheckIntervalMs = 250;
+
 /** Interval of placement steps, in milliseconds. */
 export const placementIntervalMs = 500;
 
--- a/src/entry/node/entryProgram.ts
+++ b/src/entry/node/entryProgram.ts
@@ -75,6 +75,7 @@
   engineUnreachableStallMs,
   unservedTimeoutMs,
   placementIntervalMs,
+  restoreCheckIntervalMs,
   timeoutCheckIntervalMs,
 } from './entryLimits.js';
 
@@ -117,6 +118,8 @@
 
   private readonly ruleStore: RuleStore;
 
+  private readonly restorePeriod: RestorePeriod;
+
   private readonly models: ObjectCache<ModelRecord>;
 
   private readonly services: ObjectCache<ServiceRecord>;
@@ -165,7 +168,8 @@
     this.logger = new DecisionLog(dependencies.logger);
     const random = new SeededRandom(Number.parseInt(sha256Hex(this.incarnation).slice(0, 8), 16));
     this.pool = this.createPool();
-    const history = new RuleHistory(new RestorePeriod(store, clock), () =>
+    this.restorePeriod = new RestorePeriod(store, clock);
+    const history = new RuleHistory(this.restorePeriod, () =>
       Math.max(this.pool.highestRevision, this.rules.current.revision),
     );
     this.ruleStore = new RuleStore(store, sha256Hex, history);
@@ -210,6 +214,7 @@
       },
       store,
       clock,
+      this.restorePeriod,
     );
     this.lease = this.createLease();
     this.placer = this.createPlacer();
@@ -230,6 +235,7 @@
     this.organisations.start();
     this.quarantine.start();
     this.startInterval(healthReportIntervalMs, () => this.reportHealth());
+    this.startInterval(restoreCheckIntervalMs, () => this.restorePeriod.step());
     this.startInterval(timeoutCheckIntervalMs, () => this.runner.checkTimeouts());
     this.startInterval(placementIntervalMs, () => this.placer.step(clock.monotonicMs()));
     const address = await this.app.listen({ host: settings.host, port: settings.httpPort });
@@ -281,6 +287,7 @@
       this.models.isReady &&
       this.services.isReady &&
       this.organisations.isReady &&
+      this.restorePeriod.isKnown &&
       this.pool.hasTriedAll
     );
   }
--- a/src/services/claims/common/claimLedger.ts
+++ b/src/services/claims/common/claimLedger.ts
@@ -360,14 +360,14 @@
    * @param options - Number of shards, limits and times.
    * @param store - Object store of the platform.
    * @param clock - Source of monotonic and wall-clock time and of timers.
+   * @param restorePeriod - Tells whether other processes may still write claims again.
    */
   constructor(
     private readonly options: ClaimLedgerOptions,
     store: IObjectStore & IStoreEra,
     private readonly clock: IClock & ITimers,
+    restorePeriod = new RestorePeriod(store, clock),
   ) {
-    // Subscribes before the shards are restored, which rely on it.
-    const restorePeriod = new RestorePeriod(store, clock);
     this.shards = Array.from(
       { length: options.shards },
       (_unused, index) =>
--- a/src/services/objects/common/objects.ts
+++ b/src/services/objects/common/objects.ts
@@ -16,6 +16,7 @@
   Quarantine = 'quarantine',
   Usage = 'usage',
   Gateways = 'gateways',
+  Eras = 'eras',
 }
 
 /** Object with its version, as the platform stores it. */
