--- a/src/entry/node/entryProgram.ts
+++ b/src/entry/node/entryProgram.ts
@@ -62,6 +62,7 @@
   type PreparedRun,
   type SubmissionIdentity,
 } from '../submission/common/submissionFlow.js';
+import { EraReport } from './eraReport.js';
 import {
   loadBalancerGraceMs,
   claimTimeoutMs,
@@ -120,6 +121,8 @@
 
   private readonly restorePeriod: RestorePeriod;
 
+  private readonly eraReport: EraReport;
+
   private readonly models: ObjectCache<ModelRecord>;
 
   private readonly services: ObjectCache<ServiceRecord>;
@@ -168,6 +171,7 @@
     this.logger = new DecisionLog(dependencies.logger);
     const random = new SeededRandom(Number.parseInt(sha256Hex(this.incarnation).slice(0, 8), 16));
     this.pool = this.createPool();
+    this.eraReport = this.createEraReport();
     this.restorePeriod = new RestorePeriod(store, clock);
     const history = new RuleHistory(this.restorePeriod, () =>
       Math.max(this.pool.highestRevision, this.rules.current.revision),
@@ -268,6 +272,7 @@
     await this.app.close();
     await this.usageWriter.close();
     await this.lease.release();
+    this.eraReport.close();
     this.rules.close();
     this.models.close();
     this.services.close();
@@ -303,6 +308,21 @@
     return new AgentPool(options, new PlatformInstanceList(store), this.logger);
   }
 
+  private createEraReport(): EraReport {
+    const { store, clock, logger } = this.dependencies;
+    const counts = () => {
+      const caches = [this.models, this.services, this.organisations, this.quarantine];
+      return {
+        listed: caches.reduce((sum, { listings }) => sum + listings, 0),
+        claimsWrittenAgain: this.claimLedger.restored,
+        rulesWrittenAgain: this.rules.restored,
+        placementsWrittenAgain: this.placer.restored,
+        rulesGivenUp: this.rules.givenUp,
+      };
+    };
+    return new EraReport(store, counts, clock, logger);
+  }
+
   private createSuspectGuard(): SuspectGuard {
     const { clock, store } = this.dependencies;
     const suspects = new CrashSuspects(this.incarnation);
--- a/src/entry/placement/node/placer.ts
+++ b/src/entry/placement/node/placer.ts
@@ -41,6 +41,9 @@
 
   private records = new Map<string, StoredObject<PlacementRecord>>();
 
+  /** Number of records that were written again because the store had forgotten them. */
+  restored = 0;
+
   /** Names of the records that must be written again. */
   private readonly forgottenRecords = new Set<string>();
 
@@ -199,6 +202,7 @@
     }
     const kind = ObjectKind.Placements;
     const again = this.forgottenRecords.delete(name);
+    this.restored += again ? 1 : 0;
     this.records.set(name, { kind, name, version: put.value, value });
     this.logger.log(LogLevel.Info, 'placement', {
       model,
--- a/src/entry/rules/node/ruleFeed.ts
+++ b/src/entry/rules/node/ruleFeed.ts
@@ -45,6 +45,12 @@
 
   private hasRead = false;
 
+  /** Number of times that the rules were written again because the store had forgotten them. */
+  restored = 0;
+
+  /** Number of accepted changes and revisions that nobody can write again. */
+  givenUp = 0;
+
   /** Highest revision that the store lacks and no process has written again in time. */
   private lostRevision = 0;
 
@@ -138,10 +144,12 @@
     const change = latestChange(known);
     switch (restored.value) {
       case RuleRestoration.WrittenAgain:
+        this.restored += 1;
         this.logger.log(LogLevel.Warn, 'rules-written-again', { revision, change: change?.id });
         return true;
       case RuleRestoration.Superseded:
       case RuleRestoration.Renumbered:
+        this.givenUp += 1;
         this.logger.log(LogLevel.Error, 'rules-change-lost', {
           revision,
           change: change?.id,
@@ -161,6 +169,7 @@
     if (isRestored && !this.isAsNewAsPeers) {
       const { revision } = this.ruleFile;
       this.lostRevision = this.history.highestRevision;
+      this.givenUp += 1;
       this.logger.log(LogLevel.Error, 'rules-revision-lost', { revision, lost: this.lostRevision });
     }
   }
--- a/src/services/claims/common/claimLedger.ts
+++ b/src/services/claims/common/claimLedger.ts
@@ -85,6 +85,9 @@
 
   private isCommitting = false;
 
+  /** Number of claims that were written again. */
+  restored = 0;
+
   constructor(
     private readonly name: string,
     private readonly options: ClaimLedgerOptions,
@@ -167,6 +170,8 @@
       this.cached = undefined;
       return;
     }
+    const stored = new Set(cached.head.claims);
+    this.restored += head.claims.filter((claim) => !stored.has(claim)).length;
     this.remember({ version, head });
     this.mustRestore = false;
     this.cancelCheck?.();
@@ -376,6 +381,11 @@
     store.onDidChangeEra(() => this.shards.forEach((shard) => shard.restore()));
   }
 
+  /** Number of claims that were written again because the store had forgotten them. */
+  get restored(): number {
+    return this.shards.reduce((sum, shard) => sum + shard.restored, 0);
+  }
+
   /**
    * Changes a key's claim if the current claim is the expected one. A change without a new claim
    * determines the current claim. It uses a conditional update because a read may be stale.
--- a/src/services/objects/node/objectCache.ts
+++ b/src/services/objects/node/objectCache.ts
@@ -26,6 +26,9 @@
 
   private isFilled = false;
 
+  /** Number of times that the objects were read. */
+  listings = 0;
+
   /** Fires after the objects were read, which happens at the start and after each change. */
   readonly onDidChange = this.changes.event;
 
@@ -94,6 +97,7 @@
       }
     }
     this.isFilled = true;
+    this.listings += 1;
     this.changes.fire();
     return true;
   }
--- a/src/services/program/node/runProgram.ts
+++ b/src/services/program/node/runProgram.ts
@@ -50,6 +50,7 @@
   const store = new HttpObjectStore(platformUrl, platformCallMs);
   store.onDidChangeEra(({ previousEra, era }) => {
     logger.log(LogLevel.Warn, 'store-era-changed', { previousEra, era });
+    metrics.increment('store.era-changes');
   });
   const program = createProgram({ settings, clock: new SystemClock(), logger, metrics, store });
   let isStopping = false;
