Bring about returns of the store from older copies in the fault run

Change: the fault `store-drill`: a copy of half a second to four seconds ago, a second away, the return, and the time in which processes write again.

--- a/src/bench/faults/common/records.ts
+++ b/src/bench/faults/common/records.ts
@@ -50,6 +50,7 @@
   PlatformSlow = 'platform-slow',
   LostConfirmations = 'lost-confirmations',
   StaleReads = 'stale-reads',
+  StoreDrill = 'store-drill',
   StopAgent = 'stop-agent',
   StopEntry = 'stop-entry',
   ListLeaving = 'list-leaving',
--- a/src/bench/faults/node/faultDriver.ts
+++ b/src/bench/faults/node/faultDriver.ts
@@ -1,6 +1,7 @@
 import type { SeededRandom } from '../../../base/common/random.js';
 import { sleep } from '../../../base/node/systemClock.js';
 import { InstanceState } from '../../../services/instances/common/instance.js';
+import { restoreMs } from '../../../services/objects/common/restorePeriod.js';
 import type { Fleet, FleetEndpoint } from '../../node/fleet.js';
 import { CallEnd, FaultKind, type FaultRecord } from '../common/records.js';
 import type { Operators } from './operators.js';
@@ -15,6 +16,12 @@
 /** Duration of a platform fault, in milliseconds. */
 const platformFaultMs = 4_000;
 
+/** Shortest and longest age of the copy that the platform comes back from, in milliseconds. */
+const copyAgeMs = { min: 500, max: 4_000 };
+
+/** Time for which the platform is away before it comes back from a copy, in milliseconds. */
+const drillAwayMs = 1_000;
+
 /** Time for links and placement to recover after a fault, in milliseconds. */
 const settleMs = 1_200;
 
@@ -89,6 +96,7 @@
       case FaultKind.PlatformSlow:
       case FaultKind.LostConfirmations:
       case FaultKind.StaleReads:
+      case FaultKind.StoreDrill:
         return this.busyTargets.has('platform') ? undefined : 'platform';
       case FaultKind.OperatorRace:
         return 'rules';
@@ -206,10 +214,23 @@
       [FaultKind.LostConfirmations]: { lostConfirmation: 0.4 },
       [FaultKind.StaleReads]: { staleRead: 0.5 },
     };
+    if (kind === FaultKind.StoreDrill) {
+      await this.comeBackFromCopy();
+      return;
+    }
     await this.fleet.postControl('fault', { ...faultSettings[kind], forMs: platformFaultMs });
     await sleep(platformFaultMs + settleMs);
   }
 
+  /** Lets the platform forget its last seconds, and waits until the processes have written them again. */
+  private async comeBackFromCopy(): Promise<void> {
+    await this.fleet.postControl('copy', {});
+    await sleep(this.random.integer(copyAgeMs.min, copyAgeMs.max));
+    await this.fleet.postControl('fault', { outage: 1, forMs: drillAwayMs });
+    await this.fleet.postControl('come-back', {});
+    await sleep(drillAwayMs + restoreMs + settleMs);
+  }
+
   private async applyEntryFault(kind: FaultKind, name: string): Promise<void> {
     const index = this.fleet.entries.findIndex((entry) => entry.name === name);
     const { process } = this.fleet.entries[index];
