Keep a running entry from refusing calls as starting while an agent is silent

Cause: an entry is ready once no connection to an agent is pending. Change: that all listed agents were tried is found once, at the start. Measured: the new test failed before and passes; the one that an entry still waits at its start passed and passes.

--- a/src/entry/fleet/node/agentPool.ts
+++ b/src/entry/fleet/node/agentPool.ts
@@ -74,6 +74,9 @@
 
   private hasPolled = false;
 
+  /** True once the instance list was read and each agent in it was tried. */
+  hasTriedAll = false;
+
   readonly onDidReceive = this.messages.event;
 
   readonly onDidLose = this.lost.event;
@@ -93,11 +96,6 @@
     private readonly logger: ILogger,
   ) {}
 
-  /** True once the instance list was read and no connection attempt to an agent is pending. */
-  get hasTriedAll(): boolean {
-    return this.hasPolled && [...this.members.values()].every((member) => !member.isConnecting);
-  }
-
   /** Highest rule revision that any agent knows of, as reported in heartbeats; 0 if none. */
   get highestRevision(): number {
     return Math.max(0, ...[...this.members.values()].map((member) => member.revision));
@@ -209,9 +207,15 @@
     if (records !== undefined && this.timer !== undefined) {
       this.updateMembers(records.filter((record) => record.role === InstanceRole.Agent));
       this.hasPolled = true;
+      this.noteTried();
     }
   }
 
+  private noteTried(): void {
+    this.hasTriedAll ||=
+      this.hasPolled && [...this.members.values()].every((member) => !member.isConnecting);
+  }
+
   private updateMembers(records: readonly InstanceRecord[]): void {
     const listedIds = new Set(records.map((record) => record.id));
     for (const record of records) {
@@ -292,9 +296,10 @@
       if (result.isOk()) {
         result.value.close();
       }
-      return;
+    } else {
+      this.attachLink(member, result.value);
     }
-    this.attachLink(member, result.value);
+    this.noteTried();
   }
 
   private attachLink(member: Member, link: Link): void {
