Move the answer of a stream out of its relay

Head, events and progress of the answer stand in StreamAnswer; the relay keeps runs, paths and retries. No behaviour changes.

--- /dev/null
+++ b/src/gateway/relay/node/streamAnswer.ts
@@ -0,0 +1,104 @@
+import type { CallerRequest, ICallerSink } from '../common/callerRequest.js';
+import type { IDialect } from '../common/dialect.js';
+import { EventSplitter, type EventBatch } from '../common/eventSplitter.js';
+import { StreamProgress } from '../common/streamProgress.js';
+import type { AnswerHead } from './endpointSender.js';
+
+/** Answer to the caller of a stream: the events of its runs, one run after the other. */
+export class StreamAnswer {
+  /** What has arrived of the stream. */
+  readonly progress: StreamProgress;
+
+  private splitter = new EventSplitter();
+
+  private wasBegun = false;
+
+  /** Head of the current run's answer, passed on with its first event; a failure before it gets a status. */
+  private head: AnswerHead | undefined;
+
+  private lastId: string | undefined;
+
+  /**
+   * @param req - Request of the caller.
+   * @param caller - Receives the answer.
+   * @param dialect - Translates the headers of endpoints.
+   */
+  constructor(
+    req: CallerRequest,
+    private readonly caller: ICallerSink,
+    private readonly dialect: IDialect,
+  ) {
+    this.progress = new StreamProgress(req.arrivedMs);
+    this.lastId = req.metadata.lastEventId;
+  }
+
+  /** Whether the caller has got a status and events. */
+  get hasBegun(): boolean {
+    return this.wasBegun;
+  }
+
+  /** Id of the last event that the caller has; undefined if it has none. */
+  get lastEventId(): string | undefined {
+    return this.lastId;
+  }
+
+  /** Bytes that have arrived of an event whose end has not. */
+  get partialBytes(): number {
+    return this.splitter.partial.length;
+  }
+
+  /** Called when a run starts. */
+  beginRun(): void {
+    this.progress.beginRun();
+    this.splitter = new EventSplitter();
+  }
+
+  /**
+   * Keeps the head of the current run's answer until its first event.
+   *
+   * @param head - Status and headers.
+   * @param nowMs - Monotonic time, in milliseconds.
+   */
+  keepHead(head: AnswerHead, nowMs: number): void {
+    this.head = head;
+    this.progress.recordSign(nowMs);
+  }
+
+  /**
+   * Adds the next bytes of the current run.
+   *
+   * @param chunk - Bytes as received.
+   * @returns The events that these bytes complete, or undefined if there are none.
+   */
+  push(chunk: Buffer): EventBatch | undefined {
+    return this.splitter.push(chunk);
+  }
+
+  /**
+   * Passes events on, after the head if they are the first ones.
+   *
+   * @param batch - Complete events.
+   * @param nowMs - Monotonic time, in milliseconds.
+   * @returns False if the caller reads too slowly, so that the run has to be paused.
+   */
+  write(batch: EventBatch, nowMs: number): boolean {
+    this.progress.recordEvents(batch.count, nowMs);
+    this.lastId = batch.lastId ?? this.lastId;
+    this.begin();
+    return this.caller.write(batch.bytes);
+  }
+
+  /** Ends the answer as complete. */
+  end(): void {
+    this.begin();
+    this.caller.end();
+  }
+
+  private begin(): void {
+    if (!this.wasBegun && this.head) {
+      this.wasBegun = true;
+      const { status, rawHeaders } = this.head;
+      this.caller.begin(status, this.dialect.callerHeaders(rawHeaders));
+    }
+  }
+}
--- a/src/gateway/relay/node/streamRelay.ts
+++ b/src/gateway/relay/node/streamRelay.ts
@@ -17,13 +17,12 @@
 } from '../common/callerRequest.js';
 import type { AnswerMetadata } from '../common/dialect.js';
 import { BoundedBody } from '../common/boundedBody.js';
-import { EventSplitter } from '../common/eventSplitter.js';
 import type { AnswerHead, IExchange } from './endpointSender.js';
 import { describePath, SendFailure, suspicionOf } from '../common/sendFailure.js';
-import { StreamProgress } from '../common/streamProgress.js';
 import { PathAcquisition } from './pathAcquisition.js';
 import type { RelayContext } from './relayContext.js';
 import { RetryAllowance } from './retryAllowance.js';
+import { StreamAnswer } from './streamAnswer.js';
 import { AnswerKind, StreamAnswerSink, type IStreamReceiver } from './streamAnswerSink.js';
 
 /**
@@ -92,19 +91,10 @@
 
   private exchange: IExchange | undefined;
 
-  private splitter = new EventSplitter();
-
-  private hasBegunAnswer = false;
-
-  /** Head of the current run's answer, passed on with its first event; a failure before it gets a status. */
-  private head: AnswerHead | undefined;
-
   /** Whether the exchange is paused until the caller has taken what was written. */
   private isAwaitingDrain = false;
 
-  private lastEventId: string | undefined;
-
-  private readonly progress: StreamProgress;
+  private readonly answer: StreamAnswer;
 
   private readonly run: SupervisedRequest;
 
@@ -145,8 +135,7 @@
     private readonly context: RelayContext,
     private readonly onDidFinish: (relay: StreamRelay) => void,
   ) {
-    this.lastEventId = req.metadata.lastEventId;
-    this.progress = new StreamProgress(req.arrivedMs);
+    this.answer = new StreamAnswer(req, caller, context.dialect);
     this.acquisition = new PathAcquisition(admission, context.ledger);
     this.retry = new RetryAllowance(req.service, context);
     this.run = context.supervisor.supervise(req, {
@@ -186,7 +175,7 @@
     if (this.phase === Phase.Sent) {
       return now - this.sentAtMs - (this.path?.firstEventMs ?? 0);
     }
-    return this.phase === Phase.Streaming ? now - this.progress.lastSignMs : 0;
+    return this.phase === Phase.Streaming ? now - this.answer.progress.lastSignMs : 0;
   }
 
   /** Returns whether the current path includes the endpoint at an address. */
@@ -200,7 +189,7 @@
 
   cancel(): void {
     if (this.phase !== Phase.Finished) {
-      this.log('stream-cancelled', { events: this.progress.eventCount });
+      this.log('stream-cancelled', { events: this.answer.progress.eventCount });
       this.finish('cancelled', 0);
     }
   }
@@ -257,8 +246,11 @@
     this.path = path;
     this.isPrefilling = true;
     this.run.move(this.pathEndpoints);
-    this.progress.recordSign(this.context.clock.monotonicMs());
-    this.log('stream-repathed', { path: describePath(path), events: this.progress.eventCount });
+    this.answer.progress.recordSign(this.context.clock.monotonicMs());
+    this.log('stream-repathed', {
+      path: describePath(path),
+      events: this.answer.progress.eventCount,
+    });
   }
 
   /**
@@ -318,7 +310,7 @@
       return;
     }
     // The retry is taken last: one that a stream without a path holds would be denied to others.
-    const hasProgressed = this.progress.lastSignMs > askedAtMs;
+    const hasProgressed = this.answer.progress.lastSignMs > askedAtMs;
     if (hasProgressed || !this.retry.tryTake(SendFailure.EndpointSilent)) {
       ledger.release(outcome.value.reservations);
       this.admission.admitWaiting();
@@ -334,7 +326,7 @@
     this.log('run-broken', {
       why: SendFailure.EndpointSilent,
       reason: `silent ${address}`,
-      events: this.progress.eventCount,
+      events: this.answer.progress.eventCount,
       goesOn: true,
       sends: this.sendCount,
     });
@@ -343,7 +335,7 @@
   }
 
   private logKept(address: string, reason: string): void {
-    this.log('run-kept', { silent: address, reason, events: this.progress.eventCount });
+    this.log('run-kept', { silent: address, reason, events: this.answer.progress.eventCount });
   }
 
   /** Endpoints of the current path; empty if there is none. */
@@ -420,22 +412,21 @@
     this.phase = Phase.Sent;
     this.sentAtMs = nowMs;
     this.sendCount += 1;
-    this.progress.beginRun();
+    this.answer.beginRun();
     this.run.begin(this.pathEndpoints);
-    this.splitter = new EventSplitter();
     this.log('stream-sent', {
       path: describePath(path),
       send: this.sendCount,
       waitedMs: Math.round(nowMs - this.req.arrivedMs),
       expectedMs: Math.round(path.firstEventMs),
-      resumeAt: this.lastEventId,
+      resumeAt: this.answer.lastEventId,
     });
     const headers = dialect.endpointHeaders(this.req.rawHeaders, {
       remainingMs: deadlineOf(this.req) - nowMs,
       endpointId: firstEndpoint.id,
       organisation: this.req.organisation,
       path,
-      lastEventId: this.lastEventId,
+      lastEventId: this.answer.lastEventId,
     });
     const { method, target, body } = this.req;
     const answerSink = new StreamAnswerSink(
@@ -474,8 +465,7 @@
     }
     this.recordPossibleRun();
     this.phase = Phase.Streaming;
-    this.progress.recordSign(this.context.clock.monotonicMs());
-    this.head = head;
+    this.answer.keepHead(head, this.context.clock.monotonicMs());
     return AnswerKind.Events;
   }
 
@@ -483,8 +473,8 @@
     if (this.phase !== Phase.Streaming) {
       return true;
     }
-    const batch = this.splitter.push(chunk);
-    if (this.splitter.partial.length > maxEventBytes) {
+    const batch = this.answer.push(chunk);
+    if (this.answer.partialBytes > maxEventBytes) {
       this.abortOversizedAnswer(`event exceeds ${maxEventBytes} bytes`);
       return true;
     }
@@ -492,47 +482,42 @@
       return true;
     }
     const nowMs = this.context.clock.monotonicMs();
-    const isFirst = this.progress.firstEventMs === undefined;
-    this.progress.recordEvents(batch.count, nowMs);
+    const { progress } = this.answer;
+    const isFirst = progress.firstEventMs === undefined;
+    const isCallerReady = this.answer.write(batch, nowMs);
     if (isFirst) {
-      const firstEventMs = this.progress.firstEventMs ?? 0;
+      const firstEventMs = progress.firstEventMs ?? 0;
       this.context.metrics.latency.observe({ kind: RouteKind.Stream }, firstEventMs);
     }
     if (this.isPrefilling && this.path) {
       this.isPrefilling = false;
       this.context.ledger.finishPrefill(this.path.reservations);
     }
-    this.lastEventId = batch.lastId ?? this.lastEventId;
-    if (this.progress.runEventCount >= progressEvents) {
+    if (progress.runEventCount >= progressEvents) {
       this.run.recordProgress();
     }
-    this.beginAnswer();
-    if (this.caller.write(batch.bytes)) {
-      return true;
-    }
-    if (!this.isAwaitingDrain) {
+    if (!isCallerReady && !this.isAwaitingDrain) {
       this.isAwaitingDrain = true;
       this.caller.whenDrained(() => {
         this.isAwaitingDrain = false;
         this.exchange?.resume();
       });
     }
-    return false;
+    return isCallerReady;
   }
 
   onComplete(): void {
     if (this.phase !== Phase.Streaming) {
       return;
     }
-    if (this.splitter.partial.length > 0) {
+    if (this.answer.partialBytes > 0) {
       this.handleFailedSend(SendFailure.Interrupted, 'ended within an event');
       return;
     }
     const { directory } = this.context;
     this.run.recordSurvival();
     this.path?.stages.forEach(({ endpoint }) => directory.clearSuspicion(endpoint.address));
-    this.beginAnswer();
-    this.caller.end();
+    this.answer.end();
     this.finish('complete', 200);
   }
 
@@ -548,7 +533,7 @@
     this.recordPossibleRun();
     this.run.recordAnswer();
     if (
-      this.hasBegunAnswer ||
+      this.answer.hasBegun ||
       // The caller would take the status for a proof that the request was not run.
       notRunStatuses.has(head.status) ||
       (head.status >= 500 && this.req.route.isResumable && this.mayRunElsewhere)
@@ -586,14 +571,6 @@
     this.handleFailedSend(wasSent ? SendFailure.Interrupted : SendFailure.NotSent, reason);
   }
 
-  private beginAnswer(): void {
-    if (!this.hasBegunAnswer && this.head) {
-      this.hasBegunAnswer = true;
-      const { status, rawHeaders } = this.head;
-      this.caller.begin(status, this.context.dialect.callerHeaders(rawHeaders));
-    }
-  }
-
   private abortOversizedAnswer(reason: string): void {
     this.context.metrics.brokenAnswers.inc({ reason: 'too-large' });
     this.exchange?.abort();
@@ -667,11 +644,11 @@
       remainingMs > minRemainingMs &&
       !this.caller.isDisconnected;
     const hasBudget = mayRetry && (failure === SendFailure.NotSent || this.retry.tryTake(failure));
-    const mayWait = mayRetry && this.hasBegunAnswer;
+    const mayWait = mayRetry && this.answer.hasBegun;
     this.log('run-broken', {
       why: failure,
       reason,
-      events: this.progress.eventCount,
+      events: this.answer.progress.eventCount,
       goesOn: hasBudget || mayWait,
       sends: this.sendCount,
       hasBudget: mayRetry ? hasBudget : undefined,
@@ -687,7 +664,7 @@
 
   private retryRun(failure: SendFailure): void {
     this.context.metrics.retries.inc({ reason: failure });
-    this.requestRun(this.hasBegunAnswer || this.possibleRunAddresses.size > 0);
+    this.requestRun(this.answer.hasBegun || this.possibleRunAddresses.size > 0);
   }
 
   /** Resumes an answer that has begun once the budget has a retry; its caller waits for a while. */
@@ -716,7 +693,7 @@
   }
 
   private giveUp(reason: string, retryAfterMs: number, detail = reason): void {
-    if (this.hasBegunAnswer) {
+    if (this.answer.hasBegun) {
       this.caller.abort();
       this.finish(`broken: ${reason}`, 0);
       return;
@@ -734,7 +711,7 @@
     if (this.phase === Phase.Sent) {
       this.run.recordLoss(this.pathEndpoints, false);
     }
-    if (this.hasBegunAnswer) {
+    if (this.answer.hasBegun) {
       this.caller.abort();
     } else {
       const isWaiting = this.phase === Phase.Waiting && this.possibleRunAddresses.size === 0;
@@ -762,12 +739,12 @@
     this.releasePath();
     const { metrics, clock } = this.context;
     metrics.answers.inc({ kind: RouteKind.Stream, status, source: outcome.split(':')[0] });
-    const { firstEventMs, longestPauseMs } = this.progress;
+    const { firstEventMs, longestPauseMs } = this.answer.progress;
     metrics.longestPause.observe(longestPauseMs);
     this.log('stream-over', {
       outcome,
       status,
-      events: this.progress.eventCount,
+      events: this.answer.progress.eventCount,
       sends: this.sendCount,
       firstEventMs: firstEventMs && Math.round(firstEventMs),
       longestPauseMs: Math.round(longestPauseMs),
