Refuse a resumed request that has not begun at once when no path is left for it

Callers of a stream whose endpoints all answered without end waited 1.5 s longer for their 502 than before; a caller that read slowly could lose its run.

A silent stream asked for a path even without a retry, which counted sends and crossings that never followed. A run that is paused for its caller counted as silent.

Change: only an answer that has begun, or a run that still goes on, waits for a path; a path is asked for only while the budget has a retry; a paused run isn't silent.

--- a/src/gateway/admission/common/modelAdmission.ts
+++ b/src/gateway/admission/common/modelAdmission.ts
@@ -47,6 +47,8 @@
   readonly maxWaitMs: number;
   /** Whether this is a running stream that lost its path; it is admitted before new requests. */
   readonly isResumed: boolean;
+  /** Whether it waits although no path exists at the moment, since nothing better can be had. */
+  readonly waitsForPath?: boolean;
   /** Reservations that the request holds until it has another path; they count as free for it. */
   readonly heldReservations?: readonly Reservation[];
 }
@@ -263,7 +265,7 @@
     if (path) {
       return Ok(path);
     }
-    if (req.isResumed || entry.checkedKey === permittedKey) {
+    if (req.waitsForPath || entry.checkedKey === permittedKey) {
       return undefined;
     }
     entry.checkedKey = permittedKey;
@@ -326,12 +328,8 @@
   }
 
   private immediateRefusal(req: AdmissionRequest): AdmissionRefusedError | undefined {
-    // A running stream waits instead: endpoints are often skipped for less time than its caller has.
-    if (req.isResumed) {
-      return undefined;
-    }
-    const refusal = this.refusalWithoutPath(this.pool.usable(), req);
-    if (refusal) {
+    const refusal = req.waitsForPath ? undefined : this.refusalWithoutPath(this.pool.usable(), req);
+    if (refusal || req.isResumed) {
       return refusal;
     }
     const now = this.clock.monotonicMs();
--- a/src/gateway/admission/test/common/modelAdmission.test.ts
+++ b/src/gateway/admission/test/common/modelAdmission.test.ts
@@ -208,7 +208,8 @@
 
   it('lets a stream that lost its path wait for layers that no endpoint holds at the moment', async () => {
     endpoints = [];
-    const resumed = admission.request(createRequest({ isResumed: true }));
+    const changes = { isResumed: true, waitsForPath: true };
+    const resumed = admission.request(createRequest(changes));
     clock.advance(500);
     endpoints = [allLayersEndpoint];
     clock.advance(100);
--- a/src/gateway/relay/node/retryAllowance.ts
+++ b/src/gateway/relay/node/retryAllowance.ts
@@ -19,6 +19,11 @@
     private readonly context: RelayContext,
   ) {}
 
+  /** Whether the budget has a retry now, which others may take first. */
+  get isAvailable(): boolean {
+    return !this.context.retryBudgetOf(this.service).isExhausted;
+  }
+
   /**
    * Takes a retry from the budget.
    *
--- a/src/gateway/relay/node/streamRelay.ts
+++ b/src/gateway/relay/node/streamRelay.ts
@@ -172,6 +172,9 @@
    */
   silentMs(): number {
     const now = this.context.clock.monotonicMs();
+    if (this.isAwaitingDrain) {
+      return 0; // the caller is slow, not the endpoint
+    }
     if (this.phase === Phase.Sent) {
       return now - this.sentAtMs - (this.path?.firstEventMs ?? 0);
     }
@@ -288,8 +291,8 @@
     const remainingMs = deadlineOf(this.req) - clock.monotonicMs();
     const mayResume =
       this.req.route.isResumable && this.sendCount < maxSends && remainingMs > minRemainingMs;
-    if (!mayResume) {
-      this.logKept(address, 'must not be resumed');
+    if (!mayResume || !this.retry.isAvailable) {
+      this.logKept(address, mayResume ? 'no retry left' : 'must not be resumed');
       return;
     }
     this.recordPossibleRun();
@@ -300,6 +303,7 @@
       objectiveMs: this.req.route.objectiveMs,
       maxWaitMs: Math.min(remainingMs, maxResumeWaitMs),
       isResumed: true,
+      waitsForPath: true,
       heldReservations: this.path?.reservations,
     });
     if (outcome === undefined) {
@@ -392,6 +396,7 @@
       objectiveMs: this.req.route.objectiveMs,
       maxWaitMs: Math.min(remainingMs, isResumed ? maxResumeWaitMs : maxWaitMs),
       isResumed,
+      waitsForPath: this.answer.hasBegun,
     });
     if (outcome?.isOk()) {
       this.send(outcome.value);
--- a/src/gateway/retries/common/retryBudget.ts
+++ b/src/gateway/retries/common/retryBudget.ts
@@ -49,13 +49,9 @@
     this.currentBucket().requests += 1;
   }
 
-  /**
-   * Consumes one retry if the budget allows it.
-   *
-   * @returns Whether the request may be retried.
-   */
-  tryConsume(): boolean {
-    const bucket = this.currentBucket();
+  /** Whether the budget allows no retry now. */
+  get isExhausted(): boolean {
+    this.currentBucket();
     const { retriesPerRequest, minRetriesPerWindow, windowMs } = this.options;
     const nowMs = this.clock.monotonicMs();
     const requests = this.buckets
@@ -65,10 +61,19 @@
     const isStarting = nowMs - this.startedMs < windowMs;
     const fixedPart =
       ((isStarting ? startupShare : usableShare) * minRetriesPerWindow) / this.gatewayCount();
-    if (retries + 1 > usableShare * retriesPerRequest * requests + fixedPart) {
+    return retries + 1 > usableShare * retriesPerRequest * requests + fixedPart;
+  }
+
+  /**
+   * Consumes one retry if the budget allows it.
+   *
+   * @returns Whether the request may be retried.
+   */
+  tryConsume(): boolean {
+    if (this.isExhausted) {
       return false;
     }
-    bucket.retries += 1;
+    this.currentBucket().retries += 1;
     return true;
   }
 
