Let a stream go on elsewhere once another incarnation has its endpoint's address

If a machine is lost without closing its connections and its next incarnation answers reports, nothing told the stream that its run had ended: it waited until its deadline and its caller got 504, although another endpoint had room. The monitor took the report of the next incarnation for a sign of life of the first one.

A silent stream whose endpoint's address belongs to another incarnation is now treated like one of a silent endpoint.

--- a/src/gateway/relay/node/stallMonitor.ts
+++ b/src/gateway/relay/node/stallMonitor.ts
@@ -100,6 +100,9 @@
     if (this.failedReports.delete(firstAddress)) {
       this.context.logger.log(LogLevel.Info, 'endpoint-responds-again', { address: firstAddress });
     }
+    affectedStreams
+      .filter((stream) => stream.isReplaced && stream.silentMs() > maxSilenceMs)
+      .forEach((stream) => stream.handleSilence(firstAddress));
     const byId = new Map(affectedStreams.map((stream) => [stream.requestId, stream]));
     for (const { requestId, address } of report.value.stalled) {
       this.context.directory.suspect(
--- a/src/gateway/relay/node/streamRelay.ts
+++ b/src/gateway/relay/node/streamRelay.ts
@@ -161,6 +161,13 @@
       : undefined;
   }
 
+  /** Whether another incarnation now listens at the address of the path's first endpoint. */
+  get isReplaced(): boolean {
+    const [first] = this.pathEndpoints;
+    const listed = first && this.context.directory.findByAddress(first.address);
+    return listed !== undefined && incarnationOf(listed) !== incarnationOf(first);
+  }
+
   private get isFinished(): boolean {
     return this.phase === Phase.Finished;
   }
