Tell peers of parts before requests

Cause: a crash changes dozens of records, four go into a message, and the crashes of a deadly part are spread over the gateways. Few parts are ever recorded, since survivals in reserve outweigh most crashes.

--- a/src/gateway/suspects/common/suspicionGossip.ts
+++ b/src/gateway/suspects/common/suspicionGossip.ts
@@ -1,3 +1,4 @@
+import { isPartSubject } from '../../../services/suspects/common/subject.js';
 import { Verdict, type CrashSuspects } from '../../../services/suspects/common/crashSuspects.js';
 import type { SuspectRecord } from '../../../services/suspects/common/suspectRecord.js';
 
@@ -48,14 +49,17 @@
     return [...chosen.values()];
   }
 
-  /** Returns the changed records to send next, quarantined ones first. */
+  /**
+   * Returns the changed records to send next: what is quarantined, then parts, of which there are few and
+   * whose crashes come from several gateways, then requests.
+   */
   private mostUrgent(): readonly [string, number][] {
-    const changed = [...this.changed];
-    const isUrgent = ([fingerprint]: [string, number]) =>
-      this.suspects.verdict(fingerprint) === Verdict.Quarantined;
-    return [...changed.filter(isUrgent), ...changed.filter((entry) => !isUrgent(entry))].slice(
-      0,
-      recordsPerMessage,
-    );
+    const rank = (fingerprint: string): number => {
+      if (this.suspects.verdict(fingerprint) === Verdict.Quarantined) {
+        return 0;
+      }
+      return isPartSubject(fingerprint) ? 1 : 2;
+    };
+    return [...this.changed].sort(([a], [b]) => rank(a) - rank(b)).slice(0, recordsPerMessage);
   }
 }
