Convict a part only if several requests held it, and prefer it to a request in a tie

Ties went to the request so that one request that is sent again and again isn't refused for its parts. That is now told by the evidence itself: the record of a part holds up to two of the requests that held it at its crashes, merged in any order to the same, and a part that only one request held isn't convicted.

--- a/src/services/suspects/common/convictions.ts
+++ b/src/services/suspects/common/convictions.ts
@@ -6,6 +6,8 @@
   readonly crashes: readonly string[];
   /** Number of crashes that survivals outweigh, beside those that count. */
   readonly survivals: number;
+  /** False for a part that only one request has held so far, which is then suspected itself. */
+  readonly canBeConvicted: boolean;
 }
 
 /** Outcome of weighing the evidence against all subjects together. */
@@ -40,11 +42,11 @@
 }
 
 /**
- * Compares subjects with equally many crashes: those that endpoints never survived come first, and whole
- * requests before parts, since they restrict less.
+ * Compares subjects with equally many crashes: those that endpoints never survived come first, and parts
+ * before whole requests, which may have been present by chance at all crashes of a part.
  */
 function compareSubjects(a: Evidence, b: Evidence): number {
-  const rank = Number(isPartSubject(a.subject)) - Number(isPartSubject(b.subject));
+  const rank = Number(isPartSubject(b.subject)) - Number(isPartSubject(a.subject));
   const order = Number(a.subject > b.subject) - Number(a.subject < b.subject);
   return a.survivals - b.survivals || rank || order;
 }
@@ -63,7 +65,9 @@
   const convicted = new Set<string>();
   const unexplainedCrashes = new Map<string, number>();
   const explained = new ExplainedCrashes();
-  let candidates = evidence.filter(({ crashes }) => crashes.length >= minCrashes);
+  let candidates = evidence.filter(
+    ({ crashes, canBeConvicted }) => canBeConvicted && crashes.length >= minCrashes,
+  );
   while (candidates.length > 0) {
     const counted = candidates
       .map((candidate) => ({ candidate, count: explained.countOthers(candidate) }))
--- a/src/services/suspects/common/crashSuspects.ts
+++ b/src/services/suspects/common/crashSuspects.ts
@@ -46,6 +46,14 @@
 /** The same for a part; many requests may hold it at the same time. */
 const maxCrashesPerPart = 32;
 
+/** Number of different requests that must have held a part at its crashes for it to be convicted. */
+const minRequestsOfPart = 2;
+
+/** Returns the same few fingerprints of both, in whatever order records are merged. */
+function mergeRequests(a: readonly string[], b: readonly string[]): readonly string[] {
+  return [...new Set([...a, ...b])].sort().slice(0, minRequestsOfPart);
+}
+
 function union(a: readonly string[], b: readonly string[]): readonly string[] {
   return [...new Set([...a, ...b])];
 }
@@ -115,12 +123,14 @@
         this.records.get(fingerprint)?.crashes.includes(crash) ||
         !this.bank.outweigh(fingerprint, crash, nowMs),
     );
+    const requests = fingerprints.filter((fingerprint) => !isPartSubject(fingerprint));
     for (const fingerprint of recorded) {
       const known = this.records.get(fingerprint);
       this.store({
         fingerprint,
         crashes: union(known?.crashes ?? [], [crash]),
         cleared: known?.cleared ?? [],
+        requests: isPartSubject(fingerprint) ? mergeRequests(known?.requests ?? [], requests) : [],
         runner: '',
         atMs: nowMs,
       });
@@ -301,12 +311,14 @@
     const newest = known.atMs >= remote.atMs ? known : remote;
     const crashes = union(known.crashes, remote.crashes);
     const cleared = union(known.cleared, remote.cleared);
+    const requests = mergeRequests(known.requests, remote.requests);
     const isKnown =
       newest === known &&
       crashes.length === known.crashes.length &&
-      cleared.length === known.cleared.length;
+      cleared.length === known.cleared.length &&
+      requests.join() === known.requests.join();
     if (!isKnown) {
-      this.store({ ...newest, crashes, cleared });
+      this.store({ ...newest, crashes, cleared, requests });
     }
   }
 
@@ -316,6 +328,8 @@
         subject: record.fingerprint,
         crashes: countingCrashes(record),
         survivals: record.cleared.length,
+        canBeConvicted:
+          !isPartSubject(record.fingerprint) || record.requests.length >= minRequestsOfPart,
       })),
       this.policy.quarantineCrashes,
     );
--- a/src/services/suspects/common/suspectRecord.ts
+++ b/src/services/suspects/common/suspectRecord.ts
@@ -10,6 +10,8 @@
   crashes: ids,
   /** Those of `crashes` that no longer count, since an endpoint survived the request once for each. */
   cleared: v.optional(ids, []),
+  /** Of a part: fingerprints of some of the requests that held it at its crashes. */
+  requests: v.optional(ids, []),
   /** Process that may run the request again; empty if none has claimed it. */
   runner: v.string(),
   /** Wall-clock time of the latest crash or claim, in milliseconds since 1970. */
