--- a/src/gateway/suspects/common/supervisedRequest.ts
+++ b/src/gateway/suspects/common/supervisedRequest.ts
@@ -5,11 +5,17 @@
 import { fingerprintOf } from './requestFingerprint.js';
 
 /**
- * Time after its first progress within which a run is still suspected when it is lost, in milliseconds.
- * Requests that crash endpoints do so soon after they begin to run, which may be long after they were sent.
+ * Time after its start within which a run that makes progress is still suspected when it is lost, in
+ * milliseconds. Requests that crash endpoints do so soon after they begin to run.
  */
 const startPhaseMs = 500;
 
+/**
+ * The same after its first progress, which may come long after the start. It is short, since many other
+ * runs are in this phase when an endpoint crashes.
+ */
+const firstProgressMs = 150;
+
 /** Receives the decisions on whether a request may run. */
 export interface IRunObserver {
   /** Called when a run may start; possibly before `requestRun` returns. */
@@ -253,8 +259,13 @@
   }
 
   private get isPastStart(): boolean {
-    const { progressedMs } = this;
-    return progressedMs !== undefined && this.supervisor.nowMs() - progressedMs > startPhaseMs;
+    const { progressedMs, startedMs } = this;
+    const nowMs = this.supervisor.nowMs();
+    return (
+      progressedMs !== undefined &&
+      nowMs - startedMs > startPhaseMs &&
+      nowMs - progressedMs > firstProgressMs
+    );
   }
 
   private handleAdmission(isIsolated: boolean): void {
