--- a/src/gateway/node/gatewayMetrics.ts
+++ b/src/gateway/node/gatewayMetrics.ts
@@ -120,11 +120,20 @@
   observeSuspects(countSuspects: () => number): void {
     this.observe(
       'ibisspar_suspect_requests',
-      'Requests under which an endpoint crashed',
+      'Requests and parts of prompts under which an endpoint crashed',
       countSuspects,
     );
   }
 
+  /**
+   * Registers a gauge of the parts of prompts that are quarantined.
+   *
+   * @param countParts - Returns their number; called each time the metrics are read.
+   */
+  observeQuarantinedParts(countParts: () => number): void {
+    this.observe('ibisspar_quarantined_parts', 'Parts of prompts that are quarantined', countParts);
+  }
+
   /**
    * Registers a gauge of the endpoints that name a limit.
    *
--- a/src/gateway/node/gatewayProgram.ts
+++ b/src/gateway/node/gatewayProgram.ts
@@ -256,6 +256,7 @@
     );
     this.status = new StatusServers(() => this.isReady, metrics.registry);
     metrics.observeSuspects(() => this.crashProtection.suspectCount);
+    metrics.observeQuarantinedParts(() => this.crashProtection.quarantinedPartCount);
     metrics.observeLimitedEndpoints(() => this.limits.count);
     metrics.observePausedEndpoints(() => this.signals.pausedCount);
     metrics.observeInFlight(() => this.ingress.inFlight);
