--- a/soak/node/faultInjector.ts
+++ b/soak/node/faultInjector.ts
@@ -34,8 +34,8 @@
 const crashingPartPauseMs = 150;
 
 /** Shortest and longest time for which a sound endpoint falls silent, in milliseconds. */
-const minSilenceMs = 800;
-const maxSilenceMs = 1_300;
+const minSilenceMs = 900;
+const maxSilenceMs = 1_600;
 
 /**
  * Time for which an endpoint names its limit beyond the duration of the fault, in milliseconds, so that
