--- /dev/null
+++ b/src/agent/test/node/brokenAnswers.test.ts
@@ -0,0 +1,65 @@
+import { createServer, type AddressInfo, type Server, type Socket } from 'node:net';
+import { expect } from 'chai';
+import { HttpPlainService } from '../../node/httpPlainService.js';
+
+const maxAnswerBytes = 1_000;
+
+describe('HttpPlainService, of an answer that is broken off', () => {
+  let server: Server;
+
+  let service: HttpPlainService;
+
+  const answerWith = async (action: (socket: Socket) => void): Promise<void> => {
+    server = createServer((socket) => {
+      socket.on('error', () => undefined);
+      socket.once('data', () => action(socket));
+    });
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    const { port } = server.address() as AddressInfo;
+    service = new HttpPlainService(`http://127.0.0.1:${port}`, maxAnswerBytes);
+  };
+
+  const callService = () =>
+    service.call(
+      {
+        attempt: 'a',
+        method: 'GET',
+        path: '/',
+        headers: [],
+        body: new Uint8Array(),
+        remainingMs: 2_000,
+      } as never,
+      new AbortController().signal,
+    );
+
+  afterEach(async () => {
+    await service.close();
+    server.close();
+  });
+
+  const heads: Readonly<Record<string, string>> = {
+    'in chunks': 'Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n',
+    'in chunks, on a connection that closes':
+      'Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n',
+    'with a length, on a connection that closes':
+      'Connection: close\r\nContent-Length: 8\r\n\r\nhalf',
+  };
+
+  Object.entries(heads).forEach(([framing, text]) => {
+    it(`does not take it for complete (${framing})`, async () => {
+      await answerWith((socket) => socket.end(`HTTP/1.1 200 OK\r\n${text}`));
+      expect((await callService()).isErr()).to.equal(true);
+    });
+  });
+
+  it('does not take it for complete (ending with its connection, reset)', async () => {
+    await answerWith((socket) => {
+      socket.write('HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf', () =>
+        socket.resetAndDestroy(),
+      );
+    });
+    expect((await callService()).isErr()).to.equal(true);
+  });
+});
