Move the path of a stream's run out of its relay

The path, its reservations and the state of its prefill stand in RunPath; a method without a caller is gone. No behaviour changes.

--- a/src/gateway/relay/node/streamRelay.ts
+++ b/src/gateway/relay/node/streamRelay.ts
@@ -3,7 +3,7 @@
 import type { CancelTimer } from '../../../base/common/clock.js';
 import { RefusalReason, type ModelAdmission } from '../../admission/common/modelAdmission.js';
 import { RouteKind } from '../../config/common/configSnapshot.js';
-import { incarnationOf, type Endpoint } from '../../directory/common/endpoint.js';
+import { incarnationOf } from '../../directory/common/endpoint.js';
 import { Suspicion } from '../../directory/common/endpointDirectory.js';
 import type { SupervisedRequest } from '../../suspects/common/supervisedRequest.js';
 import type { LayerPath } from '../../routing/common/pathFinder.js';
@@ -22,6 +22,7 @@
 import { PathAcquisition } from './pathAcquisition.js';
 import type { RelayContext } from './relayContext.js';
 import { RetryAllowance } from './retryAllowance.js';
+import { RunPath } from './runPath.js';
 import { StreamAnswer } from './streamAnswer.js';
 import { AnswerKind, StreamAnswerSink, type IStreamReceiver } from './streamAnswerSink.js';
 
@@ -87,7 +88,7 @@
   /** Path reserved for the next send while the previous run went on. */
   private replacementPath: LayerPath | undefined;
 
-  private path: LayerPath | undefined;
+  private readonly path: RunPath;
 
   private exchange: IExchange | undefined;
 
@@ -111,8 +112,6 @@
 
   private readonly retry: RetryAllowance;
 
-  private isPrefilling = false;
-
   private sentAtMs = 0;
 
   private readonly excludedAddresses = new Set<string>();
@@ -136,6 +135,7 @@
     private readonly onDidFinish: (relay: StreamRelay) => void,
   ) {
     this.answer = new StreamAnswer(req, caller, context.dialect);
+    this.path = new RunPath(context.ledger);
     this.acquisition = new PathAcquisition(admission, context.ledger);
     this.retry = new RetryAllowance(req.service, context);
     this.run = context.supervisor.supervise(req, {
@@ -157,13 +157,13 @@
   /** Address of the path's first endpoint; undefined while no send is in progress. */
   get firstAddress(): string | undefined {
     return this.phase === Phase.Sent || this.phase === Phase.Streaming
-      ? this.path?.stages[0].endpoint.address
+      ? this.path.firstStage?.endpoint.address
       : undefined;
   }
 
   /** Whether another incarnation now listens at the address of the path's first endpoint. */
   get isReplaced(): boolean {
-    const [first] = this.pathEndpoints;
+    const [first] = this.path.endpoints;
     const listed = first && this.context.directory.findByAddress(first.address);
     return listed !== undefined && incarnationOf(listed) !== incarnationOf(first);
   }
@@ -183,16 +183,11 @@
       return 0; // the caller is slow, not the endpoint
     }
     if (this.phase === Phase.Sent) {
-      return now - this.sentAtMs - (this.path?.firstEventMs ?? 0);
+      return now - this.sentAtMs - this.path.firstEventMs;
     }
     return this.phase === Phase.Streaming ? now - this.answer.progress.lastSignMs : 0;
   }
 
-  /** Returns whether the current path includes the endpoint at an address. */
-  uses(address: string): boolean {
-    return this.path?.stages.some(({ endpoint }) => endpoint.address === address) ?? false;
-  }
-
   start(): void {
     this.requestRun(false);
   }
@@ -221,7 +216,7 @@
    *   fault or the request is a suspect.
    */
   reserveAlternativePath(address: string): LayerPath | undefined {
-    const firstStage = this.path?.stages[0];
+    const { firstStage } = this.path;
     if (firstStage === undefined || firstStage.endpoint.address === address || !this.run.mayMove) {
       return undefined;
     }
@@ -229,9 +224,9 @@
       {
         ...this.pathRequest(address),
         firstStage: { address: firstStage.endpoint.address, to: firstStage.to },
-        runningAddresses: new Set(this.pathEndpoints.map((endpoint) => endpoint.address)),
+        runningAddresses: new Set(this.path.endpoints.map((endpoint) => endpoint.address)),
       },
-      this.path?.reservations ?? [],
+      this.path.reservations,
     );
   }
 
@@ -249,13 +244,11 @@
     this.retry.giveBack();
     const nextAddresses = new Set(path.stages.map(({ endpoint }) => endpoint.address));
     this.run.recordLoss(
-      this.pathEndpoints.filter(({ address }) => !nextAddresses.has(address)),
+      this.path.endpoints.filter(({ address }) => !nextAddresses.has(address)),
       false,
     );
-    this.releasePath();
-    this.path = path;
-    this.isPrefilling = true;
-    this.run.move(this.pathEndpoints);
+    this.path.hold(path);
+    this.run.move(this.path.endpoints);
     this.answer.progress.recordSign(this.context.clock.monotonicMs());
     this.log('stream-repathed', {
       path: describePath(path),
@@ -274,7 +267,7 @@
     if (this.phase !== Phase.Sent && this.phase !== Phase.Streaming) {
       return;
     }
-    const endpoint = this.pathEndpoints.find((each) => each.address === address);
+    const endpoint = this.path.endpoints.find((each) => each.address === address);
     const { directory } = this.context;
     const isGone = endpoint && directory.findIncarnation(incarnationOf(endpoint)) === undefined;
     if (isGone && this.silentMs() > callerPatienceMs) {
@@ -311,7 +304,7 @@
       maxWaitMs: Math.min(remainingMs, maxResumeWaitMs),
       isResumed: true,
       waitsForPath: true,
-      heldReservations: this.path?.reservations,
+      heldReservations: this.path.reservations,
     });
     if (outcome === undefined) {
       return;
@@ -332,8 +325,8 @@
     this.excludedAddresses.add(address);
     this.exchange?.abort();
     this.exchange = undefined;
-    this.run.recordLoss(this.pathEndpoints, false);
-    this.releasePath();
+    this.run.recordLoss(this.path.endpoints, false);
+    this.path.release();
     this.log('run-broken', {
       why: SendFailure.EndpointSilent,
       reason: `silent ${address}`,
@@ -349,11 +342,6 @@
     this.log('run-kept', { silent: address, reason, events: this.answer.progress.eventCount });
   }
 
-  /** Endpoints of the current path; empty if there is none. */
-  private get pathEndpoints(): readonly Endpoint[] {
-    return this.path?.stages.map(({ endpoint }) => endpoint) ?? [];
-  }
-
   /** @param avoidedAddress - Address that the path must not use, besides those that are excluded. */
   private pathRequest(avoidedAddress?: string): {
     promptTokens: number;
@@ -418,14 +406,13 @@
     const { clock, dialect, sender } = this.context;
     const firstEndpoint = path.stages[0].endpoint;
     const nowMs = clock.monotonicMs();
-    this.path = path;
+    this.path.hold(path);
     this.retry.use();
-    this.isPrefilling = true;
     this.phase = Phase.Sent;
     this.sentAtMs = nowMs;
     this.sendCount += 1;
     this.answer.beginRun();
-    this.run.begin(this.pathEndpoints);
+    this.run.begin(this.path.endpoints);
     this.log('stream-sent', {
       path: describePath(path),
       send: this.sendCount,
@@ -463,7 +450,7 @@
       this.handleFailedSend(SendFailure.Interrupted, 'answer to another request');
       return AnswerKind.Ignored;
     }
-    this.context.signals.recordAnswer(this.pathEndpoints[0], metadata);
+    this.context.signals.recordAnswer(this.path.endpoints[0], metadata);
     if (metadata.didNotRun) {
       return AnswerKind.NotRun;
     }
@@ -501,10 +488,7 @@
       const firstEventMs = progress.firstEventMs ?? 0;
       this.context.metrics.latency.observe({ kind: RouteKind.Stream }, firstEventMs);
     }
-    if (this.isPrefilling && this.path) {
-      this.isPrefilling = false;
-      this.context.ledger.finishPrefill(this.path.reservations);
-    }
+    this.path.finishPrefill();
     if (progress.runEventCount >= progressEvents) {
       this.run.recordProgress();
     }
@@ -528,7 +512,7 @@
     }
     const { directory } = this.context;
     this.run.recordSurvival();
-    this.path?.stages.forEach(({ endpoint }) => directory.clearSuspicion(endpoint.address));
+    this.path.endpoints.forEach(({ address }) => directory.clearSuspicion(address));
     this.answer.end();
     this.finish('complete', 200);
   }
@@ -572,7 +556,7 @@
     ) {
       return;
     }
-    const firstEndpoint = this.path?.stages[0].endpoint;
+    const firstEndpoint = this.path.firstStage?.endpoint;
     if (firstEndpoint) {
       this.context.directory.suspect(firstEndpoint.address, Suspicion.Silent, reason);
       this.excludedAddresses.add(firstEndpoint.address);
@@ -603,12 +587,12 @@
       const isPaused = metadata.namedPause !== undefined && metadata.faultAddress === undefined;
       if (!isPaused && kind === Suspicion.Silent) {
         this.run.recordLoss(
-          this.pathEndpoints.filter((endpoint) => endpoint.address === address),
+          this.path.endpoints.filter((endpoint) => endpoint.address === address),
           false,
         );
       }
       this.excludedAddresses.add(address);
-      this.releasePath();
+      this.path.release();
       const isWithinLimits =
         metadata.namedLimit !== undefined && metadata.faultAddress === undefined;
       if (isPaused || (kind === Suspicion.Refusing && isWithinLimits)) {
@@ -630,7 +614,7 @@
 
   /** Records that the request may have run at the first endpoint of the current path. */
   private recordPossibleRun(): void {
-    const firstAddress = this.path?.stages[0].endpoint.address;
+    const firstAddress = this.path.firstStage?.endpoint.address;
     if (firstAddress !== undefined) {
       this.possibleRunAddresses.add(firstAddress);
     }
@@ -639,9 +623,9 @@
   /** Sends the request again after a send without a complete answer, or gives up if no retry is allowed. */
   private handleFailedSend(failure: SendFailure, reason: string): void {
     if (failure === SendFailure.Interrupted || failure === SendFailure.EndpointSilent) {
-      this.run.recordLoss(this.pathEndpoints, failure === SendFailure.Interrupted);
+      this.run.recordLoss(this.path.endpoints, failure === SendFailure.Interrupted);
     }
-    this.releasePath();
+    this.path.release();
     this.exchange = undefined;
     this.acquisition.cancel();
     this.retry.giveBack();
@@ -721,7 +705,7 @@
       return;
     }
     if (this.phase === Phase.Sent) {
-      this.run.recordLoss(this.pathEndpoints, false);
+      this.run.recordLoss(this.path.endpoints, false);
     }
     if (this.answer.hasBegun) {
       this.caller.abort();
@@ -748,7 +732,7 @@
     }
     this.exchange?.abort();
     this.exchange = undefined;
-    this.releasePath();
+    this.path.release();
     const { metrics, clock } = this.context;
     metrics.answers.inc({ kind: RouteKind.Stream, status, source: outcome.split(':')[0] });
     const { firstEventMs, longestPauseMs } = this.answer.progress;
@@ -766,14 +750,6 @@
     this.admission.admitWaiting();
   }
 
-  private releasePath(): void {
-    if (this.path) {
-      this.isPrefilling = false;
-      this.context.ledger.release(this.path.reservations);
-      this.path = undefined;
-    }
-  }
-
   private log(event: string, fields: Record<string, string | number | boolean | undefined>): void {
     this.context.logger.log(LogLevel.Info, event, { request: this.requestId, ...fields });
   }
