--- a/src/gateway/admission/common/modelAdmission.ts
+++ b/src/gateway/admission/common/modelAdmission.ts
@@ -86,7 +86,7 @@
 
 /**
  * Maximum numbers of new requests and of resumed streams that fail to get a path in one pass over the
- * queue. It is greater than 1 so that a large request doesn't block smaller ones behind it.
+ * queue. They are greater than 1 so that a large request doesn't block smaller ones behind it.
  */
 const maxFailuresPerPass = 6;
 
