Apply moves and reports of a stream's run only to that run

Callers saw a sound run broken off, and a retry spent, shortly after their stream was sent anew to the same first endpoint, which happens when a later stage turns a request away before it has begun. A move confirmed late also replaced the new run's path, so that its endpoints had no reservations and the wrong ones were blamed for a loss.

Cause: a move was matched to the stream by the address of its first endpoint, a refused one by the stream alone, and a report, which may be older than the run, by the request id.

Ruled out: a stream that is resumed after a lost connection; its first endpoint is excluded from then on.

The send number identifies the run, so a late outcome releases what was reserved for it and does nothing else. A stall reported at an endpoint outside of the current path counts only if the run is silent. If the endpoint had applied such a move to the new run, nothing in the protocol would tell.

--- a/src/gateway/relay/node/stallMonitor.ts
+++ b/src/gateway/relay/node/stallMonitor.ts
@@ -18,6 +18,13 @@
 /** Consecutive report requests without an answer after which an endpoint is suspected silent. */
 const maxFailedReports = 2;
 
+/** Move of a run that its first endpoint refused. */
+interface RefusedRepath {
+  readonly sendNumber: number;
+  /** Address of the endpoint at fault. */
+  readonly faultAddress: string;
+}
+
 /**
  * Detects streams that are stalled by an endpoint that does not respond, and moves them to paths that
  * avoid it.
@@ -29,10 +36,10 @@
 
   private readonly failedReports = new Map<string, number>();
 
-  private readonly repathing = new Set<StreamRelay>();
+  /** Send of each stream whose run is being moved. */
+  private readonly repathing = new Map<StreamRelay, number>();
 
-  /** Address of the endpoint at fault for which a stream's first endpoint refused another path. */
-  private readonly refusedRepaths = new WeakMap<StreamRelay, string>();
+  private readonly refusedRepaths = new WeakMap<StreamRelay, RefusedRepath>();
 
   private cancelTimer: CancelTimer | undefined;
 
@@ -111,7 +118,8 @@
         `reported by ${firstAddress} as stalling request ${requestId}`,
       );
       const stream = byId.get(requestId);
-      if (stream) {
+      // The report may be older than the run.
+      if (stream && (stream.usesAddress(address) || stream.silentMs() > maxSilenceMs)) {
         await this.repath(stream, firstAddress, address);
       }
     }
@@ -126,19 +134,23 @@
     firstAddress: string,
     faultAddress: string,
   ): Promise<void> {
-    if (this.repathing.has(stream)) {
+    const { sendNumber } = stream;
+    if (this.repathing.get(stream) === sendNumber) {
       return;
     }
-    if (this.refusedRepaths.get(stream) === faultAddress) {
+    const refused = this.refusedRepaths.get(stream);
+    if (refused?.sendNumber === sendNumber && refused.faultAddress === faultAddress) {
       stream.handleSilence(faultAddress);
       return;
     }
-    this.repathing.add(stream);
+    this.repathing.set(stream, sendNumber);
     const path = stream.reserveAlternativePath(faultAddress);
     const outcome = path && (await this.control.repath(firstAddress, stream.requestId, path));
-    this.repathing.delete(stream);
+    if (this.repathing.get(stream) === sendNumber) {
+      this.repathing.delete(stream);
+    }
     if (path && outcome?.isOk()) {
-      stream.adoptPath(path);
+      stream.adoptPath(path, sendNumber);
       return;
     }
     if (path) {
@@ -154,9 +166,9 @@
       outcome?.isErr() &&
       outcome.error instanceof OrderRefusedError &&
       outcome.error.refusal === OrderRefusal.UnknownRequest;
-    if (!isUnknownRequest) {
+    if (!isUnknownRequest && stream.sendNumber === sendNumber) {
       if (path) {
-        this.refusedRepaths.set(stream, faultAddress);
+        this.refusedRepaths.set(stream, { sendNumber, faultAddress });
       }
       stream.handleSilence(faultAddress);
     }
--- a/src/gateway/relay/node/streamRelay.ts
+++ b/src/gateway/relay/node/streamRelay.ts
@@ -154,6 +154,11 @@
     return this.req.metadata.requestId ?? '';
   }
 
+  /** Number of the current send, or of the last one. */
+  get sendNumber(): number {
+    return this.sendCount;
+  }
+
   /** Address of the path's first endpoint; undefined while no send is in progress. */
   get firstAddress(): string | undefined {
     return this.phase === Phase.Sent || this.phase === Phase.Streaming
@@ -161,6 +166,11 @@
       : undefined;
   }
 
+  /** Returns whether an endpoint at an address is part of the current path. */
+  usesAddress(address: string): boolean {
+    return this.path.endpoints.some((endpoint) => endpoint.address === address);
+  }
+
   /** Whether another incarnation now listens at the address of the path's first endpoint. */
   get isReplaced(): boolean {
     const [first] = this.path.endpoints;
@@ -234,9 +244,10 @@
    * Replaces the current path after the endpoints moved the request to another one.
    *
    * @param path - The new path, with capacity reserved on it; the relay takes over its release.
+   * @param sendNumber - Send whose run was moved.
    */
-  adoptPath(path: LayerPath): void {
-    if (this.firstAddress !== path.stages[0].endpoint.address) {
+  adoptPath(path: LayerPath, sendNumber: number): void {
+    if (this.firstAddress === undefined || this.sendCount !== sendNumber) {
       this.context.ledger.release(path.reservations); // the run has ended meanwhile
       return;
     }
