Skip only the incarnation of an endpoint that was found silent or draining

Callers got 503 from a gateway whose only endpoint was sound: the next incarnation at an address was skipped because a peer had found the one before it silent, because the one before it was still listed as draining under another id (for as long as it was), or because a run at the one before it lost its connection after the next one was listed.

Cause: suspicions, and messages between gateways, named an address, and the suspicion was recorded for the incarnation listed there at that moment. An address was also reported to peers after its incarnation was replaced.

Ruled out: endpoints reported as full (a limit is learnt only if reservations are near the capacity) and learned limits (cleared when an endpoint is removed).

A suspicion names the start time of the incarnation that was observed and doesn't count for a later one. Messages between gateways carry start times in an entry at their end, which older versions ignore; from these, an address counts as before.

--- a/src/gateway/directory/common/endpointDirectory.ts
+++ b/src/gateway/directory/common/endpointDirectory.ts
@@ -260,10 +260,12 @@
    * @param address - Address of the endpoint.
    * @param kind - Kind of the suspicion.
    * @param reason - Observed behaviour, for the log.
+   * @param startedMs - Start time of the incarnation that was observed, in Unix milliseconds; a later one
+   *   at the address isn't skipped. Undefined if only the address is known.
    */
-  suspect(address: string, kind: Suspicion, reason: string): void {
+  suspect(address: string, kind: Suspicion, reason: string, startedMs?: number): void {
     const endpoint = this.findByAddress(address);
-    if (endpoint === undefined) {
+    if (endpoint === undefined || (startedMs !== undefined && endpoint.startedMs > startedMs)) {
       return;
     }
     const nowMs = this.clock.monotonicMs();
@@ -307,18 +309,18 @@
     return kind === Suspicion.Silent || kind === Suspicion.ReportedByPeer;
   }
 
-  /** Returns the addresses that this process itself found silent, to be reported to peers. */
-  silentAddresses(): readonly string[] {
-    const nowMs = this.clock.monotonicMs();
-    return [...this.suspicions].flatMap(([address, { untilMs, kind }]) =>
-      untilMs > nowMs && kind === Suspicion.Silent ? [address] : [],
-    );
+  /** Returns the endpoints that this process itself found silent, to be reported to peers. */
+  silentEndpoints(): readonly Endpoint[] {
+    return [...this.suspicions.keys()].flatMap((address) => {
+      const endpoint = this.findByAddress(address);
+      return endpoint && this.suspicionOf(endpoint)?.kind === Suspicion.Silent ? [endpoint] : [];
+    });
   }
 
-  /** Returns the addresses of draining endpoints. */
-  drainingAddresses(): readonly string[] {
+  /** Returns the draining endpoints. */
+  drainingEndpoints(): readonly Endpoint[] {
     return [...this.byId.values()].flatMap(({ endpoint }) =>
-      endpoint.state === EndpointState.Draining ? [endpoint.address] : [],
+      endpoint.state === EndpointState.Draining ? [endpoint] : [],
     );
   }
 
--- a/src/gateway/directory/test/common/endpointDirectory.test.ts
+++ b/src/gateway/directory/test/common/endpointDirectory.test.ts
@@ -165,10 +165,10 @@
     directory.suspect('10.0.0.1:80', Suspicion.ReportedByPeer, 'reported by a peer');
     clock.advance(1_000);
     expect(directory.findUsable('s')).to.have.length(0);
-    expect(directory.silentAddresses()).to.deep.equal(['10.0.0.1:80']);
+    expect(directory.silentEndpoints()).to.deep.equal([endpointWith({})]);
     directory.clearSuspicion('10.0.0.1:80');
     directory.suspect('10.0.0.1:80', Suspicion.ReportedByPeer, 'reported by a peer');
-    expect(directory.silentAddresses()).to.deep.equal([]);
+    expect(directory.silentEndpoints()).to.deep.equal([]);
   });
 
   it('skips an endpoint for longer after each further refusal, until it serves again', () => {
@@ -191,7 +191,9 @@
     directory.update(endpointWith({}));
     directory.update(endpointWith({ state: EndpointState.Draining }));
     directory.update(endpointWith({ state: EndpointState.Draining }));
-    expect(directory.drainingAddresses()).to.deep.equal(['10.0.0.1:80']);
+    expect(directory.drainingEndpoints().map(({ address }) => address)).to.deep.equal([
+      '10.0.0.1:80',
+    ]);
   });
 
   it('corrects layers only for the incarnation that reported them', () => {
--- a/src/gateway/node/endpointProber.ts
+++ b/src/gateway/node/endpointProber.ts
@@ -30,9 +30,9 @@
   start(): void {
     this.cancelTimer = this.clock.after(probeIntervalMs, () => {
       this.directory
-        .silentAddresses()
-        .filter((address) => this.mayProbe(this.directory.findByAddress(address)))
-        .forEach((address) => void this.probe(address));
+        .silentEndpoints()
+        .filter((endpoint) => this.mayProbe(endpoint))
+        .forEach((endpoint) => void this.probe(endpoint));
       this.start();
     });
   }
@@ -42,16 +42,17 @@
     this.cancelTimer?.();
   }
 
-  private mayProbe(endpoint: Endpoint | undefined): boolean {
-    return endpoint?.card !== undefined && !this.isPaused(endpoint);
+  private mayProbe(endpoint: Endpoint): boolean {
+    return endpoint.card !== undefined && !this.isPaused(endpoint);
   }
 
-  private async probe(address: string): Promise<void> {
+  private async probe({ address, startedMs }: Endpoint): Promise<void> {
     const report = await this.control.report(address);
     if (report.isOk()) {
       this.directory.clearSuspicion(address);
     } else {
-      this.directory.suspect(address, Suspicion.Silent, 'endpoint did not answer report requests');
+      const reason = 'endpoint did not answer report requests';
+      this.directory.suspect(address, Suspicion.Silent, reason, startedMs);
     }
   }
 }
--- a/src/gateway/node/gatewayProgram.ts
+++ b/src/gateway/node/gatewayProgram.ts
@@ -450,8 +450,8 @@
       sender: this.dependencies.settings.instance,
       configVersion: this.config.current?.config.version ?? 0,
       loads: this.ledger.ownLoads(),
-      suspects: this.directory.silentAddresses(),
-      draining: this.directory.drainingAddresses(),
+      suspects: this.directory.silentEndpoints(),
+      draining: this.directory.drainingEndpoints(),
       departed: this.directory.nextDepartures(),
       limits: this.limits.createReport(),
       full: this.ledger.recentlyFull(),
@@ -464,8 +464,9 @@
     const { sender, loads, suspects, draining, departed, placingTerm, full } = message;
     this.ledger.updatePeer(sender, loads);
     this.admissions.recordPeerRefusals(full);
-    for (const address of [...suspects, ...draining]) {
-      this.directory.suspect(address, Suspicion.ReportedByPeer, `reported by ${sender}`);
+    for (const { address, startedMs } of [...suspects, ...draining]) {
+      const reason = `reported by ${sender}`;
+      this.directory.suspect(address, Suspicion.ReportedByPeer, reason, startedMs);
     }
     if (departed.length > 0) {
       this.directory.handleDepartures(sender, departed);
--- a/src/gateway/peers/common/peerMessage.ts
+++ b/src/gateway/peers/common/peerMessage.ts
@@ -8,6 +8,13 @@
 import type { EndpointLoad } from '../../routing/common/reservationLedger.js';
 import type { SuspicionReport } from '../../suspects/common/crashProtection.js';
 
+/** Endpoint as a peer knows it. */
+export interface PeerEndpoint {
+  readonly address: string;
+  /** Unix time of its start, in milliseconds; undefined if the peer runs a version that doesn't tell. */
+  readonly startedMs: number | undefined;
+}
+
 /** State that a gateway sends to its peers several times a second. */
 export interface PeerMessage extends SuspicionReport {
   /** Instance name of the sending gateway. */
@@ -15,12 +22,12 @@
   /** Version of the sender's current configuration. */
   readonly configVersion: number;
   readonly loads: ReadonlyMap<string, EndpointLoad>;
-  /** Addresses of endpoints that the sender avoids because they didn't answer. */
-  readonly suspects: readonly string[];
+  /** Endpoints that the sender avoids because they didn't answer. */
+  readonly suspects: readonly PeerEndpoint[];
   /** Addresses of endpoints that recently refused a request of the sender for lack of capacity. */
   readonly full: readonly string[];
-  /** Addresses of endpoints that drain, according to the store. */
-  readonly draining: readonly string[];
+  /** Endpoints that drain, according to the store. */
+  readonly draining: readonly PeerEndpoint[];
   /** Some of the incarnations of endpoints that recently left the store, as the sender saw it. */
   readonly departed: readonly string[];
   /** What the sender knows of limits that endpoints name. */
@@ -43,6 +50,8 @@
   v.optional(v.array(v.string()), []),
   v.optional(v.array(v.string()), []),
   v.optional(v.array(limitReportSchema), []),
+  // Start times of the suspects and then of the draining endpoints.
+  v.optional(v.array(v.nullable(v.number())), []),
 ]);
 
 /**
@@ -65,14 +74,15 @@
     sender,
     configVersion,
     loads,
-    suspects,
-    draining,
+    suspects.map(({ address }) => address),
+    draining.map(({ address }) => address),
     placingTerm,
     full,
     suspectRequests,
     isolated,
     departed,
     limits.map(limitReportToWire),
+    [...suspects, ...draining].map(({ startedMs }) => startedMs ?? null),
   ];
 }
 
@@ -89,12 +99,16 @@
   }
   const [sender, configVersion, loads, suspects, draining, placingTerm, full, ...report] =
     parsed.output;
-  const [suspectRequests, isolated, departed, limits] = report;
+  const [suspectRequests, isolated, departed, limits, startTimes] = report;
+  const endpointAt = (address: string, index: number): PeerEndpoint => ({
+    address,
+    startedMs: startTimes[index] ?? undefined,
+  });
   return {
     sender,
     configVersion,
-    suspects,
-    draining,
+    suspects: suspects.map(endpointAt),
+    draining: draining.map((address, index) => endpointAt(address, suspects.length + index)),
     placingTerm,
     full,
     suspectRequests,
--- a/src/gateway/peers/test/common/peerMessage.test.ts
+++ b/src/gateway/peers/test/common/peerMessage.test.ts
@@ -10,8 +10,11 @@
       loads: new Map([
         ['10.0.0.1:80', { tokenLayers: 10, requests: 2, firstStageRequests: 1, prefillMs: 3 }],
       ]),
-      suspects: ['10.0.0.2:80'],
-      draining: ['10.0.0.3:80'],
+      suspects: [{ address: '10.0.0.2:80', startedMs: 1_700_000_000_000 }],
+      draining: [
+        { address: '10.0.0.3:80', startedMs: 1_700_000_000_001 },
+        { address: '10.0.0.5:80', startedMs: undefined },
+      ],
       departed: ['e@3'],
       limits: [
         { incarnation: 'e@1', perSecond: 2.5, ageMs: 10, demandPerSecond: 0.5 },
@@ -34,6 +37,14 @@
     expect(fromWire(unpack(pack(toWire(message))))).to.deep.equal(message);
   });
 
+  it('decodes a message of a version that does not tell when endpoints started', () => {
+    const wire = ['gw-1', 4, [], ['10.0.0.2:80'], ['10.0.0.3:80'], 0];
+    expect(fromWire(unpack(pack(wire)))).to.deep.include({
+      suspects: [{ address: '10.0.0.2:80', startedMs: undefined }],
+      draining: [{ address: '10.0.0.3:80', startedMs: undefined }],
+    });
+  });
+
   it('rejects data that is not a valid message', () => {
     expect(fromWire(undefined)).to.equal(undefined);
     expect(fromWire(['gw', 1, [['a', -1, 0, 0, 0]], []])).to.equal(undefined);
--- a/src/gateway/relay/node/plainRelay.ts
+++ b/src/gateway/relay/node/plainRelay.ts
@@ -260,7 +260,8 @@
       this.run.recordLoss([send.endpoint], true);
       this.handlePossibleRun(send, reason);
     } else {
-      this.context.directory.suspect(send.endpoint.address, Suspicion.Silent, reason);
+      const { address, startedMs } = send.endpoint;
+      this.context.directory.suspect(address, Suspicion.Silent, reason, startedMs);
       this.handleNotRun(send, reason);
     }
   }
--- a/src/gateway/relay/node/stallMonitor.ts
+++ b/src/gateway/relay/node/stallMonitor.ts
@@ -87,6 +87,8 @@
   }
 
   private async requestReport(firstAddress: string): Promise<void> {
+    const { directory } = this.context;
+    const asked = directory.findByAddress(firstAddress);
     const report = await this.control.report(firstAddress);
     const affectedStreams = [...this.streams].filter(
       (stream) => stream.firstAddress === firstAddress,
@@ -95,11 +97,8 @@
       const count = (this.failedReports.get(firstAddress) ?? 0) + 1;
       this.failedReports.set(firstAddress, count);
       if (count >= maxFailedReports) {
-        this.context.directory.suspect(
-          firstAddress,
-          Suspicion.Silent,
-          'endpoint did not answer report requests',
-        );
+        const reason = 'endpoint did not answer report requests';
+        directory.suspect(firstAddress, Suspicion.Silent, reason, asked?.startedMs);
         affectedStreams.forEach((stream) => stream.handleSilence(firstAddress));
       }
       return;
@@ -112,14 +111,12 @@
       .forEach((stream) => stream.handleSilence(firstAddress));
     const byId = new Map(affectedStreams.map((stream) => [stream.requestId, stream]));
     for (const { requestId, address } of report.value.stalled) {
-      this.context.directory.suspect(
-        address,
-        Suspicion.Silent,
-        `reported by ${firstAddress} as stalling request ${requestId}`,
-      );
       const stream = byId.get(requestId);
+      const stage = stream?.findStage(address);
+      const reason = `reported by ${firstAddress} as stalling request ${requestId}`;
+      directory.suspect(address, Suspicion.Silent, reason, stage?.startedMs);
       // The report may be older than the run.
-      if (stream && (stream.usesAddress(address) || stream.silentMs() > maxSilenceMs)) {
+      if (stream && (stage || stream.silentMs() > maxSilenceMs)) {
         await this.repath(stream, firstAddress, address);
       }
     }
--- a/src/gateway/relay/node/streamRelay.ts
+++ b/src/gateway/relay/node/streamRelay.ts
@@ -3,7 +3,7 @@
 import type { CancelTimer } from '../../../base/common/clock.js';
 import { RefusalReason, type ModelAdmission } from '../../admission/common/modelAdmission.js';
 import { RouteKind } from '../../config/common/configSnapshot.js';
-import { incarnationOf } from '../../directory/common/endpoint.js';
+import { incarnationOf, type Endpoint } from '../../directory/common/endpoint.js';
 import { Suspicion } from '../../directory/common/endpointDirectory.js';
 import type { SupervisedRequest } from '../../suspects/common/supervisedRequest.js';
 import type { LayerPath } from '../../routing/common/pathFinder.js';
@@ -166,9 +166,9 @@
       : undefined;
   }
 
-  /** Returns whether an endpoint at an address is part of the current path. */
-  usesAddress(address: string): boolean {
-    return this.path.endpoints.some((endpoint) => endpoint.address === address);
+  /** Returns the endpoint at an address if it is part of the current path. */
+  findStage(address: string): Endpoint | undefined {
+    return this.path.endpoints.find((endpoint) => endpoint.address === address);
   }
 
   /** Whether another incarnation now listens at the address of the path's first endpoint. */
@@ -278,7 +278,7 @@
     if (this.phase !== Phase.Sent && this.phase !== Phase.Streaming) {
       return;
     }
-    const endpoint = this.path.endpoints.find((each) => each.address === address);
+    const endpoint = this.findStage(address);
     const { directory } = this.context;
     const isGone = endpoint && directory.findIncarnation(incarnationOf(endpoint)) === undefined;
     if (isGone && this.silentMs() > callerPatienceMs) {
@@ -569,8 +569,9 @@
     }
     const firstEndpoint = this.path.firstStage?.endpoint;
     if (firstEndpoint) {
-      this.context.directory.suspect(firstEndpoint.address, Suspicion.Silent, reason);
-      this.excludedAddresses.add(firstEndpoint.address);
+      const { address, startedMs } = firstEndpoint;
+      this.context.directory.suspect(address, Suspicion.Silent, reason, startedMs);
+      this.excludedAddresses.add(address);
     }
     if (wasSent && this.phase === Phase.Sent) {
       this.recordPossibleRun();
@@ -595,12 +596,10 @@
     if (address !== undefined) {
       const waitedMs = this.context.clock.monotonicMs() - this.sentAtMs;
       const kind = suspicionOf(status, waitedMs);
+      const endpoint = this.findStage(address);
       const isPaused = metadata.namedPause !== undefined && metadata.faultAddress === undefined;
       if (!isPaused && kind === Suspicion.Silent) {
-        this.run.recordLoss(
-          this.path.endpoints.filter((endpoint) => endpoint.address === address),
-          false,
-        );
+        this.run.recordLoss(endpoint ? [endpoint] : [], false);
       }
       this.excludedAddresses.add(address);
       this.path.release();
@@ -612,7 +611,8 @@
         const reserved = this.context.ledger.loadAt(address).tokenLayers;
         this.log('endpoint-full', { address, status, reserved: Math.round(reserved) });
       } else {
-        this.context.directory.suspect(address, kind, `request was not run: status ${status}`);
+        const reason = `request was not run: status ${status}`;
+        this.context.directory.suspect(address, kind, reason, endpoint?.startedMs);
       }
     }
     this.handleFailedSend(SendFailure.NotRun, `status ${status} by ${address ?? 'unknown'}`);
--- a/src/gateway/suspects/common/crashDetector.ts
+++ b/src/gateway/suspects/common/crashDetector.ts
@@ -216,7 +216,7 @@
     watch.runs = [];
     this.onDidCrash();
     if (evidence === CrashEvidence.Refused) {
-      this.directory.suspect(endpoint.address, Suspicion.Silent, 'crashed');
+      this.directory.suspect(endpoint.address, Suspicion.Silent, 'crashed', endpoint.startedMs);
     }
     this.logger.log(LogLevel.Warn, 'endpoint-crashed', {
       endpoint: endpoint.id,
