--- a/src/gateway/relay/node/streamRelay.ts
+++ b/src/gateway/relay/node/streamRelay.ts
@@ -3,7 +3,7 @@
 import type { CancelTimer } from '../../../base/common/clock.js';
 import { RefusalReason, type ModelAdmission } from '../../admission/common/modelAdmission.js';
 import { RouteKind } from '../../config/common/configSnapshot.js';
-import { incarnationOf } from '../../directory/common/endpoint.js';
+import { incarnationOf, type Endpoint } from '../../directory/common/endpoint.js';
 import { Suspicion } from '../../directory/common/endpointDirectory.js';
 import type { SupervisedRequest } from '../../suspects/common/supervisedRequest.js';
 import type { LayerPath } from '../../routing/common/pathFinder.js';
@@ -154,6 +154,11 @@
     return this.req.metadata.requestId ?? '';
   }
 
+  /** Number of the current send, or of the last one. */
+  get sendNumber(): number {
+    return this.sendCount;
+  }
+
   /** Address of the path's first endpoint; undefined while no send is in progress. */
   get firstAddress(): string | undefined {
     return this.phase === Phase.Sent || this.phase === Phase.Streaming
@@ -161,6 +166,11 @@
       : undefined;
   }
 
+  /** Returns the endpoint at an address if it is part of the current path. */
+  findStage(address: string): Endpoint | undefined {
+    return this.path.endpoints.find((endpoint) => endpoint.address === address);
+  }
+
   /** Whether another incarnation now listens at the address of the path's first endpoint. */
   get isReplaced(): boolean {
     const [first] = this.path.endpoints;
@@ -234,9 +244,10 @@
    * Replaces the current path after the endpoints moved the request to another one.
    *
    * @param path - The new path, with capacity reserved on it; the relay takes over its release.
+   * @param sendNumber - Send whose run was moved.
    */
-  adoptPath(path: LayerPath): void {
-    if (this.firstAddress !== path.stages[0].endpoint.address) {
+  adoptPath(path: LayerPath, sendNumber: number): void {
+    if (this.firstAddress === undefined || this.sendCount !== sendNumber) {
       this.context.ledger.release(path.reservations); // the run has ended meanwhile
       return;
     }
@@ -267,7 +278,7 @@
     if (this.phase !== Phase.Sent && this.phase !== Phase.Streaming) {
       return;
     }
-    const endpoint = this.path.endpoints.find((each) => each.address === address);
+    const endpoint = this.findStage(address);
     const { directory } = this.context;
     const isGone = endpoint && directory.findIncarnation(incarnationOf(endpoint)) === undefined;
     if (isGone && this.silentMs() > callerPatienceMs) {
@@ -558,8 +569,9 @@
     }
     const firstEndpoint = this.path.firstStage?.endpoint;
     if (firstEndpoint) {
-      this.context.directory.suspect(firstEndpoint.address, Suspicion.Silent, reason);
-      this.excludedAddresses.add(firstEndpoint.address);
+      const { address, startedMs } = firstEndpoint;
+      this.context.directory.suspect(address, Suspicion.Silent, reason, startedMs);
+      this.excludedAddresses.add(address);
     }
     if (wasSent && this.phase === Phase.Sent) {
       this.recordPossibleRun();
@@ -584,12 +596,10 @@
     if (address !== undefined) {
       const waitedMs = this.context.clock.monotonicMs() - this.sentAtMs;
       const kind = suspicionOf(status, waitedMs);
+      const endpoint = this.findStage(address);
       const isPaused = metadata.namedPause !== undefined && metadata.faultAddress === undefined;
       if (!isPaused && kind === Suspicion.Silent) {
-        this.run.recordLoss(
-          this.path.endpoints.filter((endpoint) => endpoint.address === address),
-          false,
-        );
+        this.run.recordLoss(endpoint ? [endpoint] : [], false);
       }
       this.excludedAddresses.add(address);
       this.path.release();
@@ -601,7 +611,8 @@
         const reserved = this.context.ledger.loadAt(address).tokenLayers;
         this.log('endpoint-full', { address, status, reserved: Math.round(reserved) });
       } else {
-        this.context.directory.suspect(address, kind, `request was not run: status ${status}`);
+        const reason = `request was not run: status ${status}`;
+        this.context.directory.suspect(address, kind, reason, endpoint?.startedMs);
       }
     }
     this.handleFailedSend(SendFailure.NotRun, `status ${status} by ${address ?? 'unknown'}`);
