Read what callers have sent before a drain closes their connections

Callers saw a reset without a status for a request that they had sent 1.5 s before, if the gateway's event loop was busy when the drain came to close the idle connections.

Cause: after a busy time Node.js runs timers before it reads sockets. The drain woke up in a timer, saw no request in flight, and closed the listener and all idle connections in the same turn, with the bytes still in the kernel. A connection in the listener's queue was reset as well, and one that had just been accepted was closed before its first request.

Change: the drain counts requests only after the sockets were polled, also before the last close, and leaves connections that were accepted last a quarter of a second for their first request.

Ruled out by tests that pass before and after: slow chunked bodies, bodies that never end, HTTP/1.0, Expect: 100-continue and requests in a row on kept connections get a status; idle connections end without a reset.

Requests that cross the close itself are still cut, as the users' rules allow.

--- a/src/gateway/http/node/ingress.ts
+++ b/src/gateway/http/node/ingress.ts
@@ -1,9 +1,9 @@
-import { setImmediate } from 'node:timers/promises';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { toErrorMessage } from '../../../base/common/errors.js';
 import type { IClock } from '../../../base/common/clock.js';
 import { LogLevel, type ILogger } from '../../../base/common/logger.js';
 import type { IRandom } from '../../../base/common/random.js';
+import { waitForNextPoll } from '../../../base/node/eventLoop.js';
 import type { ConfigHolder } from '../../config/common/configHolder.js';
 import type { CallerLimits } from '../../config/common/configSnapshot.js';
 import { Verdict, type RouteTable } from '../../config/common/routeTable.js';
@@ -127,8 +127,12 @@
     this.isDraining = true;
   }
 
-  /** Stops accepting connections, and closes those without a request in flight. */
-  closeIdle(): void {
+  /**
+   * Stops accepting connections, and closes those whose last request was answered. Reads what has arrived
+   * before; requests among it stay in flight.
+   */
+  async closeIdle(): Promise<void> {
+    await waitForNextPoll();
     this.server.close();
     this.server.closeIdleConnections();
   }
@@ -197,6 +201,7 @@
       });
       return;
     }
+    // A gateway that was slow or frozen may read a request whose caller has disconnected in the meantime.
     await waitForNextPoll();
     if (!caller.isDisconnected && !caller.hasStatus) {
       // A newer configuration may have taken effect while the body was read.
@@ -286,15 +291,6 @@
   }
 }
 
-/**
- * Waits until the event loop has polled the sockets again. A gateway that was slow or frozen may read a
- * request whose caller has disconnected in the meantime; only the next poll shows this.
- */
-async function waitForNextPoll(): Promise<void> {
-  await setImmediate(); // still in the event loop iteration that read the request
-  await setImmediate();
-}
-
 function headerBytes(req: IncomingMessage): number {
   return req.rawHeaders.reduce((total, each) => total + each.length + 2, 0);
 }
--- a/src/gateway/node/drainSequence.ts
+++ b/src/gateway/node/drainSequence.ts
@@ -1,5 +1,6 @@
 import type { IClock } from '../../base/common/clock.js';
 import { LogLevel, type ILogger } from '../../base/common/logger.js';
+import { waitForNextPoll } from '../../base/node/eventLoop.js';
 import { sleep } from '../../base/node/systemClock.js';
 import type { LeaseCandidate } from '../../services/lease/common/lease.js';
 import type { Ingress } from '../http/node/ingress.js';
@@ -26,6 +27,9 @@
  */
 const drainPlainMarginMs = 2_000;
 
+/** Time in which callers send the first request on the connections that were accepted last, in milliseconds. */
+const lingerMs = 250;
+
 /** Interval between checks whether requests are in flight, in milliseconds. */
 const pollIntervalMs = 50;
 
@@ -77,7 +81,8 @@
     await sleep(Math.min(loadBalancerDelayMs, this.graceMs / 2));
     void this.lease.release();
     await this.waitForRequests(deadlineMs);
-    this.ingress.closeIdle();
+    await this.ingress.closeIdle();
+    await sleep(Math.min(lingerMs, Math.max(0, deadlineMs - this.clock.monotonicMs())));
     await this.waitForRequests(deadlineMs);
     const stopped = this.ingress.inFlight;
     this.ingress.stopRequests();
@@ -89,9 +94,12 @@
     });
   }
 
+  /** Waits for the requests that have arrived. */
   private async waitForRequests(deadlineMs: number): Promise<void> {
+    await waitForNextPoll();
     while (this.ingress.inFlight > 0 && this.clock.monotonicMs() < deadlineMs) {
       await sleep(pollIntervalMs);
+      await waitForNextPoll();
     }
   }
 }
