Answer pipelined requests when a gateway drains, and end them with their connection

Callers that send further requests on a connection before the first is answered lost them when the gateway began to drain: they had been passed on, and the connection ended after the first answer. A caller that left with several requests unanswered kept all but the first running at the endpoints, and the drain waiting for them until the end of the grace period.

Cause: each answer of a draining gateway said `Connection: close`, whatever followed on the connection. Node.js ends the connection after it, and emits no `close` for responses that still wait for an earlier one.

Change: only the answer to the latest request on a connection ends it; a request that follows such an answer isn't passed on, since it can get no answer; the end of a connection ends all its requests.

Ruled out: that the next request on a kept connection is concerned if callers wait for answers (`cut nothing while callers send one request after another`, passes before and after).

Evidence, platform/test/drainedConnections.test.ts: 3 tests failed before (1 of 3 answers; 1 of 2 endpoint runs cancelled within 1.5 s; 2 requests passed on instead of 1) and pass after.

--- a/src/gateway/http/node/callerResponse.ts
+++ b/src/gateway/http/node/callerResponse.ts
@@ -47,19 +47,26 @@
 export class CallerResponse implements ICallerSink {
   private wasAborted = false;
 
+  private hasEndedConnection = false;
+
   /**
    * @param req - Request of the caller.
    * @param res - Response to write to.
-   * @param isDraining - Returns whether this gateway is draining; answers then close the connection.
+   * @param mustEndConnection - Returns whether the answer is to be the last one on its connection.
    */
   constructor(
     private readonly req: IncomingMessage,
     private readonly res: ServerResponse,
-    private readonly isDraining: () => boolean,
+    private readonly mustEndConnection: () => boolean,
   ) {}
 
   get isDisconnected(): boolean {
-    return this.res.destroyed || this.res.closed;
+    return this.res.destroyed || this.res.closed || this.req.socket.destroyed;
+  }
+
+  /** Whether the answer has begun and ends its connection, so that later requests on it get none. */
+  get endsConnection(): boolean {
+    return this.hasEndedConnection;
   }
 
   /** Whether a status was sent to the caller. */
@@ -132,7 +139,8 @@
   }
 
   private withConnection(headers: string[]): string[] {
-    if (this.isDraining()) {
+    if (this.mustEndConnection()) {
+      this.hasEndedConnection = true;
       headers.push('Connection', 'close');
     }
     return headers;
--- a/src/gateway/http/node/ingress.ts
+++ b/src/gateway/http/node/ingress.ts
@@ -1,4 +1,5 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
 import { toErrorMessage } from '../../../base/common/errors.js';
 import type { IClock } from '../../../base/common/clock.js';
 import { LogLevel, type ILogger } from '../../../base/common/logger.js';
@@ -37,6 +38,7 @@
 /** Request whose answer hasn't ended. */
 interface OpenRequest {
   readonly req: IncomingMessage;
+  readonly res: ServerResponse;
   readonly caller: CallerResponse;
   readonly arrivedMs: number;
   /** Relay of the request; undefined until it was read and accepted. */
@@ -49,6 +51,9 @@
 
   private readonly openRequests = new Set<OpenRequest>();
 
+  /** Answer to the latest request on each connection. */
+  private readonly latestCallers = new WeakMap<Socket, CallerResponse>();
+
   private isDraining = false;
 
   private isClosed = false;
@@ -82,16 +87,11 @@
     this.configChangedMs = this.createdMs;
     this.server = createServer(
       { maxHeaderSize: maxParsedHeaderBytes, noDelay: true, requestTimeout: 0 },
-      (req, res) => {
-        const open: OpenRequest = {
-          req,
-          caller: new CallerResponse(req, res, () => this.isDraining),
-          arrivedMs: clock.monotonicMs(),
-          relay: undefined,
-        };
-        this.accept(open, res).catch((err: unknown) => this.handleError(open, err));
-      },
+      (req, res) => this.receive(req, res),
     );
+    this.server.on('connection', (socket) => {
+      socket.once('close', () => this.handleDisconnect(socket));
+    });
     config.onDidChange(({ config: { limits } }) => {
       this.configChangedMs = clock.monotonicMs();
       this.applyLimits(limits);
@@ -122,7 +122,7 @@
     return typeof address === 'object' && address ? address.port : 0;
   }
 
-  /** Makes every answer from now on close its connection, so that callers move to other gateways. */
+  /** Makes the last answer on each connection close it, so that callers move to other gateways. */
   drain(): void {
     this.isDraining = true;
   }
@@ -165,16 +165,50 @@
     this.server.headersTimeout = headerTimeoutMs + headerTimeoutSlackMs;
   }
 
-  private async accept(open: OpenRequest, res: ServerResponse): Promise<void> {
-    const { req, caller, arrivedMs } = open;
+  private receive(req: IncomingMessage, res: ServerResponse): void {
+    const { socket } = req;
+    if (this.latestCallers.get(socket)?.endsConnection) {
+      return; // must not be relayed: no answer can follow
+    }
+    const caller: CallerResponse = new CallerResponse(
+      req,
+      res,
+      () => this.isDraining && this.latestCallers.get(socket) === caller,
+    );
+    this.latestCallers.set(socket, caller);
+    const open: OpenRequest = {
+      req,
+      res,
+      caller,
+      arrivedMs: this.clock.monotonicMs(),
+      relay: undefined,
+    };
     this.openRequests.add(open);
-    res.once('close', () => {
-      this.openRequests.delete(open);
-      if (!res.writableFinished && (caller.isAborted || this.isClosed)) {
-        this.recordCut(open);
+    res.once('close', () => this.handleEnd(open));
+    this.accept(open).catch((err: unknown) => this.handleError(open, err));
+  }
+
+  /** Ends the requests whose answers waited for earlier ones on the connection; they emit no `close`. */
+  private handleDisconnect(socket: Socket): void {
+    this.openRequests.forEach((open) => {
+      if (open.req.socket === socket) {
+        this.handleEnd(open);
       }
-      open.relay?.cancel();
     });
+  }
+
+  private handleEnd(open: OpenRequest): void {
+    if (!this.openRequests.delete(open)) {
+      return;
+    }
+    if (!open.res.writableFinished && (open.caller.isAborted || this.isClosed)) {
+      this.recordCut(open);
+    }
+    open.relay?.cancel();
+  }
+
+  private async accept(open: OpenRequest): Promise<void> {
+    const { req, caller, arrivedMs } = open;
     await this.whenSynced();
     const table = this.config.current;
     if (table === undefined) {
