Send an agent's calls with the sender that gateways use

What callers saw: a call of a plain service whose answer has no length was answered 200 with half the body, if the connection to the service was reset within it.

Cause: the agent used undici's pooled `request`, which takes the end of a connection for the end of such an answer and doesn't tell a reset from a close. The gateways' sender has a client for each connection and looks at how its socket ended.

Ruled out: the framing. Chunks, and a length on a connection that closes, were told apart before as well (three tests of the group passed on the old code).

Change: the sender, its read gate and the bounded body move to services/exchange, unchanged but for the scheme, and HttpPlainService uses them. A call that fails before a byte was sent is now reported as not run, whatever the error; before, only a refused connection and a timeout of connecting were. All headers of a name are passed on, not only the last. Settings refuse a service or platform URL that isn't of HTTP, since the sender throws on it.

The other tests of the agent's client, of the sender and the demo pass. An https service isn't covered by a test, before as after.

--- a/src/agent/node/agentProgram.ts
+++ b/src/agent/node/agentProgram.ts
@@ -126,7 +126,11 @@
       this.stageRunner = this.createStageRunner(this.engine);
     }
     if (settings.service !== undefined) {
-      this.plainService = new HttpPlainService(settings.service.url, settings.maxAnswerBytes);
+      this.plainService = new HttpPlainService(
+        settings.service.url,
+        settings.maxAnswerBytes,
+        clock,
+      );
       this.plainService.onDidFailCall(({ attempt, reason }) =>
         dependencies.logger.log(LogLevel.Warn, 'service-call-failed', { attempt, reason }),
       );
--- a/src/agent/node/httpPlainService.ts
+++ b/src/agent/node/httpPlainService.ts
@@ -1,7 +1,14 @@
 import { Err, Ok, type Result } from 'ts-results-es';
-import { Agent, request } from 'undici';
-import { toErrorMessage } from '../../base/common/errors.js';
+import type { IClock, ITimers } from '../../base/common/clock.js';
 import { Emitter } from '../../base/common/event.js';
+import { BoundedBody } from '../../services/exchange/common/boundedBody.js';
+import type { HeaderMap } from '../../services/exchange/common/headerMap.js';
+import {
+  EndpointSender,
+  type AnswerHead,
+  type IAnswerSink,
+  type IExchange,
+} from '../../services/exchange/node/endpointSender.js';
 import type { CallMessage, Header, ServiceAnswer } from '../../services/link/common/messages.js';
 import { RunState } from '../../services/problem/common/problem.js';
 import { ServiceCallError, type IPlainService } from '../calls/common/callRunner.js';
@@ -14,14 +21,8 @@
   'content-length',
 ]);
 
-/** Error codes which prove that no byte of the request reached the service. */
-const notReachedCodes = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT']);
-
-/** Error code of an answer that exceeds its maximum size. */
-const oversizedCode = 'UND_ERR_RES_EXCEEDED_MAX_SIZE';
-
-/** Maximum size of the head of an answer, in bytes. */
-const maxHeadBytes = 16_384;
+/** Longest idle time after which a connection is used again, in milliseconds. */
+const maxReuseIdleMs = 3_000;
 
 /** A call without a whole answer. */
 export interface FailedCall {
@@ -29,9 +30,62 @@
   readonly reason: string;
 }
 
+/** Collects the answer to one call. */
+class ServiceAnswerSink implements IAnswerSink {
+  private readonly body: BoundedBody;
+
+  private head: AnswerHead | undefined;
+
+  private settle: (answer: Result<ServiceAnswer, ServiceCallError>) => void = () => undefined;
+
+  /** Resolves with the whole answer, or with the first error. */
+  readonly answer = new Promise<Result<ServiceAnswer, ServiceCallError>>((resolve) => {
+    this.settle = resolve;
+  });
+
+  /**
+   * @param maxBytes - Maximum size of the body, in bytes.
+   * @param onOversized - Called with an error message if the body is larger.
+   */
+  constructor(
+    private readonly maxBytes: number,
+    private readonly onOversized: (reason: string) => void,
+  ) {
+    this.body = new BoundedBody(maxBytes);
+  }
+
+  onHead(head: AnswerHead): void {
+    this.head = head;
+  }
+
+  onData(chunk: Buffer): boolean {
+    if (!this.body.append(chunk)) {
+      this.onOversized(`answer exceeds ${this.maxBytes} bytes`);
+    }
+    return true;
+  }
+
+  onEnd(): void {
+    if (this.head) {
+      const { status, headers } = this.head;
+      const body = new Uint8Array(this.body.toBuffer());
+      this.settle(Ok({ status, headers: endToEndHeaders(headers), body }));
+    }
+  }
+
+  onError(reason: string, wasSent: boolean): void {
+    const run = wasSent ? RunState.Unknown : RunState.NotRun;
+    this.settle(Err(new ServiceCallError(reason, run)));
+  }
+}
+
 /** Plain service reached over HTTP. */
 export class HttpPlainService implements IPlainService {
-  private readonly httpAgent: Agent;
+  private readonly sender: EndpointSender;
+
+  private readonly address: string;
+
+  private readonly basePath: string;
 
   private readonly failedCalls = new Emitter<FailedCall>();
 
@@ -41,46 +95,43 @@
   /**
    * @param baseUrl - Base URL of the service, for example `http://127.0.0.1:9000`.
    * @param maxAnswerBytes - Size past which an answer is broken off, in bytes.
+   * @param clock - Source of time and timers.
    */
   constructor(
-    private readonly baseUrl: string,
+    baseUrl: string,
     private readonly maxAnswerBytes: number,
+    private readonly clock: IClock & ITimers,
   ) {
-    this.httpAgent = new Agent({
-      connections: 64,
-      connect: { timeout: 1_000 },
-      maxHeaderSize: maxHeadBytes,
-      maxResponseSize: maxAnswerBytes,
-    });
+    const { host, pathname, protocol } = new URL(baseUrl);
+    this.address = host;
+    this.basePath = pathname.replace(/\/$/, '');
+    // The number of calls in progress is bounded by those who make them.
+    this.sender = new EndpointSender(Number.POSITIVE_INFINITY, clock, protocol);
   }
 
   async call(
     message: CallMessage,
     signal: AbortSignal,
   ): Promise<Result<ServiceAnswer, ServiceCallError>> {
-    const timeoutSignal = AbortSignal.timeout(Math.max(1, Math.ceil(message.remainingMs)));
-    try {
-      const res = await request(`${this.baseUrl}${message.path}`, {
-        method: message.method,
-        headers: Object.fromEntries(message.headers),
-        body: message.body.length > 0 ? message.body : undefined,
-        dispatcher: this.httpAgent,
-        signal: AbortSignal.any([timeoutSignal, signal]),
-      });
-      const body = new Uint8Array(await res.body.arrayBuffer());
-      return Ok({ status: res.statusCode, headers: endToEndHeaders(res.headers), body });
-    } catch (err) {
-      const code = (err as { code?: string }).code ?? '';
-      const run = notReachedCodes.has(code) ? RunState.NotRun : RunState.Unknown;
-      const reason =
-        code === oversizedCode
-          ? `answer exceeds ${this.maxAnswerBytes} bytes`
-          : toErrorMessage(err);
-      if (!signal.aborted) {
-        this.failedCalls.fire({ attempt: message.attempt, reason });
-      }
-      return Err(new ServiceCallError(reason, run));
+    const { method, path, remainingMs } = message;
+    const body = message.body.length > 0 ? Buffer.from(message.body) : undefined;
+    const sink = new ServiceAnswerSink(this.maxAnswerBytes, (reason) => giveUp(reason));
+    const exchange = this.send(method, path, message.headers.flat(), body, sink);
+    function giveUp(reason: string): void {
+      exchange.abort();
+      sink.onError(reason, true);
+    }
+    const handleAbort = () => giveUp('call was cancelled');
+    const timeoutMs = Math.max(1, Math.ceil(remainingMs));
+    const cancelTimeout = this.clock.after(timeoutMs, () => giveUp('no answer in time'));
+    signal.addEventListener('abort', handleAbort);
+    const answer = await sink.answer;
+    signal.removeEventListener('abort', handleAbort);
+    cancelTimeout();
+    if (answer.isErr() && !signal.aborted) {
+      this.failedCalls.fire({ attempt: message.attempt, reason: answer.error.message });
     }
+    return answer;
   }
 
   /**
@@ -89,31 +140,45 @@
    * @param timeoutMs - Timeout of the check, in milliseconds.
    * @returns True if a response of any status arrived in time.
    */
-  async isReachable(timeoutMs: number): Promise<boolean> {
-    try {
-      const signal = AbortSignal.timeout(timeoutMs);
-      const res = await request(this.baseUrl, {
-        method: 'HEAD',
-        dispatcher: this.httpAgent,
-        signal,
+  isReachable(timeoutMs: number): Promise<boolean> {
+    return new Promise((resolve) => {
+      const exchange = this.send('HEAD', '/', [], undefined, {
+        onHead: () => finish(true),
+        onData: () => true,
+        onEnd: () => undefined,
+        onError: () => finish(false),
       });
-      await res.body.dump();
-      return true;
-    } catch {
-      return false;
-    }
+      const cancelTimeout = this.clock.after(timeoutMs, () => {
+        exchange.abort();
+        resolve(false);
+      });
+      function finish(isReachable: boolean): void {
+        cancelTimeout();
+        resolve(isReachable);
+      }
+    });
   }
 
   /** Closes the connections and removes every listener. */
   async close(): Promise<void> {
     this.failedCalls.close();
-    await this.httpAgent.destroy();
+    await this.sender.close();
+  }
+
+  private send(
+    method: string,
+    path: string,
+    headers: string[],
+    body: Buffer | undefined,
+    sink: IAnswerSink,
+  ): IExchange {
+    const target = `${this.basePath}${path}`;
+    const req = { method, target, headers, body, maxIdleMs: maxReuseIdleMs };
+    return this.sender.send(this.address, req, sink);
   }
 }
 
-function endToEndHeaders(
-  headers: Record<string, string | string[] | undefined>,
-): readonly Header[] {
+function endToEndHeaders(headers: HeaderMap): readonly Header[] {
   return Object.entries(headers).flatMap(([name, value]): Header[] => {
     if (value === undefined || hopByHopHeaders.has(name)) {
       return [];
--- a/src/agent/test/node/brokenAnswers.test.ts
+++ b/src/agent/test/node/brokenAnswers.test.ts
@@ -1,5 +1,6 @@
 import { createServer, type AddressInfo, type Server, type Socket } from 'node:net';
 import { expect } from 'chai';
+import { SystemClock } from '../../../base/node/systemClock.js';
 import { HttpPlainService } from '../../node/httpPlainService.js';
 
 const maxAnswerBytes = 1_000;
@@ -18,7 +19,7 @@
       server.listen(0, '127.0.0.1', resolve);
     });
     const { port } = server.address() as AddressInfo;
-    service = new HttpPlainService(`http://127.0.0.1:${port}`, maxAnswerBytes);
+    service = new HttpPlainService(`http://127.0.0.1:${port}`, maxAnswerBytes, new SystemClock());
   };
 
   const callService = () =>
@@ -62,4 +63,10 @@
     });
     expect((await callService()).isErr()).to.equal(true);
   });
+
+  it('takes one for complete that ends with its connection, closed', async () => {
+    await answerWith((socket) => socket.end('HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nwhole'));
+    const { body } = (await callService()).unwrap();
+    expect(Buffer.from(body).toString()).to.equal('whole');
+  });
 });
--- a/src/agent/test/node/httpPlainService.test.ts
+++ b/src/agent/test/node/httpPlainService.test.ts
@@ -1,6 +1,7 @@
 import { createServer, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { expect } from 'chai';
+import { SystemClock } from '../../../base/node/systemClock.js';
 import { MessageKind, type CallMessage } from '../../../services/link/common/messages.js';
 import { RunState } from '../../../services/problem/common/problem.js';
 import { HttpPlainService } from '../../node/httpPlainService.js';
@@ -52,7 +53,7 @@
       server.listen(0, '127.0.0.1', () => resolve());
     });
     const { port } = server.address() as AddressInfo;
-    service = new HttpPlainService(`http://127.0.0.1:${port}`, maxAnswerBytes);
+    service = new HttpPlainService(`http://127.0.0.1:${port}`, maxAnswerBytes, new SystemClock());
   });
 
   afterEach(async () => {
@@ -100,4 +101,45 @@
     expect(status).to.equal(200);
     expect(Buffer.from(received).equals(body)).to.equal(true);
   });
+
+  it('says of a call that could not be sent that it has not run', async () => {
+    server.close();
+    const failure = (await call()).unwrapErr();
+    expect(failure.run).to.equal(RunState.NotRun);
+  });
+
+  it('gives a call up that is cancelled or late, as one that may have run', async () => {
+    answer = () => undefined;
+    const controller = new AbortController();
+    const cancelled = service.call(message, controller.signal);
+    const late = service.call({ ...message, remainingMs: 50 }, new AbortController().signal);
+    expect((await late).unwrapErr().run).to.equal(RunState.Unknown);
+    controller.abort();
+    expect((await cancelled).unwrapErr().run).to.equal(RunState.Unknown);
+  });
+
+  it('is reachable while it answers, whatever the status', async () => {
+    answer = (res) => res.writeHead(500).end();
+    expect(await service.isReachable(1_000)).to.equal(true);
+    answer = () => undefined;
+    expect(await service.isReachable(50)).to.equal(false);
+  });
+
+  it('gets all headers of a name, below the path of its URL', async () => {
+    const { port } = server.address() as AddressInfo;
+    const below = new HttpPlainService(`http://127.0.0.1:${port}/api/`, 100, new SystemClock());
+    answer = (res) => {
+      const { url, rawHeaders } = res.req;
+      res.end(`${url} ${rawHeaders.filter((_text, index) => rawHeaders[index - 1] === 'x-a')}`);
+    };
+    const headers = [
+      ['x-a', '1'],
+      ['x-a', '2'],
+    ] as const;
+    const { body } = (
+      await below.call({ ...message, headers }, new AbortController().signal)
+    ).unwrap();
+    await below.close();
+    expect(Buffer.from(body).toString()).to.equal('/api/book 1,2');
+  });
 });
--- a/src/gateway/relay/common/dialect.ts
+++ b/src/gateway/relay/common/dialect.ts
@@ -1,3 +1,4 @@
+import type { HeaderMap } from '../../../services/exchange/common/headerMap.js';
 import type { LayerPath } from '../../routing/common/pathFinder.js';
 
 /** Data that the gateway reads from a caller's request, independent of the header names. */
@@ -65,9 +66,6 @@
   readonly text: string;
 }
 
-/** Headers by lower-case name. */
-export type HeaderMap = Readonly<Record<string, string | string[] | undefined>>;
-
 /** Translates between the gateway's request metadata and the headers of callers and endpoints. */
 export interface IDialect {
   /** Reads the headers of a caller's request. */
--- a/src/gateway/relay/node/plainRelay.ts
+++ b/src/gateway/relay/node/plainRelay.ts
@@ -1,6 +1,12 @@
 import type { CancelTimer } from '../../../base/common/clock.js';
 import { LogLevel } from '../../../base/common/logger.js';
 import type { EndpointHealth } from '../../../services/ejection/common/endpointHealth.js';
+import { BoundedBody } from '../../../services/exchange/common/boundedBody.js';
+import type {
+  AnswerHead,
+  IAnswerSink,
+  IExchange,
+} from '../../../services/exchange/node/endpointSender.js';
 import { RouteKind } from '../../config/common/configSnapshot.js';
 import { incarnationOf, type Endpoint } from '../../directory/common/endpoint.js';
 import { Suspicion } from '../../directory/common/endpointDirectory.js';
@@ -14,9 +20,7 @@
   type ICallerSink,
   type IRelay,
 } from '../common/callerRequest.js';
-import { BoundedBody } from '../common/boundedBody.js';
 import type { PlainRouter } from '../../routing/common/plainRouter.js';
-import type { AnswerHead, IAnswerSink, IExchange } from './endpointSender.js';
 import type { RelayContext } from './relayContext.js';
 import { RetryAllowance } from './retryAllowance.js';
 
--- a/src/gateway/relay/node/relayContext.ts
+++ b/src/gateway/relay/node/relayContext.ts
@@ -1,11 +1,11 @@
 import type { IClock, ITimers } from '../../../base/common/clock.js';
 import type { ILogger } from '../../../base/common/logger.js';
+import type { EndpointSender } from '../../../services/exchange/node/endpointSender.js';
 import type { EndpointDirectory } from '../../directory/common/endpointDirectory.js';
 import type { RetryBudget } from '../../retries/common/retryBudget.js';
 import type { ReservationLedger } from '../../routing/common/reservationLedger.js';
 import type { EndpointSignals } from '../../signals/common/endpointSignals.js';
 import type { IDialect } from '../common/dialect.js';
-import type { EndpointSender } from './endpointSender.js';
 import type { RunSupervisor } from '../../suspects/common/runSupervisor.js';
 import type { GatewayMetrics } from '../../node/gatewayMetrics.js';
 
--- a/src/gateway/relay/node/streamAnswer.ts
+++ b/src/gateway/relay/node/streamAnswer.ts
@@ -2,7 +2,7 @@
 import type { IDialect } from '../common/dialect.js';
 import { EventSplitter, type EventBatch } from '../common/eventSplitter.js';
 import { StreamProgress } from '../common/streamProgress.js';
-import type { AnswerHead } from './endpointSender.js';
+import type { AnswerHead } from '../../../services/exchange/node/endpointSender.js';
 
 /** Answer to the caller of a stream: the events of its runs, one run after the other. */
 export class StreamAnswer {
--- a/src/gateway/relay/node/streamAnswerSink.ts
+++ b/src/gateway/relay/node/streamAnswerSink.ts
@@ -1,5 +1,5 @@
-import type { BoundedBody } from '../common/boundedBody.js';
-import type { AnswerHead, IAnswerSink } from './endpointSender.js';
+import type { BoundedBody } from '../../../services/exchange/common/boundedBody.js';
+import type { AnswerHead, IAnswerSink } from '../../../services/exchange/node/endpointSender.js';
 
 /** How the body of an answer is handled, decided from the answer's status and headers. */
 export enum AnswerKind {
--- a/src/gateway/relay/node/streamRelay.ts
+++ b/src/gateway/relay/node/streamRelay.ts
@@ -1,6 +1,8 @@
 import { toErrorMessage } from '../../../base/common/errors.js';
 import { LogLevel } from '../../../base/common/logger.js';
 import type { CancelTimer } from '../../../base/common/clock.js';
+import { BoundedBody } from '../../../services/exchange/common/boundedBody.js';
+import type { AnswerHead, IExchange } from '../../../services/exchange/node/endpointSender.js';
 import { RefusalReason, type ModelAdmission } from '../../admission/common/modelAdmission.js';
 import { RouteKind } from '../../config/common/configSnapshot.js';
 import { incarnationOf } from '../../directory/common/endpoint.js';
@@ -16,8 +18,6 @@
   type IRelay,
 } from '../common/callerRequest.js';
 import type { AnswerMetadata } from '../common/dialect.js';
-import { BoundedBody } from '../common/boundedBody.js';
-import type { AnswerHead, IExchange } from './endpointSender.js';
 import { describePath, SendFailure, suspicionOf } from '../common/sendFailure.js';
 import { PathAcquisition } from './pathAcquisition.js';
 import type { RelayContext } from './relayContext.js';
--- /dev/null
+++ b/src/services/exchange/common/headerMap.ts
@@ -0,0 +1,2 @@
+/** Headers by lower-case name. */
+export type HeaderMap = Readonly<Record<string, string | string[] | undefined>>;
--- a/src/gateway/relay/node/endpointSender.ts
+++ b/src/services/exchange/node/endpointSender.ts
@@ -2,7 +2,7 @@
 import { buildConnector, Client, type Dispatcher } from 'undici';
 import { toErrorMessage } from '../../../base/common/errors.js';
 import type { IClock } from '../../../base/common/clock.js';
-import type { HeaderMap } from '../common/dialect.js';
+import type { HeaderMap } from '../common/headerMap.js';
 import { ReadGate } from './readGate.js';
 
 /** HTTP request to an endpoint. */
@@ -80,14 +80,14 @@
   private gate: ReadGate | undefined;
 
   /**
-   * @param address - `ip:port` of the endpoint.
+   * @param origin - Scheme, host and port of the endpoint.
    * @param onHeard - Called when the endpoint has accepted the connection or sent part of an answer.
    */
   constructor(
-    address: string,
+    origin: string,
     readonly onHeard: () => void,
   ) {
-    this.client = new Client(`http://${address}`, {
+    this.client = new Client(origin, {
       pipelining: 1,
       keepAliveTimeout: idleTimeoutMs,
       keepAliveMaxTimeout: idleTimeoutMs,
@@ -226,7 +226,7 @@
 }
 
 /**
- * Sends requests to endpoints over kept-alive connections.
+ * Sends requests over kept-alive connections to endpoints, or to the service behind one.
  *
  * Each connection has its own client. A shared client wouldn't tell how the connection of an answer
  * ended, and a reset must not be taken for the end of an answer without a length.
@@ -239,10 +239,12 @@
   /**
    * @param maxConnections - Maximum number of connections to one endpoint.
    * @param clock - Source of time.
+   * @param protocol - `http:` or `https:`.
    */
   constructor(
     private readonly maxConnections: number,
     private readonly clock: IClock,
+    private readonly protocol = 'http:',
   ) {}
 
   /**
@@ -342,7 +344,7 @@
   }
 
   private openConnection(address: string, openConnections: Set<Connection>): Connection {
-    const connection = new Connection(address, () => {
+    const connection = new Connection(`${this.protocol}//${address}`, () => {
       this.heardMs.set(address, this.clock.monotonicMs());
     });
     openConnections.add(connection);
--- a/src/services/settings/common/settings.ts
+++ b/src/services/settings/common/settings.ts
@@ -34,7 +34,7 @@
 const port = v.pipe(v.number(), v.integer(), v.minValue(0), v.maxValue(65_535));
 const name = v.pipe(v.string(), v.regex(/^[a-z0-9][a-z0-9.-]{0,62}$/, 'must be a lower-case name'));
 const milliseconds = v.pipe(v.number(), v.integer(), v.minValue(1));
-const url = v.pipe(v.string(), v.url());
+const url = v.pipe(v.string(), v.url(), v.regex(/^https?:/i, 'must be an HTTP URL'));
 const positiveInteger = v.pipe(v.number(), v.integer(), v.minValue(1));
 
 const commonSchemaEntries = {
--- a/src/services/settings/test/common/settings.test.ts
+++ b/src/services/settings/test/common/settings.test.ts
@@ -46,4 +46,10 @@
     );
     expect(checkSettings(agentSchema, agentSettings).isOk()).to.equal(false);
   });
+
+  it('reject a service that is not reached over HTTP', () => {
+    const service = { name: 'booking', url: 'ftp://127.0.0.1:3' };
+    const invalid = { ...commonSettings, instance: 'agent-1', service };
+    expect(faultsOf(checkSettings(agentSchema, invalid))[0]).to.contain('service.url');
+  });
 });
