Judge whole requests by the users' rule in the soak, and let it bring the incident about

The soak couldn't show it: its streams lasted 60 ms, and each unplanned fault excused the calls that it overlapped, so that hardly a call was judged.

Change: `wholeRequestsAreAnswered` judges each call of a run by the rule's text, with one test for each of its exclusions. Beside a configuration it compares the cuts of each gateway with those of other times; without any at other times a single one is reported. The report says how many undisturbed calls ended beside each kind of planned work. A kind of request of its own streams for one to three seconds, over a route that changes between two services; up to half of the endpoints fall silent for 0.8 to 2.2 s in an overlapping series; plans begin with a phase of planned work alone and come back to it. The harness records the spans in which it stood still; they excuse nothing.

The other checks are as they were, but for the timeout (10 s) and the two retry budgets of the new kind of request. The makers of planted histories moved to a file of their own, unchanged.

--- a/soak/common/callEndCheckers.ts
+++ b/soak/common/callEndCheckers.ts
@@ -39,7 +39,7 @@
 }
 
 /** Returns the name that all incarnations of an endpoint share. */
-function nameOf(endpointId: string): string {
+export function nameOf(endpointId: string): string {
   return endpointId.split('-').slice(0, 2).join('-');
 }
 
--- a/soak/common/checkers.ts
+++ b/soak/common/checkers.ts
@@ -11,6 +11,8 @@
 } from './faultTimes.js';
 import { checkCrashingParts, checkSoundParts } from './partCheckers.js';
 import { checkLeaving, checkPauses } from './signalCheckers.js';
+import { timeoutOf } from './timeLimits.js';
+import { checkWholeRequests } from './wholeRequestCheckers.js';
 
 /** Statuses that state that the request was not run and will not be run later. */
 const notRunStatuses = new Set([408, 421, 429, 503]);
@@ -58,18 +60,12 @@
 /** Time from which the requests count after it named its limit, in milliseconds; stated by the users. */
 const limitNoticeMs = 3_000;
 
-/** Time limit of a gateway's graceful shutdown, in milliseconds; required by the users. */
-export const shutdownGraceMs = 8_000;
-
 /**
  * Time after the last fault within which requests are served again, in milliseconds; required by
  * the users.
  */
 export const maxRecoveryMs = 15_000;
 
-/** Timeout of every route, in milliseconds. */
-export const routeTimeoutMs = 3_000;
-
 /** Time by which a call may exceed the timeout of its route, in milliseconds. */
 const timeoutToleranceMs = 500;
 
@@ -255,8 +251,8 @@
   );
   return history.calls
     .filter(
-      ({ gateway, startMs, endMs }) =>
-        endMs - startMs > routeTimeoutMs + timeoutToleranceMs &&
+      ({ kind, gateway, startMs, endMs }) =>
+        endMs - startMs > timeoutOf(kind) + timeoutToleranceMs &&
         !excusingFaults.some(
           (fault) => fault.target === gateway && overlaps(fault, startMs, endMs),
         ),
@@ -275,6 +271,11 @@
   });
 }
 
+/** Returns the number of services that requests of a kind may go to; each has a budget of its own. */
+function serviceCountOf(kind: RequestKind): number {
+  return kind === RequestKind.LongStream ? 2 : 1;
+}
+
 /** Checks that all gateways together run the requests of a service again no more often than allowed. */
 function checkRetries(history: SoakHistory): readonly string[] {
   return Object.values(RequestKind).flatMap((kind) => {
@@ -287,7 +288,9 @@
     return repeats.flatMap(({ atMs: endMs }) => {
       const isInWindow = (atMs: number) => atMs > endMs - retryBudget.windowMs && atMs <= endMs;
       const repeated = repeats.filter(({ atMs }) => isInWindow(atMs)).length;
-      const allowed = retryBudget.ratio * startsMs.filter(isInWindow).length + retryBudget.slack;
+      const allowed =
+        retryBudget.ratio * startsMs.filter(isInWindow).length +
+        serviceCountOf(kind) * retryBudget.slack;
       return repeated > allowed ? [`${kind} was run again ${repeated} times until ${endMs}`] : [];
     });
   });
@@ -338,6 +341,7 @@
     leavingGetsNoWork: checkLeaving(history),
     pausesAreKept: checkPauses(history),
     plannedWorkCutsNothing: checkPlannedWork(history),
+    wholeRequestsAreAnswered: checkWholeRequests(history),
     callsEndWithStatus: checkStatuses(history),
     callsEndInTime: checkTimeouts(history),
     gatewaysKeepRunning: history.incidents,
--- a/soak/common/faultTimes.ts
+++ b/soak/common/faultTimes.ts
@@ -38,6 +38,21 @@
   FaultKind.DelayCallerLinks,
 ]);
 
+/** Changes of the configuration. */
+export const configChanges: ReadonlySet<FaultKind> = new Set([
+  FaultKind.AddKey,
+  FaultKind.RevokeKey,
+  FaultKind.GrowConfig,
+  FaultKind.MoveRoute,
+]);
+
+/** What sound endpoints may do beside serving. */
+export const soundFaults: ReadonlySet<FaultKind> = new Set([
+  FaultKind.EndpointFallsSilent,
+  FaultKind.EndpointsFallSilentInSeries,
+  FaultKind.EndpointOmitsFraming,
+]);
+
 /** Planned work, and what sound endpoints say of themselves. */
 export const plannedFaults: ReadonlySet<FaultKind> = new Set([
   FaultKind.StopGateway,
@@ -47,9 +62,7 @@
   FaultKind.EndpointNamesLimit,
   FaultKind.EndpointSaysLeaving,
   FaultKind.EndpointPauses,
-  FaultKind.AddKey,
-  FaultKind.RevokeKey,
-  FaultKind.GrowConfig,
+  ...configChanges,
 ]);
 
 /** Time for a process to reconnect after a fault, in milliseconds; required by the users. */
@@ -68,18 +81,21 @@
 /**
  * Returns whether a gateway may not have caught up with the store at a time, because its process, its path
  * to the store or the store itself was disturbed until shortly before.
+ *
+ * @param windowMs - Time after a disturbance until it has caught up, in milliseconds.
  */
 export function wasOutOfTouch(
   history: SoakHistory,
   gateway: string | undefined,
   fromMs: number,
   toMs = fromMs,
+  windowMs = reconnectMs,
 ): boolean {
   return history.faults.some(
     (fault) =>
       (storeFaults.has(fault.kind) || gatewayFaults.has(fault.kind)) &&
       (fault.target === 'store' || gateway === undefined || fault.target === gateway) &&
-      overlaps(fault, fromMs - reconnectMs, toMs),
+      overlaps(fault, fromMs - windowMs, toMs),
   );
 }
 
--- a/soak/common/records.ts
+++ b/soak/common/records.ts
@@ -5,8 +5,16 @@
   Stream = 'stream',
   Lookup = 'look',
   Submission = 'book',
+  /** A stream that takes seconds; its route moves between two services. */
+  LongStream = 'long',
 }
 
+/** Kinds of requests whose answers are streams. */
+export const streamKinds: ReadonlySet<RequestKind> = new Set([
+  RequestKind.Stream,
+  RequestKind.LongStream,
+]);
+
 /** Outcome of a call from its caller's point of view. */
 export enum CallOutcome {
   /** The caller received the complete answer to its own request. */
@@ -118,6 +126,8 @@
   EndpointNeverAnswers = 'hanging',
   /** A sound endpoint sends and answers nothing for about a second, and then goes on. */
   EndpointFallsSilent = 'silent-second',
+  /** Up to half of the endpoints, all sound, fall silent one after the other, and overlap. */
+  EndpointsFallSilentInSeries = 'silent-series',
   /** An endpoint answers with neither a length nor chunks, and ends the connection. */
   EndpointOmitsFraming = 'unframed',
   /** An endpoint answers so, and closes the connection of a stream within an event. */
@@ -129,6 +139,8 @@
   AddKey = 'add-key',
   RevokeKey = 'revoke-key',
   GrowConfig = 'grow-config',
+  /** The route of long streams goes to another service. */
+  MoveRoute = 'move-route',
 }
 
 /** A planned fault. Times are in milliseconds from the start of the run. */
@@ -148,6 +160,12 @@
   endMs: number;
 }
 
+/** A span in which this process itself stood still, in milliseconds since 1970. */
+export interface Standstill {
+  readonly startMs: number;
+  readonly endMs: number;
+}
+
 /** Records of a run that the checks read. */
 export interface SoakHistory {
   readonly calls: readonly CallRecord[];
@@ -159,6 +177,8 @@
   readonly faults: readonly FaultRecord[];
   /** Descriptions of gateway failures, such as a process that exited unexpectedly. */
   readonly incidents: readonly string[];
+  /** Spans in which the harness stood still; they excuse nothing. */
+  readonly standstills: readonly Standstill[];
   /** Time when the last fault ended, in milliseconds since 1970; undefined before that. */
   readonly calmFromMs: number | undefined;
 }
--- a/soak/node/callers.ts
+++ b/soak/node/callers.ts
@@ -1,9 +1,9 @@
 import { Agent } from 'node:http';
 import { call, type CallerAnswer } from '../../platform/test/gatewayFleet.js';
-import { answerMetadata, promptHeaders } from '../../platform/test/wireViews.js';
+import { answerMetadata, promptHeaders, timeBudgetHeader } from '../../platform/test/wireViews.js';
 import { SeededRandom } from '../../src/base/common/random.js';
-import { routeTimeoutMs } from '../common/checkers.js';
-import { CallOutcome, RequestKind, type CallRecord } from '../common/records.js';
+import { CallOutcome, RequestKind, streamKinds, type CallRecord } from '../common/records.js';
+import { timeoutOf } from '../common/timeLimits.js';
 import { permanentKey, sleep, type SoakFleet, type SoakGateway } from './soakFleet.js';
 
 /** Number of events in a complete stream of a stand-in endpoint. */
@@ -12,8 +12,8 @@
 /** Maximum pause between two calls of a caller, in milliseconds. */
 const maxThinkTimeMs = 60;
 
-/** Timeout of a caller, in milliseconds; longer than any answer is allowed to take. */
-const callerTimeoutMs = routeTimeoutMs + 3_000;
+/** Time for which a caller waits beyond the timeout of a route, in milliseconds. */
+const extraPatienceMs = 3_000;
 
 /** First parts of prompts, each of which many requests share. */
 export const firstParts = ['f0', 'f1'] as const;
@@ -79,7 +79,7 @@
     const id = `${this.seed}-${this.callCount}`;
     const target = `/${kind}/${id}`;
     const body = kind === RequestKind.Lookup ? '' : `body of ${id}`;
-    const parts = kind === RequestKind.Stream ? [...sharedParts, `e${this.callCount}`] : [];
+    const parts = streamKinds.has(kind) ? [...sharedParts, `e${this.callCount}`] : [];
     const process = gateway.process.pid;
     const startMs = Date.now();
     const answer = await call(gateway.callerProxy.port, target, {
@@ -88,8 +88,11 @@
       agent,
       method: kind === RequestKind.Lookup ? 'GET' : 'POST',
       body: body === '' ? undefined : body,
-      headers: kind === RequestKind.Stream ? promptHeaders(parts) : {},
-      signal: AbortSignal.timeout(callerTimeoutMs),
+      headers: {
+        ...timeBudgetHeader(timeoutOf(kind)),
+        ...(streamKinds.has(kind) ? promptHeaders(parts) : {}),
+      },
+      signal: AbortSignal.timeout(timeoutOf(kind) + extraPatienceMs),
     });
     this.calls.push({
       id,
@@ -116,7 +119,7 @@
     while (!this.isStopped) {
       const kind = random.pick(Object.values(RequestKind));
       const key = this.chooseKey(random);
-      const sharedParts = kind === RequestKind.Stream ? [random.pick(firstParts)] : [];
+      const sharedParts = streamKinds.has(kind) ? [random.pick(firstParts)] : [];
       await this.send(gateway, { kind, key, sharedParts, agent });
       await sleep(random.integer(0, maxThinkTimeMs));
     }
@@ -159,10 +162,9 @@
   if (status >= 300) {
     return CallOutcome.ErrorStatus;
   }
-  const isExpectedBody =
-    kind === RequestKind.Stream
-      ? body === expectedStream(id)
-      : /^answer of \S+ to /.test(body) && body.endsWith(` to ${id}`);
+  const isExpectedBody = streamKinds.has(kind)
+    ? body === expectedStream(id)
+    : /^answer of \S+ to /.test(body) && body.endsWith(` to ${id}`);
   return isExpectedBody && hasSignature ? CallOutcome.Complete : CallOutcome.Mismatch;
 }
 
--- a/soak/node/faultInjector.ts
+++ b/soak/node/faultInjector.ts
@@ -3,9 +3,17 @@
 import { StoreMode } from '../../platform/test/fakeStore.js';
 import { PauseDirection } from '../../src/bench/node/faultProxy.js';
 import { firstParts, type Callers } from './callers.js';
-import { crashingPrefix, namedLimitPerSecond, routeTimeoutMs } from '../common/checkers.js';
+import { SeededRandom } from '../../src/base/common/random.js';
+import { crashingPrefix, namedLimitPerSecond } from '../common/checkers.js';
 import { pauseMs } from '../common/signalCheckers.js';
-import { FaultKind, RequestKind, type FaultRecord, type PlannedFault } from '../common/records.js';
+import { timeoutOf } from '../common/timeLimits.js';
+import {
+  FaultKind,
+  RequestKind,
+  streamKinds,
+  type FaultRecord,
+  type PlannedFault,
+} from '../common/records.js';
 import {
   permanentKey,
   sleep,
@@ -37,6 +45,11 @@
 const minSilenceMs = 900;
 const maxSilenceMs = 1_600;
 
+/** The same for endpoints that fall silent in series, and the time within which all of these do. */
+const minSeriesSilenceMs = 800;
+const maxSeriesSilenceMs = 2_200;
+const silenceSeriesMs = 1_500;
+
 /**
  * Time for which an endpoint names its limit beyond the duration of the fault, in milliseconds, so that
  * its requests are also counted after all gateways must keep it.
@@ -134,6 +147,10 @@
       await this.runExclusively(kind, crashingPartOf(fault), 'crashing part', () =>
         this.sendCrashingPart(fault),
       );
+    } else if (kind === FaultKind.EndpointsFallSilentInSeries) {
+      await this.runExclusively(kind, 'endpoints', 'silent series', () =>
+        this.silenceEndpoints(fault),
+      );
     } else if (kind === FaultKind.EndpointFallsSilent || kind === FaultKind.EndpointOmitsFraming) {
       const name = endpoint.replica.options.id;
       await this.runExclusively(kind, name, `${endpoint.name} ${kind}`, () =>
@@ -210,8 +227,8 @@
         key: permanentKey,
         method: kind === RequestKind.Lookup ? 'GET' : 'POST',
         body: kind === RequestKind.Lookup ? undefined : name,
-        headers: kind === RequestKind.Stream ? modelHeaders : {},
-        signal: AbortSignal.timeout(routeTimeoutMs),
+        headers: streamKinds.has(kind) ? modelHeaders : {},
+        signal: AbortSignal.timeout(timeoutOf(kind)),
       });
       await sleep(crashingRequestPauseMs);
     }
@@ -251,6 +268,28 @@
     replica.omitsFraming = false;
   }
 
+  /** Lets up to half of the endpoints fall silent within a short time. */
+  private async silenceEndpoints({ startOffsetMs }: PlannedFault): Promise<void> {
+    const random = new SeededRandom(startOffsetMs);
+    const { endpoints } = this.fleet;
+    const count = random.integer(1, Math.floor(endpoints.length / 2));
+    const chosen = new Set(Array.from({ length: count }, () => random.pick(endpoints)));
+    const silence = async ({ replica }: SoakEndpoint, delayMs: number, silenceMs: number) => {
+      await sleep(delayMs);
+      replica.fallSilent(silenceMs);
+      await sleep(silenceMs);
+    };
+    await Promise.all(
+      [...chosen].map((endpoint) =>
+        silence(
+          endpoint,
+          random.integer(0, silenceSeriesMs),
+          random.integer(minSeriesSilenceMs, maxSeriesSilenceMs),
+        ),
+      ),
+    );
+  }
+
   private async injectStoreFault(kind: FaultKind, durationMs: number): Promise<void> {
     const { store } = this.fleet;
     if (kind === FaultKind.StoreCompactsHistory) {
@@ -326,6 +365,8 @@
       this.fleet.addKey();
     } else if (kind === FaultKind.RevokeKey) {
       this.fleet.revokeKey();
+    } else if (kind === FaultKind.MoveRoute) {
+      this.fleet.moveRoute();
     } else {
       this.fleet.growConfig();
     }
--- a/soak/node/soakFleet.ts
+++ b/soak/node/soakFleet.ts
@@ -1,5 +1,5 @@
 import { fileURLToPath } from 'node:url';
-import { FakeReplica } from '../../platform/test/fakeReplica.js';
+import { FakeReplica, type FakeReplicaOptions } from '../../platform/test/fakeReplica.js';
 import { FakeStore, StoreMode, type StoreCopy } from '../../platform/test/fakeStore.js';
 import {
   publishReplica,
@@ -14,11 +14,29 @@
 } from '../../platform/test/wireViews.js';
 import { ProcessGroup, type RunningProcess } from '../../src/bench/node/processes.js';
 import { FaultProxy } from '../../src/bench/node/faultProxy.js';
-import { crashingPrefix, retryBudget, shutdownGraceMs } from '../common/checkers.js';
-import type { CrashRecord, KeyRecord, OrderRecord } from '../common/records.js';
+import { SeededRandom } from '../../src/base/common/random.js';
+import { crashingPrefix, retryBudget } from '../common/checkers.js';
+import {
+  RequestKind,
+  type CrashRecord,
+  type KeyRecord,
+  type OrderRecord,
+} from '../common/records.js';
+import { longRouteTimeoutMs, shutdownGraceMs } from '../common/timeLimits.js';
 
 const dataCentres = ['a', 'b', 'c'];
 
+/** Services of which the route of long streams uses one at a time. */
+const longServices = ['long', 'spare'];
+
+/** Number of endpoints of each of them. */
+const longEndpointCount = 6;
+
+/** Time between two events of a stream, and of a long one, in milliseconds. */
+const eventMs = 10;
+const minLongEventMs = 170;
+const maxLongEventMs = 500;
+
 /**
  * Number of layers that each kind of accelerator can hold: its memory divided by the size of a
  * layer.
@@ -52,6 +70,29 @@
 /** Key that is never revoked. */
 export const permanentKey = 'key-lasting';
 
+/** Options of an endpoint whose streams take between one and three seconds. */
+class LongStreamOptions implements FakeReplicaOptions {
+  readonly hasRequestIdInBody = true;
+
+  private readonly random: SeededRandom;
+
+  /** @param index - Number of the endpoint, and seed of its pauses. */
+  constructor(
+    readonly id: string,
+    readonly service: string,
+    readonly zone: string,
+    readonly kind: string | undefined,
+    index: number,
+  ) {
+    this.random = new SeededRandom(index);
+  }
+
+  /** Time between two events of the next stream, in milliseconds. */
+  get eventMs(): number {
+    return this.random.integer(minLongEventMs, maxLongEventMs);
+  }
+}
+
 /** A gateway process with one proxy between it and its callers and one between it and the store. */
 export interface SoakGateway {
   readonly name: string;
@@ -104,6 +145,8 @@
 
   private unusedRouteCount = 0;
 
+  private longService = longServices[0];
+
   private storePort = 0;
 
   /** Processes that were asked to end, so that their exit is not an incident. */
@@ -129,6 +172,12 @@
     for (let index = 0; index < 3; index += 1) {
       await this.addEndpoint(`app-${index}`, 'app', index, undefined);
     }
+    for (const service of longServices) {
+      for (let index = 0; index < longEndpointCount; index += 1) {
+        const kind = index % 3 === 0 ? 'big' : 'small';
+        await this.addEndpoint(`${service}-${index}`, service, index, kind);
+      }
+    }
     for (let index = 0; index < gatewayCount; index += 1) {
       await this.addGateway(`gateway-${index}`, dataCentres[index % dataCentres.length]);
     }
@@ -183,6 +232,12 @@
     this.publishConfig();
   }
 
+  /** Lets the route of long streams go to the other one of its services. */
+  moveRoute(): void {
+    this.longService = longServices.find((service) => service !== this.longService) ?? '';
+    this.publishConfig();
+  }
+
   /** Kills or gracefully stops a gateway and starts it again. */
   async restartGateway(gateway: SoakGateway, signal: 'SIGKILL' | 'SIGTERM'): Promise<void> {
     const { process } = gateway;
@@ -311,7 +366,12 @@
 
   private writeConfig(withoutKey?: string): void {
     const activeKeys = this.keys.filter(({ key, toMs }) => toMs === Infinity && key !== withoutKey);
-    writeConfig(this.store, this.configVersion, activeKeys, this.unusedRouteCount);
+    writeConfig(this.store, this.configVersion, activeKeys, this.unusedRouteCount, {
+      name: RequestKind.LongStream,
+      timeoutMs: longRouteTimeoutMs,
+      services: longServices,
+      currentService: this.longService,
+    });
   }
 
   private async addEndpoint(
@@ -335,14 +395,11 @@
     zone: string,
     kind: string | undefined,
   ): Promise<void> {
-    const replica = new FakeReplica({
-      id,
-      service,
-      zone,
-      kind,
-      eventMs: 10,
-      hasRequestIdInBody: true,
-    });
+    const replica = new FakeReplica(
+      longServices.includes(service)
+        ? new LongStreamOptions(id, service, zone, kind, this.replicas.length)
+        : { id, service, zone, kind, eventMs, hasRequestIdInBody: true },
+    );
     await replica.listen();
     endpoint.proxy.targetPort = parsePort(replica.address);
     replica.address = `127.0.0.1:${endpoint.proxy.port}`;
--- a/soak/node/soakRun.ts
+++ b/soak/node/soakRun.ts
@@ -3,9 +3,11 @@
 import { checkGuarantees, maxRecoveryMs } from '../common/checkers.js';
 import { planFaults } from '../common/faultPlan.js';
 import { CallOutcome, type FaultKind, type SoakHistory } from '../common/records.js';
+import { countCuts, type CutCounts } from '../common/wholeRequestCheckers.js';
 import { Callers } from './callers.js';
 import { FaultInjector } from './faultInjector.js';
 import { sleep, SoakFleet } from './soakFleet.js';
+import { StandstillMonitor } from './standstillMonitor.js';
 
 /** Interval between two checks of the guarantees while faults are injected, in milliseconds. */
 const checkIntervalMs = 2_000;
@@ -37,6 +39,11 @@
   readonly whole: number;
   readonly runs: number;
   readonly faults: number;
+  /** Undisturbed calls, and cuts among them, by the planned work beside which they ended. */
+  readonly undisturbed: Readonly<Record<string, CutCounts>>;
+  /** Number of spans in which the harness stood still, and the longest of them in milliseconds. */
+  readonly standstills: number;
+  readonly longestStandstillMs: number;
   readonly violations: Readonly<Record<string, readonly string[]>>;
   /** Directory with the logs and, if a guarantee was violated, `history.json`. */
   readonly directory: string;
@@ -57,6 +64,7 @@
   const fleet = new SoakFleet();
   const callers = new Callers(fleet, options.seed);
   const injector = new FaultInjector(fleet, callers);
+  const monitor = new StandstillMonitor();
   const reported = new Set<string>();
   let faultsEndedAtMs: number | undefined;
   const history = (): SoakHistory => ({
@@ -68,6 +76,7 @@
     keys: fleet.keys,
     faults: injector.faults,
     incidents: fleet.incidents,
+    standstills: monitor.standstills,
     calmFromMs: faultsEndedAtMs,
   });
   const reportNewViolations = () => {
@@ -92,7 +101,7 @@
     callers.stop();
     await callersDone;
     reportNewViolations();
-    const { calls, runs, faults } = history();
+    const { calls, runs, faults, standstills } = history();
     const violations = checkGuarantees(history());
     if (Object.values(violations).some((list) => list.length > 0)) {
       writeFileSync(join(fleet.directory, 'history.json'), JSON.stringify(history()));
@@ -103,10 +112,14 @@
       whole: calls.filter(({ outcome }) => outcome === CallOutcome.Complete).length,
       runs: runs.length,
       faults: faults.length,
+      undisturbed: countCuts(history()),
+      standstills: standstills.length,
+      longestStandstillMs: Math.max(0, ...standstills.map(({ startMs, endMs }) => endMs - startMs)),
       violations,
       directory: fleet.directory,
     };
   } finally {
+    monitor.close();
     await fleet.close();
   }
 }
--- a/soak/test/checkers.test.ts
+++ b/soak/test/checkers.test.ts
@@ -1,82 +1,16 @@
 import { expect } from 'chai';
-import type { ObservedRun } from '../../platform/test/wireViews.js';
-import {
-  checkGuarantees,
-  modelLayerCount,
-  maxRecoveryMs,
-  retryBudget,
-  routeTimeoutMs,
-} from '../common/checkers.js';
+import { modelLayerCount, maxRecoveryMs, retryBudget } from '../common/checkers.js';
 import { planFaults } from '../common/faultPlan.js';
+import { plannedFaults, soundFaults } from '../common/faultTimes.js';
 import {
   CallOutcome,
   FaultKind,
   RequestKind,
   type CallRecord,
   type FaultRecord,
-  type SoakHistory,
 } from '../common/records.js';
-
-const key = { key: 'k', organisation: 'org', fromMs: 0, toMs: Infinity };
-
-function makeCall(changes: Partial<CallRecord> = {}): CallRecord {
-  return {
-    id: 'id',
-    kind: RequestKind.Submission,
-    gateway: 'g',
-    process: 1,
-    key: 'k',
-    target: '/book/id',
-    body: 'body',
-    parts: [],
-    isOnKeptConnection: false,
-    startMs: 100_000,
-    endMs: 100_100,
-    status: 200,
-    outcome: CallOutcome.Complete,
-    hasRetryAfter: false,
-    detail: '',
-    ...changes,
-  };
-}
-
-function makeRun(changes: Partial<ObservedRun> = {}): ObservedRun {
-  return {
-    id: 'id',
-    endpoint: 'e',
-    atMs: 100_050,
-    target: '/book/id',
-    body: 'body',
-    organisation: 'org',
-    hasKey: false,
-    ranges: [],
-    path: [],
-    resumesAfter: undefined,
-    ...changes,
-  };
-}
-
-function makeFault(kind: FaultKind, target: string, startMs: number, endMs: number): FaultRecord {
-  return { kind, target, startMs, endMs };
-}
-
-/** Returns the names of the guarantees that a history violates. */
-function violatedGuarantees(changes: Partial<SoakHistory>): readonly string[] {
-  const history = {
-    calls: [makeCall()],
-    runs: [makeRun()],
-    arrivals: [],
-    orders: [],
-    crashes: [],
-    keys: [key],
-    faults: [],
-    incidents: [],
-    calmFromMs: undefined,
-    ...changes,
-  };
-  const results = Object.entries(checkGuarantees(history));
-  return results.filter(([, violations]) => violations.length > 0).map(([name]) => name);
-}
+import { routeTimeoutMs } from '../common/timeLimits.js';
+import { key, makeCall, makeFault, makeRun, violatedGuarantees } from './plantedHistory.js';
 
 describe('Guarantee checks of the soak test', () => {
   it('pass for a request that ran once and was answered', () => {
@@ -407,4 +341,20 @@
     );
     expect(overlapping.length).to.be.greaterThan(faults.length / 2);
   });
+
+  it('has phases of planned work and of what sound endpoints do, longer than the stable window', () => {
+    const isCalm = ({ kind }: { readonly kind: FaultKind }) =>
+      plannedFaults.has(kind) || soundFaults.has(kind);
+    const calmUntilMs = 15_000;
+    const faults = planFaults(7, 60_000);
+    const early = faults.filter(({ startOffsetMs }) => startOffsetMs < calmUntilMs);
+    expect(early.length).to.be.greaterThan(5);
+    expect(early.every(isCalm)).to.equal(true);
+    expect(faults.every(isCalm)).to.equal(false);
+    const again = planFaults(7, 120_000).filter(
+      ({ startOffsetMs }) => startOffsetMs > 62_000 && startOffsetMs < 75_000,
+    );
+    expect(again.length).to.be.greaterThan(5);
+    expect(again.every(isCalm)).to.equal(true);
+  });
 });
