Try silent endpoints of a plain service again when no others are left

Callers were refused with 503 for up to 2.5 s although every endpoint of a plain service was up again, or had been up all the time and only a peer couldn't reach them.

Cause: an endpoint to which no connection can be opened is skipped for 2.5 s, and each peer that hears of it skips it too for 0.6 s after each message. Nothing probes endpoints of plain services meanwhile, and nothing ends the suspicion when they answer; with all of a service's endpoints skipped the router had none.

Change: if no endpoint is left, the router uses those that only a peer found silent, and tries each of the others at most every 250 ms; an answer ends the suspicion. While an unsuspected endpoint is only full, silent ones aren't tried. Peers' reports of draining endpoints get a kind of their own that isn't overridden, so that these are never used.

Ruled out by tests that pass before and after, for safe and unsafe calls: connections to an endpoint that went dead for good, underway or kept, hold a call until its timeout (504 within 0.5 s of it), are not used again after it, and not after 3 s; endpoints that accept connections and fall silent for 1.6 s answer if the route allows the time, and ejection refuses nothing afterwards.

--- a/src/gateway/directory/common/endpointDirectory.ts
+++ b/src/gateway/directory/common/endpointDirectory.ts
@@ -45,8 +45,10 @@
   Refusing = 'refusing',
   /** Another endpoint uses its address, or it holds other layers than expected. */
   Misdirected = 'misdirected',
-  /** A peer found it silent or knows that it is draining. */
+  /** A peer found it silent. */
   ReportedByPeer = 'told',
+  /** A peer knows that it is draining. */
+  DrainingAtPeer = 'told-draining',
 }
 
 interface DirectoryEntry {
@@ -255,7 +257,7 @@
 
   /**
    * Skips an endpoint for a time that depends on the kind of suspicion. Never shortens an existing
-   * suspicion of the same incarnation.
+   * suspicion of the same incarnation, and keeps in mind that the endpoint drains.
    *
    * @param address - Address of the endpoint.
    * @param kind - Kind of the suspicion.
@@ -272,17 +274,22 @@
     const previous = this.suspicions.get(address);
     const durationMs = this.suspicionDurationMs(kind, previous, nowMs);
     const incarnation = incarnationOf(endpoint);
-    if (previous && previous.untilMs > nowMs + durationMs && previous.incarnation === incarnation) {
+    const current = this.suspicionOf(endpoint);
+    const isDraining = [kind, current?.kind].includes(Suspicion.DrainingAtPeer);
+    const newKind = isDraining ? Suspicion.DrainingAtPeer : kind;
+    const isSubsumed = !isDraining || current?.kind === newKind;
+    if (current && current.untilMs > nowMs + durationMs && isSubsumed) {
       return;
     }
-    this.suspicions.set(address, { kind, untilMs: nowMs + durationMs, incarnation, durationMs });
-    if (previous === undefined || previous.untilMs < nowMs || previous.kind !== kind) {
+    const untilMs = Math.max(nowMs + durationMs, current?.untilMs ?? 0);
+    this.suspicions.set(address, { kind: newKind, untilMs, incarnation, durationMs });
+    if (previous === undefined || previous.untilMs < nowMs || previous.kind !== newKind) {
       this.logger.log(LogLevel.Warn, 'endpoint-suspected', {
         endpoint: endpoint.id,
         address,
-        kind,
+        kind: newKind,
         reason,
-        forMs: durationMs,
+        forMs: Math.round(untilMs - nowMs),
       });
     }
   }
@@ -298,15 +305,31 @@
     }
   }
 
+  /**
+   * Ends the suspicion that an endpoint is silent.
+   *
+   * @param endpoint - Incarnation that answered a request.
+   */
+  recordAnswer(endpoint: Endpoint): void {
+    const kind = this.suspicionOf(endpoint)?.kind;
+    if (kind === Suspicion.Silent || kind === Suspicion.ReportedByPeer) {
+      this.clearSuspicion(endpoint.address);
+    }
+  }
+
   /** Returns whether an endpoint is skipped at present. */
   isSuspect(endpoint: Endpoint): boolean {
     return this.suspicionOf(endpoint) !== undefined;
   }
 
-  /** Returns whether this process or a peer knows an endpoint to be silent. */
+  /** Returns whether this process or a peer knows an endpoint to be silent, or a peer that it is draining. */
   isSilent(endpoint: Endpoint): boolean {
     const kind = this.suspicionOf(endpoint)?.kind;
-    return kind === Suspicion.Silent || kind === Suspicion.ReportedByPeer;
+    return (
+      kind === Suspicion.Silent ||
+      kind === Suspicion.ReportedByPeer ||
+      kind === Suspicion.DrainingAtPeer
+    );
   }
 
   /** Returns the endpoints that this process itself found silent, to be reported to peers. */
@@ -352,6 +375,18 @@
     return this.findAccepting(service).filter((endpoint) => !this.isSuspect(endpoint));
   }
 
+  /**
+   * Returns the endpoints of a service that are skipped for one reason only.
+   *
+   * @param service - Name of the service.
+   * @param kind - Reason for which they are skipped.
+   */
+  findSuspects(service: string, kind: Suspicion): readonly Endpoint[] {
+    return this.findAccepting(service).filter(
+      (endpoint) => this.suspicionOf(endpoint)?.kind === kind,
+    );
+  }
+
   /** Returns the endpoints of a service that accept new requests and aren't gone, including suspect ones. */
   findAccepting(service: string): readonly Endpoint[] {
     return this.findByService(service).filter(
@@ -449,6 +484,7 @@
       case Suspicion.Misdirected:
         return misdirectedSuspicionMs;
       case Suspicion.ReportedByPeer:
+      case Suspicion.DrainingAtPeer:
         return peerSuspicionMs;
       default: {
         const isRepeated =
--- a/src/gateway/node/gatewayProgram.ts
+++ b/src/gateway/node/gatewayProgram.ts
@@ -464,10 +464,13 @@
     const { sender, loads, suspects, draining, departed, placingTerm, full } = message;
     this.ledger.updatePeer(sender, loads);
     this.admissions.recordPeerRefusals(full);
-    for (const { address, startedMs } of [...suspects, ...draining]) {
-      const reason = `reported by ${sender}`;
-      this.directory.suspect(address, Suspicion.ReportedByPeer, reason, startedMs);
-    }
+    const reason = `reported by ${sender}`;
+    suspects.forEach(({ address, startedMs }) =>
+      this.directory.suspect(address, Suspicion.ReportedByPeer, reason, startedMs),
+    );
+    draining.forEach(({ address, startedMs }) =>
+      this.directory.suspect(address, Suspicion.DrainingAtPeer, reason, startedMs),
+    );
     if (departed.length > 0) {
       this.directory.handleDepartures(sender, departed);
     }
--- a/src/gateway/relay/node/plainRelay.ts
+++ b/src/gateway/relay/node/plainRelay.ts
@@ -238,6 +238,7 @@
     if (head.status < 300) {
       this.run.recordSurvival();
     }
+    this.context.directory.recordAnswer(send.endpoint);
     const isFailure = head.status >= 500;
     this.health.record(incarnationOf(send.endpoint), isFailure);
     if (isFailure && (this.hasRunningSend() || this.tryConsumeRetry())) {
--- a/src/gateway/routing/common/plainRouter.ts
+++ b/src/gateway/routing/common/plainRouter.ts
@@ -1,6 +1,6 @@
 import type { IClock } from '../../../base/common/clock.js';
 import { incarnationOf, type Endpoint } from '../../directory/common/endpoint.js';
-import type { EndpointDirectory } from '../../directory/common/endpointDirectory.js';
+import { Suspicion, type EndpointDirectory } from '../../directory/common/endpointDirectory.js';
 import type { ISendPermission } from '../../signals/common/endpointSignals.js';
 import type { ReservationLedger } from './reservationLedger.js';
 
@@ -19,12 +19,18 @@
 /** Time for which an endpoint is skipped after it refused a request for lack of a slot, in ms. */
 const fullBackoffMs = 100;
 
+/** Minimum interval between requests to an endpoint that is suspected silent, in milliseconds. */
+const trialIntervalMs = 250;
+
 /** Picks endpoints of plain services by expected latency. */
 export class PlainRouter {
   private readonly meanLatencyMs = new Map<string, number>();
 
   private readonly fullUntilMs = new Map<string, number>();
 
+  /** Monotonic time of the last request to each incarnation that was suspected silent. */
+  private readonly triedAtMs = new Map<string, number>();
+
   /**
    * @param dataCentre - Data centre of this gateway.
    * @param directory - Known endpoints.
@@ -44,13 +50,20 @@
 
   /**
    * Picks an endpoint that hasn't been tried and may be sent a request. Endpoints that the store lacks
-   * since an outage, and then ejected ones, are used only if all others are full.
+   * since an outage, and then ejected ones, are used only if all others are full. If all endpoints are
+   * suspected silent, uses those that only a peer suspects, or tries the others from time to time.
    *
    * @param service - Name of the service.
    * @param triedAddresses - Addresses to which the request was already sent.
    * @returns The endpoint with the lowest expected latency, or undefined if all are full.
    */
   pick(service: string, triedAddresses: ReadonlySet<string>): Endpoint | undefined {
+    return this.directory.findUsable(service).length > 0
+      ? this.pickUsable(service, triedAddresses)
+      : this.pickSuspect(service, triedAddresses);
+  }
+
+  private pickUsable(service: string, triedAddresses: ReadonlySet<string>): Endpoint | undefined {
     const untried = this.untriedOf(service, triedAddresses).filter((endpoint) =>
       this.permission.mayUse(endpoint),
     );
@@ -59,6 +72,28 @@
     return this.cheapest(confirmed) ?? this.cheapest(healthy) ?? this.cheapest(untried);
   }
 
+  private pickSuspect(service: string, triedAddresses: ReadonlySet<string>): Endpoint | undefined {
+    const find = (kind: Suspicion) =>
+      this.directory
+        .findSuspects(service, kind)
+        .filter(({ address }) => !triedAddresses.has(address))
+        .filter((endpoint) => this.permission.mayUse(endpoint));
+    const reported = this.cheapest(find(Suspicion.ReportedByPeer));
+    if (reported) {
+      return reported;
+    }
+    const nowMs = this.clock.monotonicMs();
+    const lastTrialMs = (endpoint: Endpoint) =>
+      this.triedAtMs.get(incarnationOf(endpoint)) ?? Number.NEGATIVE_INFINITY;
+    const silent = this.cheapest(
+      find(Suspicion.Silent).filter((each) => lastTrialMs(each) + trialIntervalMs <= nowMs),
+    );
+    if (silent) {
+      this.triedAtMs.set(incarnationOf(silent), nowMs);
+    }
+    return silent;
+  }
+
   /** Returns whether an untried endpoint must not be sent a request because it asked for fewer. */
   lacksPermission(service: string, triedAddresses: ReadonlySet<string>): boolean {
     const untried = this.untriedOf(service, triedAddresses);
@@ -94,6 +129,7 @@
   removeEndpoint(endpoint: Endpoint): void {
     this.meanLatencyMs.delete(incarnationOf(endpoint));
     this.fullUntilMs.delete(incarnationOf(endpoint));
+    this.triedAtMs.delete(incarnationOf(endpoint));
   }
 
   private untriedOf(service: string, triedAddresses: ReadonlySet<string>): readonly Endpoint[] {
