Refuse requests late in a drain that could run beyond its end

A caller whose request reached a draining gateway late was answered 502 in the middle of its endpoint's work: it had run or not, and an unsafe one couldn't be sent again.

Cause: plain requests were accepted until 2 s before the end of the grace period, whatever time they had, and stopped 0.5 s before it. One with 3 s left and an answer after 2 s was passed on only to be given up.

Change: after the 2.8 s in which the load balancer may still send callers, requests whose deadline lies beyond the stop get 503 with a short Retry-After before they are passed on, as streams do; those that must end before it are still served.

Evidence: 'refuse a request that could run beyond the end' failed before (502 instead of 503, and the endpoint ran it) and passes; 'answer a request that must end before it' passes before and after.

--- a/src/gateway/node/drainSequence.ts
+++ b/src/gateway/node/drainSequence.ts
@@ -4,6 +4,7 @@
 import { sleep } from '../../base/node/systemClock.js';
 import type { LeaseCandidate } from '../../services/lease/common/lease.js';
 import type { Ingress } from '../http/node/ingress.js';
+import { deadlineOf, type CallerRequest } from '../relay/common/callerRequest.js';
 
 /**
  * Time after SIGTERM during which the load balancer may still send callers here, in milliseconds.
@@ -17,10 +18,10 @@
 const flushMs = 200;
 
 /**
- * Time after SIGTERM during which new streams are accepted, in milliseconds. The rest of the grace
- * period is left for them to finish.
+ * Time after SIGTERM during which new requests are accepted however long they may take, in milliseconds.
+ * The rest of the grace period is left for them to finish.
  */
-const drainAcceptStreamsMs = 2_800;
+const drainAcceptAllMs = 2_800;
 
 /**
  * Margin between the last accepted plain request and the end of the grace period, in milliseconds.
@@ -62,13 +63,18 @@
    * Returns whether the gateway drains and has too little of the grace period left for a new request.
    *
    * @param isStream - Whether the request is a stream.
+   * @param req - Request that has just been read.
    */
-  mustRefuse(isStream: boolean): boolean {
+  mustRefuse(isStream: boolean, req: CallerRequest): boolean {
     if (this.startedMs === undefined) {
       return false;
     }
-    const acceptMs = isStream ? drainAcceptStreamsMs : this.graceMs - drainPlainMarginMs;
-    return this.clock.monotonicMs() - this.startedMs > acceptMs;
+    const elapsedMs = this.clock.monotonicMs() - this.startedMs;
+    const mayOutlast = isStream || deadlineOf(req) > this.stopMs(this.startedMs);
+    return (
+      (mayOutlast && elapsedMs > drainAcceptAllMs) ||
+      (!isStream && elapsedMs > this.graceMs - drainPlainMarginMs)
+    );
   }
 
   /** Resolves once all requests have ended or the grace period is almost over. */
@@ -77,7 +83,7 @@
     this.startedMs = startedMs;
     this.ingress.drain();
     this.logger.log(LogLevel.Info, 'draining', { inFlight: this.ingress.inFlight });
-    const deadlineMs = startedMs + this.graceMs - stopMarginMs;
+    const deadlineMs = this.stopMs(startedMs);
     await sleep(Math.min(loadBalancerDelayMs, this.graceMs / 2));
     void this.lease.release();
     await this.waitForRequests(deadlineMs);
@@ -94,6 +100,11 @@
     });
   }
 
+  /** Returns the time at which unfinished requests are stopped. */
+  private stopMs(startedMs: number): number {
+    return startedMs + this.graceMs - stopMarginMs;
+  }
+
   /** Waits for the requests that have arrived. */
   private async waitForRequests(deadlineMs: number): Promise<void> {
     await waitForNextPoll();
--- a/src/gateway/node/gatewayProgram.ts
+++ b/src/gateway/node/gatewayProgram.ts
@@ -401,7 +401,7 @@
 
   private startRelay(req: CallerRequest, caller: CallerResponse): IRelay | undefined {
     const service = this.config.current?.config.services.get(req.service);
-    if (this.drainSequence.mustRefuse(service?.engine !== undefined)) {
+    if (this.drainSequence.mustRefuse(service?.engine !== undefined, req)) {
       this.dependencies.metrics.refusals.inc({ reason: 'draining' });
       caller.refuse({
         status: RefusalStatus.Unavailable,
