--- a/src/gateway/node/gatewayProgram.ts
+++ b/src/gateway/node/gatewayProgram.ts
@@ -401,7 +401,7 @@
 
   private startRelay(req: CallerRequest, caller: CallerResponse): IRelay | undefined {
     const service = this.config.current?.config.services.get(req.service);
-    if (this.drainSequence.mustRefuse(service?.engine !== undefined)) {
+    if (this.drainSequence.mustRefuse(service?.engine !== undefined, req)) {
       this.dependencies.metrics.refusals.inc({ reason: 'draining' });
       caller.refuse({
         status: RefusalStatus.Unavailable,
@@ -464,10 +464,13 @@
     const { sender, loads, suspects, draining, departed, placingTerm, full } = message;
     this.ledger.updatePeer(sender, loads);
     this.admissions.recordPeerRefusals(full);
-    for (const { address, startedMs } of [...suspects, ...draining]) {
-      const reason = `reported by ${sender}`;
-      this.directory.suspect(address, Suspicion.ReportedByPeer, reason, startedMs);
-    }
+    const reason = `reported by ${sender}`;
+    suspects.forEach(({ address, startedMs }) =>
+      this.directory.suspect(address, Suspicion.ReportedByPeer, reason, startedMs),
+    );
+    draining.forEach(({ address, startedMs }) =>
+      this.directory.suspect(address, Suspicion.DrainingAtPeer, reason, startedMs),
+    );
     if (departed.length > 0) {
       this.directory.handleDepartures(sender, departed);
     }
