Fault check: allow starts at a leaving endpoint before the list could be read

Entries can't act on a list that they can't read.

They count as before without an outage, after it, beside one that ended before or began later, and for an agent that is stopped itself; each has a test.

--- a/src/bench/faults/common/checkers.ts
+++ b/src/bench/faults/common/checkers.ts
@@ -157,14 +157,30 @@
   });
 }
 
+/**
+ * Returns the time from which an endpoint must get no new work. Entries can't read the instance list
+ * during an outage of the platform; the recorded end of an outage includes the time of a read.
+ */
+function noWorkFromMs(history: FaultHistory, drain: FaultRecord, propagationMs: number): number {
+  const fromMs = drain.startMs + propagationMs;
+  const outages = history.faults.filter(
+    (fault) =>
+      drain.kind === FaultKind.ListLeaving &&
+      fault.kind === FaultKind.PlatformOutage &&
+      overlaps(fault, drain.startMs, fromMs),
+  );
+  return Math.max(fromMs, ...outages.map(({ endMs }) => endMs));
+}
+
 function checkDraining(history: FaultHistory, events: readonly HistoryEvent[]): GuaranteeResult {
   const propagationTimesMs = new Map([
     [FaultKind.StopAgent, agentDrainPropagationMs],
     [FaultKind.ListLeaving, listedDrainPropagationMs],
   ]);
   const drains = history.faults.filter((fault) => propagationTimesMs.has(fault.kind));
-  const violations = drains.flatMap(({ kind, target, startMs, endMs }) => {
-    const fromMs = startMs + (propagationTimesMs.get(kind) ?? 0);
+  const violations = drains.flatMap((drain) => {
+    const { kind, target, startMs, endMs } = drain;
+    const fromMs = noWorkFromMs(history, drain, propagationTimesMs.get(kind) ?? 0);
     const lateStarts = newWorkTimes(events, target).filter((atMs) => atMs > fromMs && atMs < endMs);
     return lateStarts.map(
       (atMs) => `${target} started new work ${atMs - startMs} ms after ${kind}`,
--- a/src/bench/test/common/checkers.test.ts
+++ b/src/bench/test/common/checkers.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai';
 import { RunState } from '../../../services/problem/common/problem.js';
+import { HistoryKind } from '../../../standin/common/historyEvent.js';
 import { checkGuarantees } from '../../faults/common/checkers.js';
 import {
   CallEnd,
@@ -76,3 +77,52 @@
     expect(plannedStopViolations(calls)).to.deep.equal([]);
   });
 });
+
+describe('check of endpoints that leave', () => {
+  const leaving: FaultRecord = {
+    kind: FaultKind.ListLeaving,
+    target: 'booking-2',
+    startMs: 1_000,
+    endMs: 7_000,
+  };
+
+  const outageOf = (startMs: number, endMs: number): FaultRecord => ({
+    kind: FaultKind.PlatformOutage,
+    target: 'platform',
+    startMs,
+    endMs,
+  });
+
+  function lateStarts(faults: readonly FaultRecord[], atMs: number): readonly string[] {
+    const history = {
+      calls: [],
+      faults,
+      changes: [],
+      samples: [],
+      storedChanges: [],
+      badExits: [],
+    };
+    const event = { kind: HistoryKind.CallRun, endpoint: 'booking-2', subject: 'k', atMs };
+    return checkGuarantees(history, [event], 1).leavingGetsNoWork.violations;
+  }
+
+  it('reports a start after the time that the list takes', () => {
+    expect(lateStarts([leaving], 4_900)).to.have.length(0);
+    expect(lateStarts([leaving], 5_045)).to.have.length(1);
+  });
+
+  it('accepts a start before the list could be read, since the platform was out', () => {
+    expect(lateStarts([leaving, outageOf(1_000, 6_200)], 5_045)).to.have.length(0);
+  });
+
+  it('reports a start after the outage, or beside an outage that came too early or too late', () => {
+    expect(lateStarts([leaving, outageOf(1_000, 6_200)], 6_300)).to.have.length(1);
+    expect(lateStarts([leaving, outageOf(0, 900)], 5_045)).to.have.length(1);
+    expect(lateStarts([leaving, outageOf(5_010, 9_000)], 5_045)).to.have.length(1);
+  });
+
+  it('reports a start at an agent that was stopped, also during an outage', () => {
+    const stopped = { ...leaving, kind: FaultKind.StopAgent };
+    expect(lateStarts([stopped, outageOf(1_000, 6_200)], 2_100)).to.have.length(1);
+  });
+});
