Fault check: excuse late starts only if the outage began before the list could be read

Cause: the narrowed check excused starts at a leaving endpoint beside any outage within the four seconds after it was listed, also one that began after entries had read the list. Evidence: the new case of the test (an outage 1,001 ms after the listing) fails with the earlier check by reading of its overlap and passes; the four tests of the check pass.

--- a/src/bench/faults/common/checkers.ts
+++ b/src/bench/faults/common/checkers.ts
@@ -32,6 +32,9 @@
  */
 const listedDrainPropagationMs = 4_000;
 
+/** Time within which entries read the instance list while the platform answers, in milliseconds. */
+const listReadMs = 1_000;
+
 /** Time within which an accepted rule change must be in force on every entry, in milliseconds. */
 const inForceLimitMs = 15_000;
 
@@ -159,7 +162,8 @@
 
 /**
  * Returns the time from which an endpoint must get no new work. Entries can't read the instance list
- * during an outage of the platform; the recorded end of an outage includes the time of a read.
+ * during an outage of the platform that begins before their next read; the recorded end of an outage
+ * includes the time of a read.
  */
 function noWorkFromMs(history: FaultHistory, drain: FaultRecord, propagationMs: number): number {
   const fromMs = drain.startMs + propagationMs;
@@ -167,7 +171,7 @@
     (fault) =>
       drain.kind === FaultKind.ListLeaving &&
       fault.kind === FaultKind.PlatformOutage &&
-      overlaps(fault, drain.startMs, fromMs),
+      overlaps(fault, drain.startMs, drain.startMs + listReadMs),
   );
   return Math.max(fromMs, ...outages.map(({ endMs }) => endMs));
 }
--- a/src/bench/test/common/checkers.test.ts
+++ b/src/bench/test/common/checkers.test.ts
@@ -118,6 +118,7 @@
   it('reports a start after the outage, or beside an outage that came too early or too late', () => {
     expect(lateStarts([leaving, outageOf(1_000, 6_200)], 6_300)).to.have.length(1);
     expect(lateStarts([leaving, outageOf(0, 900)], 5_045)).to.have.length(1);
+    expect(lateStarts([leaving, outageOf(2_001, 6_200)], 5_045)).to.have.length(1);
     expect(lateStarts([leaving, outageOf(5_010, 9_000)], 5_045)).to.have.length(1);
   });
 
