--- a/soak/test/soak.test.ts
+++ b/soak/test/soak.test.ts
@@ -15,6 +15,16 @@
   FaultKind.RevokeKey,
 ];
 
+/** Planned work alone, and endpoints that fall silent for up to 2.2 s meanwhile. */
+const plannedWorkKinds = [
+  FaultKind.StopGateway,
+  FaultKind.MoveRoute,
+  FaultKind.EndpointsFallSilentInSeries,
+  FaultKind.EndpointsFallSilentInSeries,
+  FaultKind.ReloadGateway,
+  FaultKind.GrowConfig,
+];
+
 async function expectNoViolation(options: SoakOptions): Promise<void> {
   const report = await runSoak(options);
   const violated = Object.entries(report.violations).filter(([, { length }]) => length > 0);
@@ -24,8 +34,17 @@
 
 describe('Soak test', () => {
   it('finds no violated guarantee in gateway processes under seeded faults', () =>
-    expectNoViolation({ seed: 11, seconds: 8, gateways: 2, callers: 2 }));
+    expectNoViolation({ seed: 11, seconds: 11, gateways: 2, callers: 2 }));
 
   it('finds no violated guarantee beside crashing parts, silent seconds and unframed answers', () =>
     expectNoViolation({ seed: 3775, seconds: 5, gateways: 2, callers: 2, kinds }));
+
+  it('finds no whole request without an answer around planned work beside silent endpoints', () =>
+    expectNoViolation({
+      seed: 20413,
+      seconds: 7,
+      gateways: 2,
+      callers: 5,
+      kinds: plannedWorkKinds,
+    }));
 });
