--- a/soak/node/standstillMonitor.ts
+++ b/soak/node/standstillMonitor.ts
@@ -1,10 +1,10 @@
 import type { Standstill } from '../common/records.js';
 
 /** Interval between two looks at the clock, in milliseconds. */
-const intervalMs = 50;
+const intervalMs = 20;
 
 /** Shortest delay of the event loop that is recorded, in milliseconds. */
-const minDelayMs = 250;
+const minDelayMs = 100;
 
 /** Records the spans in which this process did nothing, so that a report can be read beside them. */
 export class StandstillMonitor {
