Write the records of operators again that the store has forgotten

What operators saw: after the store came back from an older copy, running entries undid an accepted change of a model, service or organisation (a new key of an organisation was refused again) until the operator wrote it once more.

Cause: the entries' cache follows the version of an object, and all versions of a later era are higher, also those of the older copy.

Ruled out: comparing revisions. The copy's numbers are given out again, so a lower revision may be a change that an operator has made on the copy; writing over it would undo that.

Change: a record counts as forgotten if the store lacks it, or has a value that this entry saw replaced. Within the six seconds in which rules and claims are written again, the entry keeps its own record and writes it on condition that the store's is unchanged. It reads anew at once when it notices the return. A value that it never saw stands. The quarantine's cache follows the store as before, since its owner merges what it holds.

An entry that started after the value was replaced doesn't know it as an older one.

--- a/src/entry/node/entryProgram.ts
+++ b/src/entry/node/entryProgram.ts
@@ -18,6 +18,7 @@
 import { ObjectKind } from '../../services/objects/common/objects.js';
 import type { HttpObjectStore } from '../../services/objects/node/httpObjectStore.js';
 import { ObjectCache } from '../../services/objects/node/objectCache.js';
+import { RecordRestorer } from '../../services/objects/node/recordRestorer.js';
 import { RestorePeriod } from '../../services/objects/common/restorePeriod.js';
 import { RuleHistory } from '../../services/rules/common/ruleHistory.js';
 import { RuleStore } from '../../services/rules/common/ruleStore.js';
@@ -178,9 +179,9 @@
     );
     this.ruleStore = new RuleStore(store, sha256Hex, history);
     this.rules = new RuleFeed(this.ruleStore, store, history, this.logger);
-    this.models = new ObjectCache(store, ObjectKind.Models);
-    this.services = new ObjectCache(store, ObjectKind.Services);
-    this.organisations = new ObjectCache(store, ObjectKind.Organisations);
+    this.models = this.createRecordCache(ObjectKind.Models);
+    this.services = this.createRecordCache(ObjectKind.Services);
+    this.organisations = this.createRecordCache(ObjectKind.Organisations);
     this.quarantine = new ObjectCache(store, ObjectKind.Quarantine);
     this.organisations.onDidChange(() => this.callers.update(this.organisations.values()));
     this.admission = new ChatAdmission(
@@ -316,6 +317,8 @@
         listed: caches.reduce((sum, { listings }) => sum + listings, 0),
         claimsWrittenAgain: this.claimLedger.restored,
         rulesWrittenAgain: this.rules.restored,
+        recordsWrittenAgain:
+          this.models.restored + this.services.restored + this.organisations.restored,
         placementsWrittenAgain: this.placer.restored,
         rulesGivenUp: this.rules.givenUp,
       };
@@ -323,6 +326,11 @@
     return new EraReport(store, counts, clock, logger);
   }
 
+  private createRecordCache<T>(kind: ObjectKind): ObjectCache<T> {
+    const { store } = this.dependencies;
+    return new ObjectCache(store, kind, new RecordRestorer<T>(store, kind, this.restorePeriod));
+  }
+
   private createSuspectGuard(): SuspectGuard {
     const { clock, store } = this.dependencies;
     const suspects = new CrashSuspects(this.incarnation);
--- a/src/entry/node/eraReport.ts
+++ b/src/entry/node/eraReport.ts
@@ -9,6 +9,8 @@
   readonly listed: number;
   readonly claimsWrittenAgain: number;
   readonly rulesWrittenAgain: number;
+  /** Models, services and organisations. */
+  readonly recordsWrittenAgain: number;
   readonly placementsWrittenAgain: number;
   /** Accepted changes and revisions of the rules that nobody can write again. */
   readonly rulesGivenUp: number;
@@ -59,6 +61,7 @@
       era,
       listed: now.listed - before.listed,
       claimsWrittenAgain: now.claimsWrittenAgain - before.claimsWrittenAgain,
+      recordsWrittenAgain: now.recordsWrittenAgain - before.recordsWrittenAgain,
       rulesWrittenAgain: now.rulesWrittenAgain - before.rulesWrittenAgain,
       placementsWrittenAgain: now.placementsWrittenAgain - before.placementsWrittenAgain,
       rulesGivenUp: now.rulesGivenUp - before.rulesGivenUp,
--- a/src/entry/test/node/eraReport.test.ts
+++ b/src/entry/test/node/eraReport.test.ts
@@ -18,6 +18,7 @@
       listed: done,
       claimsWrittenAgain: done * 2,
       rulesWrittenAgain: 0,
+      recordsWrittenAgain: done * 3,
       placementsWrittenAgain: 0,
       rulesGivenUp: 0,
     });
@@ -37,16 +38,17 @@
     report.close();
     clock.advance(60_000);
     expect(
-      lines.map(({ event, era, listed, claimsWrittenAgain }) => [
+      lines.map(({ event, era, listed, claimsWrittenAgain, recordsWrittenAgain }) => [
         event,
         era,
         listed,
         claimsWrittenAgain,
+        recordsWrittenAgain,
       ]),
     ).to.deep.equal([
-      ['store-restored', 2, 2, 4],
-      ['store-restored', 3, 0, 0],
-      ['store-restored', 4, 1, 2],
+      ['store-restored', 2, 2, 4, 6],
+      ['store-restored', 3, 0, 0, 0],
+      ['store-restored', 4, 1, 2, 3],
     ]);
   });
 });
--- a/src/services/objects/node/objectCache.ts
+++ b/src/services/objects/node/objectCache.ts
@@ -1,6 +1,7 @@
 import { Emitter } from '../../../base/common/event.js';
 import { sleep } from '../../../base/node/systemClock.js';
 import type { IObjectStore, ObjectKind, StoredObject } from '../common/objects.js';
+import type { RecordRestorer } from './recordRestorer.js';
 
 /**
  * Maximum wait of one watch call, in milliseconds. It limits how long a watch that no longer
@@ -26,6 +27,12 @@
 
   private isFilled = false;
 
+  /** Whether the store has come back from an older copy since the objects were last read. */
+  private mustReadAgain = false;
+
+  /** Ends the current watch call. */
+  private watchController = new AbortController();
+
   /** Number of times that the objects were read. */
   listings = 0;
 
@@ -35,10 +42,12 @@
   /**
    * @param store - Object store of the platform.
    * @param kind - Kind of the cached objects.
+   * @param restorer - Writes objects again that the store forgets; without it the store is followed.
    */
   constructor(
     private readonly store: IObjectStore,
     private readonly kind: ObjectKind,
+    private readonly restorer?: RecordRestorer<T>,
   ) {}
 
   /** Whether the objects have been read at least once. */
@@ -46,6 +55,11 @@
     return this.isFilled;
   }
 
+  /** Number of objects that were written again because the store had forgotten them. */
+  get restored(): number {
+    return this.restorer?.restored ?? 0;
+  }
+
   /** Returns the value of an object, or undefined if the object is not known. */
   get(name: string): T | undefined {
     return this.objects.get(name)?.value;
@@ -58,6 +72,10 @@
 
   /** Starts to read the objects and to watch for changes. */
   start(): void {
+    this.restorer?.onDidChangeEra(() => {
+      this.mustReadAgain = true;
+      this.watchController.abort();
+    });
     void this.run();
   }
 
@@ -71,11 +89,17 @@
     const { signal } = this.abortController;
     let sequence = 0;
     while (!signal.aborted) {
-      if (!this.isFilled && !(await this.refresh())) {
+      this.watchController = new AbortController();
+      if ((!this.isFilled || this.mustReadAgain) && !(await this.refresh())) {
         await sleep(retryPauseMs, signal);
         continue;
       }
-      const batch = await this.store.watch(this.kind, sequence, watchWaitMs, signal);
+      const batch = await this.store.watch(
+        this.kind,
+        sequence,
+        watchWaitMs,
+        AbortSignal.any([signal, this.watchController.signal]),
+      );
       const refreshed = batch.isOk() && (batch.value.names.length === 0 || (await this.refresh()));
       if (refreshed) {
         sequence = batch.value.sequence;
@@ -90,15 +114,21 @@
     if (list.isErr()) {
       return false;
     }
+    this.mustReadAgain = false;
+    const restored = await this.restorer?.restore(this.objects, list.value);
     for (const object of list.value) {
-      const knownVersion = this.objects.get(object.name)?.version ?? 0;
-      if (object.version > knownVersion) {
+      const known = this.objects.get(object.name);
+      if (object.version > (known?.version ?? 0) && !restored?.forgotten.has(object.name)) {
         this.objects.set(object.name, object);
+        if (known) {
+          this.restorer?.noteReplaced(object.name, known.value);
+        }
       }
     }
     this.isFilled = true;
     this.listings += 1;
     this.changes.fire();
-    return true;
+    this.mustReadAgain ||= restored?.isComplete === false;
+    return !this.mustReadAgain;
   }
 }
