Name the crash of an engine whose state was read too late before

What callers saw: under load, a request that kills engines could be run on further engines, since a kill after a late read of the engine's state raised no suspicion against it.

Cause: an agent takes an engine as silent once its state isn't read within a second, and then named no crash for steps that fail. An engine that is only starved runs them all the same. Such a failure passes as a refused step, and entries repair the request on other engines.

Ruled out: new requests at such an agent (it reports no capacity then; the steps are of requests that it had admitted before), and steps that wait at a silent engine or are sent to one that is gone: they name no crash, as before (two tests).

Change: a step whose connection the engine ends names a crash whether or not the state was read in time. It is the crash that the late read already counted, so no engine counts twice.

Evidence: "HttpStageEngine names the crash of an engine whose state was read too late before" failed as a trial on the code before (the crash was undefined) and passes; the other three guard the neighbouring cases.

--- a/src/agent/node/httpStageEngine.ts
+++ b/src/agent/node/httpStageEngine.ts
@@ -34,6 +34,9 @@
   readonly resolve: (result: Result<EngineOutput, EngineError>) => void;
 }
 
+/** Error codes which show that the engine ended while it held the request. */
+const brokenConnectionCodes = new Set(['UND_ERR_SOCKET', 'ECONNRESET', 'EPIPE']);
+
 /** Timeouts of requests to an engine, in milliseconds. */
 export interface EngineTimeouts {
   /** Timeout of a batch of steps. */
@@ -146,8 +149,9 @@
       const { replies } = reply.body as { replies: StepReply[] };
       batch.forEach((queued, index) => queued.resolve(toResult(replies[index])));
     } catch (err) {
-      // Steps sent to an engine that was already known to be down did not run during its crash.
-      const crash = wasAnswering ? this.recordCrash() : undefined;
+      // Steps sent to an engine that was already silent did not run during its crash, unless it took them.
+      const hasTakenSteps = brokenConnectionCodes.has((err as { code?: string }).code ?? '');
+      const crash = wasAnswering || hasTakenSteps ? this.recordCrash() : undefined;
       const error = new EngineError(toErrorMessage(err), crash);
       this.failureEmitter.fire(error.message);
       batch.forEach((queued) => queued.resolve(Err(error)));
