Keep a drain that a peer knows of when a stream ends at the endpoint

What callers saw: nothing yet; found in review. The platform could see a request at an endpoint whose drain a peer had acknowledged.

Cause: the end of a stream, and an answered probe, clear any suspicion of the addresses of its path. That one of them drains according to a peer was forgotten until the peer's next message, and new requests were sent to it.

Ruled out: answers of plain requests; they clear only what says that the endpoint is silent.

Evidence: the new test of the directory failed before (1 usable endpoint, 0 expected) and passes now.

Why it works: a drain isn't refuted by an endpoint that answers; it still ends with its time.

--- a/src/gateway/directory/common/endpointDirectory.ts
+++ b/src/gateway/directory/common/endpointDirectory.ts
@@ -295,12 +295,13 @@
   }
 
   /**
-   * Ends the suspicion of an endpoint that was seen to work.
+   * Ends the suspicion of an endpoint that was seen to work, unless it is known to drain.
    *
    * @param address - Address of the endpoint.
    */
   clearSuspicion(address: string): void {
-    if (this.suspicions.delete(address)) {
+    const isDraining = this.suspicions.get(address)?.kind === Suspicion.DrainingAtPeer;
+    if (!isDraining && this.suspicions.delete(address)) {
       this.logger.log(LogLevel.Info, 'endpoint-cleared', { address });
     }
   }
--- a/src/gateway/directory/test/common/endpointDirectory.test.ts
+++ b/src/gateway/directory/test/common/endpointDirectory.test.ts
@@ -171,6 +171,13 @@
     expect(directory.silentEndpoints()).to.deep.equal([]);
   });
 
+  it('keeps in mind that an endpoint drains at a peer when it is seen to work', () => {
+    directory.update(endpointWith({}));
+    directory.suspect('10.0.0.1:80', Suspicion.DrainingAtPeer, 'reported by a peer');
+    directory.clearSuspicion('10.0.0.1:80');
+    expect(directory.findUsable('s')).to.have.length(0);
+  });
+
   it('skips an endpoint for longer after each further refusal, until it serves again', () => {
     directory.update(endpointWith({}));
     const refuse = () => directory.suspect('10.0.0.1:80', Suspicion.Refusing, 'full');
