Let the run of a quarantined stream go on while its endpoint is silent

What callers saw: a stream that flowed was broken off after 1.2 s of silence of a sound endpoint, when its request, or a part of its prompt that others share, had been quarantined since it began.

Cause: the relay reserved another path, aborted the run, and only then asked whether another run was admitted; it was refused as quarantined, and the begun answer was broken off ('broken: quarantined').

Ruled out: loss of evidence of crashes. Only runs past their start are kept, and their loss is no evidence; those at their start are ended as before.

Why it works: no other run can be had while the quarantine lasts, so the present one is the best there is; it is given up, as before, only if the endpoint is gone and its caller's patience is over.

--- a/src/gateway/relay/node/streamRelay.ts
+++ b/src/gateway/relay/node/streamRelay.ts
@@ -301,7 +301,10 @@
     const { clock, metrics, ledger } = this.context;
     const remainingMs = deadlineOf(this.req) - clock.monotonicMs();
     const mayResume =
-      this.req.route.isResumable && this.sendCount < maxSends && remainingMs > minRemainingMs;
+      this.req.route.isResumable &&
+      this.sendCount < maxSends &&
+      remainingMs > minRemainingMs &&
+      !this.run.isLastRun;
     if (!mayResume || !this.retry.isAvailable) {
       this.logKept(address, mayResume ? 'no retry left' : 'must not be resumed');
       return;
@@ -326,10 +329,11 @@
     }
     // The retry is taken last: one that a stream without a path holds would be denied to others.
     const hasProgressed = this.answer.progress.lastSignMs > askedAtMs;
-    if (hasProgressed || !this.retry.tryTake(SendFailure.EndpointSilent)) {
+    const mustGoOn = hasProgressed || this.run.isLastRun;
+    if (mustGoOn || !this.retry.tryTake(SendFailure.EndpointSilent)) {
       ledger.release(outcome.value.reservations);
       this.admission.admitWaiting();
-      this.logKept(address, hasProgressed ? 'responds again' : 'no retry left');
+      this.logKept(address, hasProgressed ? 'responds again' : 'no other run allowed');
       return;
     }
     metrics.retries.inc({ reason: SendFailure.EndpointSilent });
--- a/src/gateway/suspects/common/runSupervisor.ts
+++ b/src/gateway/suspects/common/runSupervisor.ts
@@ -141,8 +141,8 @@
     return this.guard.verdict(subjects) !== Verdict.Clear;
   }
 
-  quarantineRemainingMs(request: GuardedRequest): number {
-    return this.guard.quarantineRemainingMs(request);
+  quarantineRemainingMs(subjects: GuardedSubjects): number {
+    return this.guard.quarantineRemainingMs(subjects);
   }
 
   startIsolatedRun(request: SupervisedRequest, addresses: readonly string[]): void {
--- a/src/gateway/suspects/common/supervisedRequest.ts
+++ b/src/gateway/suspects/common/supervisedRequest.ts
@@ -43,7 +43,7 @@
   /** Returns whether a request or one of its parts is isolated or quarantined. */
   isSuspected(subjects: GuardedSubjects): boolean;
   /** Returns the rest of the quarantine of a request and its parts, in milliseconds. */
-  quarantineRemainingMs(request: GuardedRequest): number;
+  quarantineRemainingMs(subjects: GuardedSubjects): number;
   /** Records where a suspect runs. */
   startIsolatedRun(request: SupervisedRequest, addresses: readonly string[]): void;
   /** Lets the next copy of a suspect run. */
@@ -145,6 +145,16 @@
     );
   }
 
+  /** Whether the current run is past its start and must be the last one, since the request is quarantined. */
+  get isLastRun(): boolean {
+    const { supervisor, partSubjects } = this;
+    return (
+      supervisor.hasSuspects &&
+      this.isPastStart &&
+      supervisor.quarantineRemainingMs({ fingerprint: this.fingerprint, parts: partSubjects }) > 0
+    );
+  }
+
   /** Addresses that the next run must not use. */
   get avoidedAddresses(): ReadonlySet<string> {
     return this.isIsolatedRun ? this.supervisor.addressesOfOtherSuspects(this) : new Set();
