Keep streams that go on when their endpoint answers no reports

What callers saw: streams that flowed were sent again elsewhere, each with a retry of the budget, because another stream at the same first endpoint was silent and the endpoint answered no reports.

Cause: after two reports without an answer every stream of that endpoint counted as silent, also those that had got events meanwhile or had only just been sent.

Ruled out: waiting for the expected time to the first event instead; streams in their prefill at a dead endpoint would move later.

Evidence: the new test failed before (2 sends of a stream with an event every 50 ms, 1 expected) and passes now.

Why it works: a sign of a run that is newer than the older of the two reports contradicts them, so such streams are left alone until that is no longer so.

--- a/src/gateway/relay/node/stallMonitor.ts
+++ b/src/gateway/relay/node/stallMonitor.ts
@@ -34,7 +34,8 @@
 
   private readonly lastReportRequestMs = new Map<string, number>();
 
-  private readonly failedReports = new Map<string, number>();
+  /** Times at which the last report requests without an answer were sent, in monotonic milliseconds. */
+  private readonly failedReportsMs = new Map<string, readonly number[]>();
 
   /** Send of each stream whose run is being moved. */
   private readonly repathing = new Map<StreamRelay, number>();
@@ -87,23 +88,27 @@
   }
 
   private async requestReport(firstAddress: string): Promise<void> {
-    const { directory } = this.context;
+    const { directory, clock } = this.context;
     const asked = directory.findByAddress(firstAddress);
+    const askedMs = clock.monotonicMs();
     const report = await this.control.report(firstAddress);
     const affectedStreams = [...this.streams].filter(
       (stream) => stream.firstAddress === firstAddress,
     );
     if (report.isErr()) {
-      const count = (this.failedReports.get(firstAddress) ?? 0) + 1;
-      this.failedReports.set(firstAddress, count);
-      if (count >= maxFailedReports) {
+      const failedMs = [...(this.failedReportsMs.get(firstAddress) ?? []), askedMs];
+      const lastFailedMs = failedMs.slice(-maxFailedReports);
+      this.failedReportsMs.set(firstAddress, lastFailedMs);
+      if (lastFailedMs.length === maxFailedReports) {
         const reason = 'endpoint did not answer report requests';
         directory.suspect(firstAddress, Suspicion.Silent, reason, asked?.startedMs);
-        affectedStreams.forEach((stream) => stream.handleSilence(firstAddress));
+        affectedStreams
+          .filter((stream) => stream.lastSignMs < lastFailedMs[0])
+          .forEach((stream) => stream.handleSilence(firstAddress));
       }
       return;
     }
-    if (this.failedReports.delete(firstAddress)) {
+    if (this.failedReportsMs.delete(firstAddress)) {
       this.context.logger.log(LogLevel.Info, 'endpoint-responds-again', { address: firstAddress });
     }
     affectedStreams
--- a/src/gateway/relay/node/streamRelay.ts
+++ b/src/gateway/relay/node/streamRelay.ts
@@ -178,6 +178,11 @@
     return listed !== undefined && incarnationOf(listed) !== incarnationOf(first);
   }
 
+  /** Monotonic time of the last sign of the current run, at first of its send. */
+  get lastSignMs(): number {
+    return this.phase === Phase.Sent ? this.sentAtMs : this.answer.progress.lastSignMs;
+  }
+
   private get isFinished(): boolean {
     return this.phase === Phase.Finished;
   }
