Send no call to a service that was cancelled before

What callers saw: nothing; no caller of the class passes such a call today. Found in review.

Cause: the call listened for the cancellation, which had been before, and so ran to its end.

Evidence: the new test failed before (the call was answered with success) and passes now.

Why it works: nothing is sent, so the call truthfully counts as not run.

--- a/src/agent/node/httpPlainService.ts
+++ b/src/agent/node/httpPlainService.ts
@@ -113,6 +113,9 @@
     message: CallMessage,
     signal: AbortSignal,
   ): Promise<Result<ServiceAnswer, ServiceCallError>> {
+    if (signal.aborted) {
+      return Err(new ServiceCallError('call was cancelled', RunState.NotRun));
+    }
     const { method, path, remainingMs } = message;
     const body = message.body.length > 0 ? Buffer.from(message.body) : undefined;
     const sink = new ServiceAnswerSink(this.maxAnswerBytes, (reason) => giveUp(reason));
--- a/src/agent/test/node/httpPlainService.test.ts
+++ b/src/agent/test/node/httpPlainService.test.ts
@@ -64,6 +64,16 @@
 
   const call = () => service.call(message, new AbortController().signal);
 
+  it('sends nothing for a call that was cancelled before', async () => {
+    let arrivals = 0;
+    answer = (res) => {
+      arrivals += 1;
+      res.end();
+    };
+    expect((await service.call(message, AbortSignal.abort())).isErr()).to.equal(true);
+    expect(arrivals).to.equal(0);
+  });
+
   it('breaks off an answer that never ends at its bound, as a call that may have run', async () => {
     answer = (res) => writeWithoutEnd(res);
     const reasons: string[] = [];
