Answer whole requests before refusing what breaks the protocol after them

What callers saw: a request that had been read whole and passed on was answered 400, 431 or 408 in the name of bytes that followed it on its connection, and the connection closed; a begun stream was cut. A 408 also promises that the request has not run.

Cause: the HTTP server's own handling of errors of its parser writes a status for the bad bytes and destroys the connection, whatever is being answered on it.

Ruled out: requests whose own body breaks the protocol; they aren't whole and are refused as before.

Evidence: the tests of whole requests failed before (400, 431 and 400 where the endpoint's 200 was due) and pass now; those of refusals without such a request passed before and pass now. The begun stream and the 408 were read in the code, not run.

Why it works: the refusal waits until the last whole request on the connection has its answer; it is written once, however many bytes follow.

--- a/src/gateway/http/node/ingress.ts
+++ b/src/gateway/http/node/ingress.ts
@@ -1,5 +1,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
+import type { Duplex } from 'node:stream';
 import { toErrorMessage } from '../../../base/common/errors.js';
 import type { IClock } from '../../../base/common/clock.js';
 import { LogLevel, type ILogger } from '../../../base/common/logger.js';
@@ -17,6 +18,7 @@
 import type { IDialect } from '../../relay/common/dialect.js';
 import type { GatewayMetrics } from '../../node/gatewayMetrics.js';
 import { CallerResponse } from './callerResponse.js';
+import { writeRefusal } from './protocolErrors.js';
 
 /** Starts to relay a request; returns its relay, or undefined if the request was refused. */
 export type StartRelay = (req: CallerRequest, caller: CallerResponse) => IRelay | undefined;
@@ -54,6 +56,9 @@
   /** Answer to the latest request on each connection. */
   private readonly latestCallers = new WeakMap<Socket, CallerResponse>();
 
+  /** Connections on which bytes have arrived that are no request. */
+  private readonly brokenConnections = new WeakSet<Duplex>();
+
   private isDraining = false;
 
   private isClosed = false;
@@ -92,6 +97,7 @@
     this.server.on('connection', (socket) => {
       socket.once('close', () => this.handleDisconnect(socket));
     });
+    this.server.on('clientError', (err, socket) => this.handleProtocolError(err, socket));
     config.onDidChange(({ config: { limits } }) => {
       this.configChangedMs = clock.monotonicMs();
       this.applyLimits(limits);
@@ -197,6 +203,32 @@
     });
   }
 
+  /** Refuses bytes that are no request, once the whole requests before them on the connection are answered. */
+  private handleProtocolError(err: Error, socket: Duplex): void {
+    if (this.brokenConnections.has(socket)) {
+      return;
+    }
+    this.brokenConnections.add(socket);
+    const wholeRequests = this.openRequestsOn(socket).filter(({ req }) => req.complete);
+    const lastWhole = wholeRequests.at(-1);
+    if (lastWhole && socket.writable) {
+      lastWhole.res.once('close', () => this.endBroken(socket, err));
+    } else {
+      this.endBroken(socket, err);
+    }
+  }
+
+  private endBroken(socket: Duplex, err: Error): void {
+    if (socket.writable && !this.openRequestsOn(socket).some(({ caller }) => caller.hasStatus)) {
+      writeRefusal(socket, err);
+    }
+    socket.destroy(err);
+  }
+
+  private openRequestsOn(socket: Duplex): readonly OpenRequest[] {
+    return [...this.openRequests].filter(({ req }) => req.socket === socket);
+  }
+
   private handleEnd(open: OpenRequest): void {
     if (!this.openRequests.delete(open)) {
       return;
