Soak: observe the recovery until each gateway was asked for every kind of request

Cause: the recovery is observed for three seconds; the new kind of request keeps a caller busy for up to three seconds. In the run's history both callers of gateway-1 sent long streams, bookings and lookups in that span, all answered whole, and no stream. Ruled out: a gateway that doesn't recover; every call of the span got its whole answer. Change: the run goes on for up to 20 s more until each gateway was asked for every kind of request with a lasting key. The check is as strict as before: a kind that wasn't asked for still fails it.

--- a/soak/common/checkers.ts
+++ b/soak/common/checkers.ts
@@ -1,5 +1,11 @@
 import type { ObservedRun } from '../../platform/test/wireViews.js';
-import { CallOutcome, FaultKind, RequestKind, type SoakHistory } from './records.js';
+import {
+  CallOutcome,
+  FaultKind,
+  RequestKind,
+  type CallRecord,
+  type SoakHistory,
+} from './records.js';
 import { checkPlannedWork, checkStatuses } from './callEndCheckers.js';
 import {
   callerFaults,
@@ -296,23 +302,42 @@
   });
 }
 
+/** Returns the calls of a gateway and kind that count for the check of recovery. */
+function callsAfterRecovery(
+  { calls, keys, calmFromMs }: SoakHistory,
+  gateway: string,
+  kind: RequestKind,
+): readonly CallRecord[] {
+  return calls.filter(
+    (call) =>
+      call.gateway === gateway &&
+      call.kind === kind &&
+      call.startMs > (calmFromMs ?? Infinity) + maxRecoveryMs &&
+      keys.some((record) => record.key === call.key && record.toMs === Infinity),
+  );
+}
+
+function gatewaysOf({ calls }: SoakHistory): readonly string[] {
+  return [...new Set(calls.map(({ gateway }) => gateway))];
+}
+
+/** Returns whether each gateway was asked for every kind of request after the recovery. */
+export function isRecoveryObserved(history: SoakHistory): boolean {
+  return gatewaysOf(history).every((gateway) =>
+    Object.values(RequestKind).every(
+      (kind) => callsAfterRecovery(history, gateway, kind).length > 0,
+    ),
+  );
+}
+
 /** Checks that every gateway serves every kind of request again after all faults have ended. */
 function checkRecovery(history: SoakHistory): readonly string[] {
-  const { calmFromMs: faultsEndedAtMs } = history;
-  if (faultsEndedAtMs === undefined) {
+  if (history.calmFromMs === undefined) {
     return [];
   }
-  const callsAfterRecovery = history.calls.filter(
-    ({ startMs, key }) =>
-      startMs > faultsEndedAtMs + maxRecoveryMs &&
-      history.keys.some((record) => record.key === key && record.toMs === Infinity),
-  );
-  const gateways = new Set(history.calls.map(({ gateway }) => gateway));
-  return [...gateways].flatMap((gateway) =>
+  return gatewaysOf(history).flatMap((gateway) =>
     Object.values(RequestKind).flatMap((kind) => {
-      const calls = callsAfterRecovery.filter(
-        (call) => call.gateway === gateway && call.kind === kind,
-      );
+      const calls = callsAfterRecovery(history, gateway, kind);
       const served = calls.filter(({ outcome }) => outcome === CallOutcome.Complete);
       return served.length >= minServedShare * calls.length && calls.length > 0
         ? []
--- a/soak/node/soakRun.ts
+++ b/soak/node/soakRun.ts
@@ -1,6 +1,6 @@
 import { writeFileSync } from 'node:fs';
 import { join } from 'node:path';
-import { checkGuarantees, maxRecoveryMs } from '../common/checkers.js';
+import { checkGuarantees, isRecoveryObserved, maxRecoveryMs } from '../common/checkers.js';
 import { planFaults } from '../common/faultPlan.js';
 import { CallOutcome, type FaultKind, type SoakHistory } from '../common/records.js';
 import { countCuts, type CutCounts } from '../common/wholeRequestCheckers.js';
@@ -15,6 +15,15 @@
 /** Time after the recovery during which calls count for the recovery check, in milliseconds. */
 const recoveryObservationMs = 3_000;
 
+/**
+ * Maximum time beyond it until each gateway was asked for every kind of request, in milliseconds. Few callers
+ * can be busy with long streams.
+ */
+const maxExtraObservationMs = 20_000;
+
+/** Interval between two looks at the calls after the recovery, in milliseconds. */
+const observationIntervalMs = 500;
+
 /** Time for gateways to start and to read the store before callers start, in milliseconds. */
 const warmUpMs = 1_500;
 
@@ -98,6 +107,10 @@
     faultsEndedAtMs = Date.now();
     clearInterval(timer);
     await sleep(maxRecoveryMs + recoveryObservationMs);
+    const observedUntilMs = Date.now() + maxExtraObservationMs;
+    while (!isRecoveryObserved(history()) && Date.now() < observedUntilMs) {
+      await sleep(observationIntervalMs);
+    }
     callers.stop();
     await callersDone;
     reportNewViolations();
--- a/soak/test/checkers.test.ts
+++ b/soak/test/checkers.test.ts
@@ -1,5 +1,10 @@
 import { expect } from 'chai';
-import { modelLayerCount, maxRecoveryMs, retryBudget } from '../common/checkers.js';
+import {
+  isRecoveryObserved,
+  modelLayerCount,
+  maxRecoveryMs,
+  retryBudget,
+} from '../common/checkers.js';
 import { planFaults } from '../common/faultPlan.js';
 import { plannedFaults, soundFaults } from '../common/faultTimes.js';
 import {
@@ -10,7 +15,14 @@
   type FaultRecord,
 } from '../common/records.js';
 import { routeTimeoutMs } from '../common/timeLimits.js';
-import { key, makeCall, makeFault, makeRun, violatedGuarantees } from './plantedHistory.js';
+import {
+  key,
+  makeCall,
+  makeFault,
+  makeHistory,
+  makeRun,
+  violatedGuarantees,
+} from './plantedHistory.js';
 
 describe('Guarantee checks of the soak test', () => {
   it('pass for a request that ran once and was answered', () => {
@@ -327,6 +339,22 @@
       violatedGuarantees({ calls: failed, runs: [], calmFromMs: faultsEndedAtMs }),
     ).to.deep.equal(['systemRecovers']);
   });
+
+  it('fail when a gateway was asked for no request of a kind after all faults have ended', () => {
+    const calmFromMs = 100_000 - maxRecoveryMs - 1;
+    const [missing, ...kinds] = Object.values(RequestKind);
+    const asked = kinds.map((kind) => makeCall({ kind }));
+    const early = makeCall({ kind: missing, startMs: calmFromMs, endMs: calmFromMs + 50 });
+    expect(violatedGuarantees({ calls: [...asked, early], calmFromMs })).to.deep.equal([
+      'systemRecovers',
+    ]);
+    const isObserved = (calls: readonly CallRecord[]) =>
+      isRecoveryObserved(makeHistory({ calls, calmFromMs }));
+    expect(isObserved([...asked, early])).to.equal(false);
+    expect(isObserved([...asked, makeCall({ kind: missing, key: 'revoked' })])).to.equal(false);
+    expect(isObserved([...asked, makeCall({ kind: missing, gateway: 'other' })])).to.equal(false);
+    expect(isObserved([...asked, makeCall({ kind: missing })])).to.equal(true);
+  });
 });
 
 describe('Fault plan', () => {
