--- a/src/gateway/directory/common/endpointDirectory.ts
+++ b/src/gateway/directory/common/endpointDirectory.ts
@@ -257,7 +257,7 @@
 
   /**
    * Skips an endpoint for a time that depends on the kind of suspicion. Never shortens an existing
-   * suspicion of the same incarnation, and keeps in mind that the endpoint drains.
+   * suspicion of the same incarnation, and remembers that the endpoint drains.
    *
    * @param address - Address of the endpoint.
    * @param kind - Kind of the suspicion.
--- a/src/gateway/directory/test/common/endpointDirectory.test.ts
+++ b/src/gateway/directory/test/common/endpointDirectory.test.ts
@@ -171,7 +171,7 @@
     expect(directory.silentEndpoints()).to.deep.equal([]);
   });
 
-  it('keeps in mind that an endpoint drains at a peer when it is seen to work', () => {
+  it('remembers that an endpoint drains according to a peer when it is seen to work', () => {
     directory.update(endpointWith({}));
     directory.suspect('10.0.0.1:80', Suspicion.DrainingAtPeer, 'reported by a peer');
     directory.clearSuspicion('10.0.0.1:80');
