Let two gateways watch the store and tell the others of changes

Change: gateways choose a primary and a backup watcher among those that they hear. Watchers send each change with the revisions that it follows on; followers apply it, read the store themselves if they lack a change (first at the lower price, accepted only if the answer is recent enough), and watch it themselves when no news confirm their copy for 1.3 s. A gateway that is cut off from the store goes on hearing of changes. A told outage of the store starts the grace period of missing endpoints unless the store answered another gateway meanwhile.

--- a/src/gateway/feeds/common/feedSource.ts
+++ b/src/gateway/feeds/common/feedSource.ts
@@ -34,10 +34,23 @@
   readonly code = 'history-lost';
 }
 
+/** Which state of the store a list may show. */
+export enum ReadConsistency {
+  /** The latest one. */
+  Latest = 'latest',
+  /** One that may be seconds old, at a lower price; its revision tells which. */
+  MayLag = 'may-lag',
+}
+
 /** Lists and watches the objects of one kind. */
 export interface IFeedSource<T> {
-  /** Reads all objects of the kind. */
-  list(signal: AbortSignal): Promise<Result<FeedList<T>, ReadError>>;
+  /**
+   * Reads all objects of the kind.
+   *
+   * @param signal - Aborts the call.
+   * @param consistency - Which state of the store is read.
+   */
+  list(signal: AbortSignal, consistency: ReadConsistency): Promise<Result<FeedList<T>, ReadError>>;
   /**
    * Waits for changes and returns them; the list of events is empty if there were none.
    *
--- a/src/gateway/feeds/common/feedTiming.ts
+++ b/src/gateway/feeds/common/feedTiming.ts
@@ -13,14 +13,26 @@
 export const minRetryIntervalMs = 100;
 export const maxRetryIntervalMs = 800;
 
+/**
+ * Delay after changes that a backup watcher reads, in milliseconds. It matters only after the primary
+ * watcher has failed, until another one has taken over.
+ */
+export const backupBatchDelayMs = 1_000;
+
+/**
+ * Longest wait of the feeds whose news are urgent, in milliseconds. If all watchers lose the store without
+ * notice, their followers read it themselves when the last answer is that old.
+ */
+const urgentWatchWaitMs = 1_200;
+
 /** A configuration must be applied within two seconds of its write to the store. */
-export const configTiming: FeedTiming = { watchWaitMs: 2_000, batchDelayMs: 0 };
+export const configTiming: FeedTiming = { watchWaitMs: urgentWatchWaitMs, batchDelayMs: 0 };
 
 /**
  * A draining endpoint must get no new requests later than two seconds after the store has recorded its
  * state.
  */
-export const endpointTiming: FeedTiming = { watchWaitMs: 2_000, batchDelayMs: 250 };
+export const endpointTiming: FeedTiming = { watchWaitMs: urgentWatchWaitMs, batchDelayMs: 250 };
 
 /**
  * Wait of the feeds of kinds that rarely change, in milliseconds. The store keeps its history for 20
--- a/src/gateway/feeds/node/storeFeed.ts
+++ b/src/gateway/feeds/node/storeFeed.ts
@@ -1,8 +1,24 @@
 import type { IClock, ITimers } from '../../../base/common/clock.js';
 import { toErrorMessage } from '../../../base/common/errors.js';
+import { Emitter } from '../../../base/common/event.js';
 import { LogLevel, type ILogger } from '../../../base/common/logger.js';
-import { HistoryLostError, type FeedItem, type IFeedSource } from '../common/feedSource.js';
-import { maxRetryIntervalMs, minRetryIntervalMs, type FeedTiming } from '../common/feedTiming.js';
+import { BatchLog } from '../common/batchLog.js';
+import { lastEvents, type FeedBatch, type FeedNews, type StoreOutage } from '../common/feedNews.js';
+import { FeedPosition } from '../common/feedPosition.js';
+import {
+  HistoryLostError,
+  ReadConsistency,
+  type FeedItem,
+  type FeedList,
+  type IFeedSource,
+} from '../common/feedSource.js';
+import {
+  backupBatchDelayMs,
+  maxRetryIntervalMs,
+  minRetryIntervalMs,
+  type FeedTiming,
+} from '../common/feedTiming.js';
+import { FeedRole } from '../common/watcherElection.js';
 
 /** Receives the objects and changes that a feed reads. */
 export interface IFeedSink<T> {
@@ -18,9 +34,15 @@
   onRecovered(): void;
 }
 
+/** Time for which a watcher tells its followers that the store was away, in milliseconds. */
+const outageToldForMs = 5_000;
+
 /**
- * Keeps a sink up to date with the objects of one kind in the store: lists them once, then watches
- * for changes, and lists again after a failure or if the change history is lost.
+ * Keeps a sink up to date with the objects of one kind in the store.
+ *
+ * A watcher lists them once, then watches for changes, and lists again after a failure or if the change
+ * history is lost. A follower takes the changes from the news of watchers. It reads the store itself when
+ * it lacks a change that a watcher told of, and watches like one while no news confirm its copy.
  */
 export class StoreFeed<T> {
   private readonly abortController = new AbortController();
@@ -37,11 +59,33 @@
   /** Monotonic time of the store's last answer to this feed, in milliseconds. */
   private lastAnswerMs: number;
 
+  /** Monotonic time of the first failed call of the last outage, in milliseconds. */
+  private lostAtMs = Number.NEGATIVE_INFINITY;
+
+  /** Monotonic time at which the store last answered again after an outage, in milliseconds. */
+  private recoveredAtMs = Number.NEGATIVE_INFINITY;
+
+  private role = FeedRole.Primary;
+
+  private isFollowing = false;
+
+  private readonly position: FeedPosition;
+
+  private readonly batches: BatchLog<T>;
+
+  /** Ends the wait of the loop. */
+  private wake: () => void = () => undefined;
+
+  private readonly answers = new Emitter<void>();
+
+  /** Fires when the store has answered a watcher, so that it has news for its followers. */
+  readonly onDidRead = this.answers.event;
+
   /** Whether a complete list has succeeded at least once. */
   hasListed = false;
 
   /**
-   * @param name - Name of the feed in log lines.
+   * @param name - Name of the feed in log lines and in news.
    * @param source - Lists and watches the objects.
    * @param sink - Receives the objects and changes.
    * @param timing - How often the feed calls the store.
@@ -49,7 +93,7 @@
    * @param logger - Receives store failures and objects that can't be decoded.
    */
   constructor(
-    private readonly name: string,
+    readonly name: string,
     private readonly source: IFeedSource<T>,
     private readonly sink: IFeedSink<T>,
     private readonly timing: FeedTiming,
@@ -57,9 +101,16 @@
     private readonly logger: ILogger,
   ) {
     this.lastAnswerMs = clock.monotonicMs();
+    this.position = new FeedPosition(timing, clock);
+    this.batches = new BatchLog(clock);
+  }
+
+  /** Time since the copy was confirmed to be current, in milliseconds. */
+  get ageMs(): number {
+    return this.position.ageMs;
   }
 
-  /** Starts the loop that lists and watches; it runs until the feed is closed. */
+  /** Starts the loop that reads the store; it runs until the feed is closed. */
   start(): void {
     void this.run();
   }
@@ -67,41 +118,121 @@
   /** Aborts the call in progress and ends the loop. */
   close(): void {
     this.abortController.abort();
+    this.answers.close();
+  }
+
+  /** Sets whether this feed watches the store or follows others that do. */
+  setRole(role: FeedRole): void {
+    if (role !== this.role) {
+      this.role = role;
+      this.wake();
+    }
+  }
+
+  /** Returns the news for the followers; undefined while the store hasn't been read. */
+  createNews(): FeedNews<T> | undefined {
+    const { revision, changedAt, ageMs } = this.position;
+    const endedAgoMs = this.clock.monotonicMs() - this.recoveredAtMs;
+    const lastedMs = this.recoveredAtMs - this.lostAtMs;
+    return revision === undefined || this.isStoreUnavailable
+      ? undefined
+      : {
+          changedAt,
+          knownTo: revision,
+          ageMs,
+          outage: endedAgoMs < outageToldForMs ? { lastedMs, endedAgoMs } : undefined,
+          batches: this.batches.recent(),
+        };
+  }
+
+  /**
+   * Applies the changes in the news of a watcher, as far as they follow this copy without a gap.
+   *
+   * @param news - News of a gateway that watches the store.
+   */
+  handleNews(news: FeedNews<T>): void {
+    if (this.position.revision === undefined) {
+      return;
+    }
+    if (news.outage) {
+      this.recordToldOutage(news.outage);
+    }
+    news.batches.forEach((batch) => this.applyBatch(batch));
+    if (this.position.recordNews(news) && this.role === FeedRole.Follower) {
+      this.markAvailable();
+    }
+    if (this.position.isBehind) {
+      this.wake();
+    }
   }
 
   private async run(): Promise<void> {
     const { signal } = this.abortController;
-    let revision: number | undefined;
     while (!signal.aborted) {
       this.callStartedMs = this.clock.monotonicMs();
       try {
-        revision = revision === undefined ? await this.list() : await this.watch(revision);
+        await this.step();
       } catch (err) {
         this.logger.log(LogLevel.Error, 'feed-failed', {
           feed: this.name,
           reason: toErrorMessage(err),
         });
-        revision = undefined;
+        this.position.reset();
         await this.wait(maxRetryIntervalMs);
       }
     }
   }
 
-  private async list(): Promise<number | undefined> {
-    const listed = await this.source.list(this.abortController.signal);
+  private async step(): Promise<void> {
+    const { revision, freshForMs } = this.position;
+    const isFollowing = this.role === FeedRole.Follower && freshForMs > 0;
+    if (isFollowing !== this.isFollowing) {
+      this.isFollowing = isFollowing;
+      this.logger.log(LogLevel.Debug, 'feed-following', {
+        feed: this.name,
+        isFollowing,
+        ageMs: Math.round(Math.min(this.position.ageMs, Number.MAX_SAFE_INTEGER)),
+      });
+    }
+    if (revision === undefined) {
+      await this.list();
+    } else if (!isFollowing) {
+      await this.watch(revision);
+    } else if (this.position.isBehind) {
+      await this.catchUp();
+    } else {
+      await this.wait(freshForMs);
+    }
+  }
+
+  private async list(): Promise<void> {
+    const listed = await this.source.list(this.abortController.signal, ReadConsistency.Latest);
     if (listed.isErr()) {
       await this.handleFailure(listed.error.message);
-      return undefined;
+      return;
     }
-    this.handleSuccess();
-    const { items, revision } = listed.value;
-    items.forEach((item) => this.applyItem(item));
-    this.sink.onListed(new Set(items.map(({ name }) => name)));
+    this.recordStoreAnswer();
+    this.applyList(listed.value);
+    this.position.recordAnswer(listed.value.revision, true);
     this.hasListed = true;
-    return revision;
+    this.answers.fire();
   }
 
-  private async watch(after: number): Promise<number | undefined> {
+  /** Reads what the news lacked, at the lower price if the answer turns out to be recent enough. */
+  private async catchUp(): Promise<void> {
+    const listed = await this.source.list(this.abortController.signal, ReadConsistency.MayLag);
+    if (listed.isOk()) {
+      this.applyList(listed.value);
+      this.position.recordChanges(listed.value.revision);
+    }
+    const isLagging = listed.isErr() || this.position.isBehind;
+    this.logger.log(LogLevel.Debug, 'feed-caught-up', { feed: this.name, isLagging });
+    if (isLagging) {
+      await this.list();
+    }
+  }
+
+  private async watch(after: number): Promise<void> {
     const changes = await this.source.watch(
       after,
       this.timing.watchWaitMs,
@@ -109,14 +240,48 @@
     );
     if (changes.isErr()) {
       if (changes.error instanceof HistoryLostError) {
+        this.position.reset();
         this.logger.log(LogLevel.Info, 'feed-history-lost', { feed: this.name, after });
       } else {
         await this.handleFailure(changes.error.message);
       }
-      return undefined;
+      return;
+    }
+    this.recordStoreAnswer();
+    const { events, revision } = changes.value;
+    if (events.length > 0) {
+      this.applyBatch({ from: this.position.changedAt, to: revision, events: lastEvents(events) });
+    }
+    this.position.recordAnswer(revision, false);
+    this.answers.fire();
+    if (events.length > 0 && this.batchDelayMs > 0) {
+      await this.delay(this.batchDelayMs);
+    }
+  }
+
+  private get batchDelayMs(): number {
+    return this.role === FeedRole.Backup
+      ? Math.max(this.timing.batchDelayMs, backupBatchDelayMs)
+      : this.timing.batchDelayMs;
+  }
+
+  /** Applies a complete list unless the copy is already at a later revision. */
+  private applyList({ items, revision }: FeedList<T>): void {
+    if (revision < (this.position.revision ?? 0)) {
+      return;
+    }
+    this.batches.clear();
+    items.forEach((item) => this.applyItem(item));
+    this.sink.onListed(new Set(items.map(({ name }) => name)));
+  }
+
+  /** Applies changes unless the copy includes all of them, or lacks changes before them. */
+  private applyBatch(batch: FeedBatch<T>): void {
+    const { revision } = this.position;
+    if (revision === undefined || revision < batch.from || revision >= batch.to) {
+      return;
     }
-    this.handleSuccess();
-    for (const { item, isDeleted } of changes.value.events) {
+    for (const { item, isDeleted } of batch.events) {
       if (isDeleted) {
         this.decodeErrors.delete(item.name);
         this.sink.onRemoved(item.name);
@@ -124,10 +289,8 @@
         this.applyItem(item);
       }
     }
-    if (changes.value.events.length > 0 && this.timing.batchDelayMs > 0) {
-      await this.wait(this.timing.batchDelayMs);
-    }
-    return changes.value.revision;
+    this.batches.add(batch);
+    this.position.recordChanges(batch.to);
   }
 
   private applyItem(item: FeedItem<T>): void {
@@ -154,17 +317,26 @@
     }
     if (!this.isStoreUnavailable) {
       this.isStoreUnavailable = true;
+      this.lostAtMs = this.clock.monotonicMs();
       this.logger.log(LogLevel.Warn, 'store-lost', { feed: this.name, reason });
       this.sink.onLost();
     }
-    await this.wait(this.callStartedMs + this.retryIntervalMs - this.clock.monotonicMs());
+    await this.delay(this.callStartedMs + this.retryIntervalMs - this.clock.monotonicMs());
     this.retryIntervalMs = Math.min(maxRetryIntervalMs, this.retryIntervalMs * 2);
   }
 
-  /** Waits for a time in milliseconds, or until the feed is closed. */
-  private wait(delayMs: number): Promise<void> {
-    const { signal } = this.abortController;
-    if (delayMs <= 0 || signal.aborted) {
+  /** Waits for a time in milliseconds, until the feed is closed or until it is woken. */
+  private async wait(delayMs: number): Promise<void> {
+    const wakeController = new AbortController();
+    this.wake = () => wakeController.abort();
+    await this.delay(delayMs, wakeController.signal);
+    this.wake = () => undefined;
+  }
+
+  /** Waits for a time in milliseconds, or until the feed is closed or a signal is aborted. */
+  private delay(delayMs: number, signal = this.abortController.signal): Promise<void> {
+    const closed = this.abortController.signal;
+    if (delayMs <= 0 || signal.aborted || closed.aborted) {
       return Promise.resolve();
     }
     return new Promise((resolve) => {
@@ -172,13 +344,23 @@
       function finish(): void {
         cancel();
         signal.removeEventListener('abort', finish);
+        closed.removeEventListener('abort', finish);
         resolve();
       }
       signal.addEventListener('abort', finish);
+      closed.addEventListener('abort', finish);
     });
   }
 
-  private handleSuccess(): void {
+  private recordStoreAnswer(): void {
+    if (this.isStoreUnavailable) {
+      this.recoveredAtMs = this.clock.monotonicMs();
+    }
+    this.markAvailable();
+  }
+
+  /** Ends the outage because this process, or a watcher that it follows, reaches the store. */
+  private markAvailable(): void {
     const nowMs = this.clock.monotonicMs();
     const awayMs = Math.round(nowMs - this.lastAnswerMs);
     this.lastAnswerMs = nowMs;
@@ -189,4 +371,24 @@
       this.sink.onRecovered();
     }
   }
+
+  /**
+   * Takes over from a watcher that the store was away for a moment, which a follower need not notice.
+   * The watcher alone was cut off if the store confirmed this copy to another gateway meanwhile.
+   */
+  private recordToldOutage({ lastedMs, endedAgoMs }: StoreOutage): void {
+    const endedAtMs = this.clock.monotonicMs() - endedAgoMs;
+    const isKnown = endedAtMs < this.recoveredAtMs + outageToldForMs;
+    if (isKnown || this.position.wasConfirmedBetween(endedAtMs - lastedMs, endedAtMs)) {
+      return;
+    }
+    this.recoveredAtMs = endedAtMs;
+    this.lostAtMs = endedAtMs - lastedMs;
+    this.logger.log(LogLevel.Info, 'store-outage-told', {
+      feed: this.name,
+      lastedMs: Math.round(lastedMs),
+      endedAgoMs: Math.round(endedAgoMs),
+    });
+    this.sink.onRecovered();
+  }
 }
--- /dev/null
+++ b/src/gateway/feeds/test/node/feedFleet.ts
@@ -0,0 +1,322 @@
+import { Err, Ok } from 'ts-results-es';
+import type { SeededRandom } from '../../../../base/common/random.js';
+import { FakeClock } from '../../../../base/test/common/fakeClock.js';
+import { PlatformUnavailableError } from '../../../../services/objects/common/objects.js';
+import type { INewsCodec } from '../../common/feedNews.js';
+import type { FeedNewsMessage } from '../../common/feedNewsWire.js';
+import {
+  HistoryLostError,
+  ReadConsistency,
+  type FeedEvent,
+  type IFeedSource,
+} from '../../common/feedSource.js';
+import { endpointTiming } from '../../common/feedTiming.js';
+import { NewsExchange } from '../../node/newsExchange.js';
+import { StoreFeed } from '../../node/storeFeed.js';
+
+/** Step of the simulated time, in milliseconds. */
+const stepMs = 20;
+
+/** Time of one datagram, in milliseconds. */
+const transitMs = 20;
+
+/** Time by which a read that may lag shows an older state, in milliseconds. */
+const readLagMs = 2_000;
+
+/** Store calls that ended in a test. */
+export interface CallCounts {
+  watches: number;
+  lists: number;
+  laggingLists: number;
+}
+
+interface Change {
+  readonly revision: number;
+  readonly atMs: number;
+  readonly event: FeedEvent<string>;
+}
+
+/** Lets all promises that can settle do so. */
+export function settle(): Promise<void> {
+  return new Promise((resolve) => {
+    setImmediate(resolve);
+  });
+}
+
+const textCodec: INewsCodec<string> = {
+  encode: (value) => value,
+  decode: (wire) => (typeof wire === 'string' ? wire : undefined),
+};
+
+/** Objects of one kind with their history, which gateways read over links that can be cut. */
+class SimulatedStore {
+  revision = 1;
+
+  readonly changes: Change[] = [];
+
+  readonly calls: CallCounts = { watches: 0, lists: 0, laggingLists: 0 };
+
+  isAway = false;
+
+  private historyStart = 0;
+
+  private wakes = new Set<() => void>();
+
+  constructor(private readonly clock: FakeClock) {}
+
+  /** Returns the objects at a time, and the revision then. */
+  stateAt(atMs: number): { readonly objects: Map<string, string>; readonly revision: number } {
+    const objects = new Map<string, string>();
+    let revision = 1;
+    for (const { atMs: changedMs, event, revision: changeRevision } of this.changes) {
+      if (changedMs > atMs) {
+        break;
+      }
+      revision = changeRevision;
+      if (event.isDeleted) {
+        objects.delete(event.item.name);
+      } else {
+        objects.set(event.item.name, event.item.value ?? '');
+      }
+    }
+    return { objects, revision };
+  }
+
+  write(name: string, value: string | undefined): void {
+    this.revision += 1;
+    const item = { name, value, decodeError: undefined };
+    const event = { item, isDeleted: value === undefined };
+    this.changes.push({ revision: this.revision, atMs: this.clock.monotonicMs(), event });
+    this.wakeAll();
+  }
+
+  /** Raises the revision by a change of another kind of object. */
+  writeElsewhere(): void {
+    this.revision += 1;
+  }
+
+  forgetHistory(): void {
+    this.historyStart = this.revision;
+    this.wakeAll();
+  }
+
+  wakeAll(): void {
+    const wakes = [...this.wakes];
+    this.wakes.clear();
+    wakes.forEach((wake) => wake());
+  }
+
+  /** Returns the source of a gateway whose path to the store `isCut` describes. */
+  source(isCut: () => boolean): IFeedSource<string> {
+    const failure = () => Err(new PlatformUnavailableError('no answer'));
+    return {
+      list: async (_signal, consistency) => {
+        const isLagging = consistency === ReadConsistency.MayLag;
+        this.calls[isLagging ? 'laggingLists' : 'lists'] += 1;
+        if (isCut() || this.isAway) {
+          await this.delay(isCut() ? 500 : 0);
+          return failure();
+        }
+        const nowMs = this.clock.monotonicMs();
+        const state = this.stateAt(isLagging ? nowMs - readLagMs : nowMs);
+        return Ok({
+          revision: isLagging ? state.revision : this.revision,
+          items: [...state.objects].map(([name, value]) => ({
+            name,
+            value,
+            decodeError: undefined,
+          })),
+        });
+      },
+      watch: async (revision, waitMs) => {
+        this.calls.watches += 1;
+        const deadlineMs = this.clock.monotonicMs() + waitMs;
+        for (;;) {
+          if (isCut()) {
+            await this.delay(deadlineMs + 700 - this.clock.monotonicMs());
+            return failure();
+          }
+          if (this.isAway) {
+            return failure();
+          }
+          if (revision < this.historyStart) {
+            return Err(new HistoryLostError('gone'));
+          }
+          const events = this.changes.filter((change) => change.revision > revision);
+          if (events.length > 0 || this.clock.monotonicMs() >= deadlineMs) {
+            return Ok({ revision: this.revision, events: events.map(({ event }) => event) });
+          }
+          await this.nextWake(deadlineMs);
+        }
+      },
+    };
+  }
+
+  private delay(ms: number): Promise<void> {
+    return ms <= 0
+      ? Promise.resolve()
+      : new Promise((resolve) => {
+          this.clock.after(ms, resolve);
+        });
+  }
+
+  private nextWake(deadlineMs: number): Promise<void> {
+    return new Promise((resolve) => {
+      const cancel = this.clock.after(deadlineMs - this.clock.monotonicMs(), resolve);
+      this.wakes.add(() => {
+        cancel();
+        resolve();
+      });
+    });
+  }
+}
+
+/** Gateway of the simulation: its copy, and what is wrong with it. */
+export class SimulatedGateway {
+  readonly copy = new Map<string, string>();
+
+  isStoreCut = false;
+
+  isPeersCut = false;
+
+  isStopped = false;
+
+  /** Monotonic time of the last change of what is wrong with it, in milliseconds. */
+  disturbedMs = 0;
+
+  /** Times at which the feed reported that the store is back, in milliseconds. */
+  readonly recoveriesMs: number[] = [];
+
+  readonly feed: StoreFeed<string>;
+
+  readonly news: NewsExchange;
+
+  constructor(
+    readonly instance: string,
+    fleet: FeedFleet,
+  ) {
+    const { clock, store } = fleet;
+    const logger = { log: () => undefined };
+    this.feed = new StoreFeed<string>(
+      'endpoints',
+      store.source(() => this.isStoreCut),
+      {
+        onItem: (value) => this.copy.set(value.split('=')[0], value),
+        onRemoved: (name) => this.copy.delete(name),
+        onListed: (names) =>
+          [...this.copy.keys()]
+            .filter((name) => !names.has(name))
+            .forEach((name) => {
+              this.copy.delete(name);
+            }),
+        onLost: () => undefined,
+        onRecovered: () => this.recoveriesMs.push(clock.monotonicMs()),
+      },
+      endpointTiming,
+      clock,
+      logger,
+    );
+    const channel = {
+      aliveInstances: () => fleet.heardBy(this),
+      sendNews: (message: FeedNewsMessage) => fleet.deliver(this, message),
+    };
+    this.news = new NewsExchange(
+      instance,
+      {
+        get aliveInstances() {
+          return channel.aliveInstances();
+        },
+        sendNews: channel.sendNews,
+      },
+      clock,
+      logger,
+    );
+    this.news.add(this.feed, textCodec);
+    this.feed.start();
+    this.news.start();
+  }
+
+  close(): void {
+    this.isStopped = true;
+    this.feed.close();
+    this.news.close();
+  }
+}
+
+/** Gateways before one store, with simulated time, lost datagrams and cuts. */
+export class FeedFleet {
+  readonly clock = new FakeClock();
+
+  readonly store = new SimulatedStore(this.clock);
+
+  gateways: SimulatedGateway[] = [];
+
+  /** Monotonic time of the last change of the store's condition, in milliseconds. */
+  storeDisturbedMs = 0;
+
+  /**
+   * @param size - Number of gateways.
+   * @param lossRate - Share of the datagrams that are lost.
+   * @param random - Chooses the datagrams that are lost.
+   */
+  constructor(
+    size: number,
+    private readonly lossRate: number,
+    private readonly random: SeededRandom,
+  ) {
+    for (let index = 0; index < size; index += 1) {
+      this.gateways.push(new SimulatedGateway(`gateway-${index}`, this));
+    }
+  }
+
+  /** Instance names of the gateways whose messages reach a gateway; a stopped one is heard for a while. */
+  heardBy(gateway: SimulatedGateway): readonly string[] {
+    const oldestMs = this.clock.monotonicMs() - 2_000;
+    return gateway.isPeersCut
+      ? []
+      : this.gateways
+          .filter((other) => other !== gateway)
+          .filter((other) => !(other.isStopped || other.isPeersCut) || other.disturbedMs > oldestMs)
+          .map(({ instance }) => instance);
+  }
+
+  /** Delivers news to all gateways that the sender reaches, but for lost datagrams. */
+  deliver(sender: SimulatedGateway, message: FeedNewsMessage): void {
+    for (const receiver of this.gateways) {
+      const isReached = receiver !== sender && !receiver.isPeersCut && !sender.isPeersCut;
+      if (isReached && !receiver.isStopped && this.random.float() >= this.lossRate) {
+        this.clock.after(transitMs, () => {
+          if (!receiver.isStopped) {
+            receiver.news.handleMessage(message);
+          }
+        });
+      }
+    }
+  }
+
+  /**
+   * Advances the time.
+   *
+   * @param byMs - Time to pass, in milliseconds.
+   * @param check - Called after each step.
+   */
+  async advance(byMs: number, check: () => void = () => undefined): Promise<void> {
+    for (let elapsedMs = 0; elapsedMs < byMs; elapsedMs += stepMs) {
+      this.clock.advance(stepMs);
+      await settle();
+      check();
+    }
+  }
+
+  /** Stops a gateway and starts another one in its place. */
+  replace(gateway: SimulatedGateway): void {
+    gateway.close();
+    const replacement = new SimulatedGateway(gateway.instance, this);
+    replacement.disturbedMs = this.clock.monotonicMs();
+    this.gateways = this.gateways.map((other) => (other === gateway ? replacement : other));
+  }
+
+  close(): void {
+    this.gateways.forEach((gateway) => gateway.close());
+  }
+}
--- a/src/gateway/node/gatewayFeeds.ts
+++ b/src/gateway/node/gatewayFeeds.ts
@@ -14,7 +14,10 @@
   suspectTiming,
 } from '../feeds/common/feedTiming.js';
 import { StoreFeed } from '../feeds/node/storeFeed.js';
-import type { PeerAddress, PeerExchange } from '../peers/node/peerExchange.js';
+import { endpointNewsCodec, peerNewsCodec } from '../feeds/common/newsCodecs.js';
+import type { NewsExchange } from '../feeds/node/newsExchange.js';
+import type { PeerAddress } from '../peers/common/peerAddress.js';
+import type { PeerExchange } from '../peers/node/peerExchange.js';
 import type { IDialect } from '../relay/common/dialect.js';
 import type { IEndpointControl } from '../relay/common/endpointControl.js';
 import type { CrashProtection } from '../suspects/common/crashProtection.js';
@@ -36,10 +39,12 @@
   readonly directory: EndpointDirectory;
   readonly peers: PeerExchange;
   readonly crashProtection: CrashProtection;
+  readonly news: NewsExchange;
 }
 
 /**
- * Creates the feeds for the kinds of objects that a gateway watches in the store.
+ * Creates the feeds for the kinds of objects that a gateway reads from the store, and adds them to the
+ * exchange of news.
  *
  * @param platform - Adapters that provide the sources of the feeds.
  * @param targets - Receive what the feeds read.
@@ -49,67 +54,71 @@
  */
 export function createFeeds(
   platform: PlatformAdapters,
-  { config, directory, peers, crashProtection }: FeedTargets,
+  { config, directory, peers, crashProtection, news }: FeedTargets,
   clock: IClock & ITimers,
   logger: ILogger,
 ): readonly StoreFeed<unknown>[] {
   const ignore = () => undefined;
-  return [
-    new StoreFeed<ConfigSnapshot>(
-      'config',
-      platform.configFeed,
-      {
-        onItem: (snapshot) => config.applyIfNewer(snapshot),
-        onRemoved: ignore,
-        onListed: ignore,
-        onLost: ignore,
-        onRecovered: ignore,
-      },
-      configTiming,
-      clock,
-      logger,
-    ),
-    new StoreFeed<Endpoint>(
-      'endpoints',
-      platform.endpointFeed,
-      {
-        onItem: (endpoint) => directory.update(endpoint),
-        onRemoved: (id) => directory.remove(id),
-        onListed: (ids) => directory.retainOnly(ids),
-        onLost: () => directory.recordStoreLoss(),
-        onRecovered: () => directory.recordStoreRecovery(),
-      },
-      endpointTiming,
-      clock,
-      logger,
-    ),
-    new StoreFeed<PeerAddress>(
-      'gateways',
-      platform.peerFeed,
-      {
-        onItem: (peer) => peers.add(peer),
-        onRemoved: (instance) => peers.remove(instance),
-        onListed: ignore,
-        onLost: ignore,
-        onRecovered: ignore,
-      },
-      peerTiming,
-      clock,
-      logger,
-    ),
-    new StoreFeed<readonly SuspectRecord[]>(
-      'suspects',
-      platform.suspectFeed,
-      {
-        onItem: (records) => crashProtection.handleStored(records),
-        onRemoved: ignore,
-        onListed: ignore,
-        onLost: ignore,
-        onRecovered: () => crashProtection.publish(),
-      },
-      suspectTiming,
-      clock,
-      logger,
-    ),
-  ];
+  const configFeed = new StoreFeed<ConfigSnapshot>(
+    'config',
+    platform.configFeed,
+    {
+      onItem: (snapshot) => config.applyIfNewer(snapshot),
+      onRemoved: ignore,
+      onListed: ignore,
+      onLost: ignore,
+      onRecovered: ignore,
+    },
+    configTiming,
+    clock,
+    logger,
+  );
+  const endpointFeed = new StoreFeed<Endpoint>(
+    'endpoints',
+    platform.endpointFeed,
+    {
+      onItem: (endpoint) => directory.update(endpoint),
+      onRemoved: (id) => directory.remove(id),
+      onListed: (ids) => directory.retainOnly(ids),
+      onLost: () => directory.recordStoreLoss(),
+      onRecovered: () => directory.recordStoreRecovery(),
+    },
+    endpointTiming,
+    clock,
+    logger,
+  );
+  const peerFeed = new StoreFeed<PeerAddress>(
+    'gateways',
+    platform.peerFeed,
+    {
+      onItem: (peer) => peers.add(peer),
+      onRemoved: (instance) => peers.remove(instance),
+      onListed: ignore,
+      onLost: ignore,
+      onRecovered: ignore,
+    },
+    peerTiming,
+    clock,
+    logger,
+  );
+  const suspectFeed = new StoreFeed<readonly SuspectRecord[]>(
+    'suspects',
+    platform.suspectFeed,
+    {
+      onItem: (records) => crashProtection.handleStored(records),
+      onRemoved: ignore,
+      onListed: ignore,
+      onLost: ignore,
+      onRecovered: () => crashProtection.publish(),
+    },
+    suspectTiming,
+    clock,
+    logger,
+  );
+  // A configuration and the records of suspects don't fit into a datagram.
+  news.add(configFeed);
+  news.add(endpointFeed, endpointNewsCodec);
+  news.add(peerFeed, peerNewsCodec);
+  news.add(suspectFeed);
+  return [configFeed, endpointFeed, peerFeed, suspectFeed];
 }
--- a/src/gateway/node/gatewayProgram.ts
+++ b/src/gateway/node/gatewayProgram.ts
@@ -14,6 +14,7 @@
 import { ConfigHolder } from '../config/common/configHolder.js';
 import { incarnationOf, type Endpoint } from '../directory/common/endpoint.js';
 import { EndpointDirectory, Suspicion } from '../directory/common/endpointDirectory.js';
+import { NewsExchange } from '../feeds/node/newsExchange.js';
 import type { StoreFeed } from '../feeds/node/storeFeed.js';
 import type { CallerResponse } from '../http/node/callerResponse.js';
 import { Ingress } from '../http/node/ingress.js';
@@ -101,6 +102,8 @@
 
   private readonly peers: PeerExchange;
 
+  private readonly news: NewsExchange;
+
   private readonly registration: PeerRegistration;
 
   private readonly lease: LeaseCandidate;
@@ -239,9 +242,11 @@
       { instance, host, port },
       () => this.createPeerMessage(),
       (message) => this.handlePeerMessage(message),
+      (message) => this.news.handleMessage(message),
       clock,
       logger,
     );
+    this.news = new NewsExchange(instance, this.peers, clock, logger);
     this.registration = new PeerRegistration(platform.store, logger);
     this.feeds = createFeeds(
       platform,
@@ -250,6 +255,7 @@
         directory: this.directory,
         peers: this.peers,
         crashProtection: this.crashProtection,
+        news: this.news,
       },
       clock,
       logger,
@@ -308,6 +314,7 @@
       this.directory.removeExpired();
       this.health.endExpiredEjections();
     });
+    this.news.start();
     this.peerPort = peerPort;
     this.registerAsPeer();
     void this.keepLease();
@@ -333,6 +340,7 @@
     this.ingress.close();
     this.status.close();
     this.feeds.forEach((feed) => feed.close());
+    this.news.close();
     this.peers.close();
     this.registration.close();
     this.placement.close();
--- a/src/gateway/peers/node/peerExchange.ts
+++ b/src/gateway/peers/node/peerExchange.ts
@@ -3,15 +3,10 @@
 import { toErrorMessage } from '../../../base/common/errors.js';
 import { LogLevel, type ILogger } from '../../../base/common/logger.js';
 import type { CancelTimer, IClock, ITimers } from '../../../base/common/clock.js';
+import { newsFromWire, newsToWire, type FeedNewsMessage } from '../../feeds/common/feedNewsWire.js';
+import type { PeerAddress } from '../common/peerAddress.js';
 import { fromWire, toWire, type PeerMessage } from '../common/peerMessage.js';
 
-/** Address at which a gateway receives messages of its peers. */
-export interface PeerAddress {
-  readonly instance: string;
-  readonly host: string;
-  readonly port: number;
-}
-
 /**
  * Minimum interval between messages to each peer, in milliseconds; half the time by which the reports of
  * endpoints lag behind their state.
@@ -57,6 +52,7 @@
    * @param self - Instance name and address of this gateway.
    * @param createMessage - Returns the message to send; called once for each round of messages.
    * @param handleMessage - Called with each valid message of a peer.
+   * @param handleNews - Called with the news of the store that a peer sent.
    * @param clock - Source of time and timers.
    * @param logger - Receives lost and newly seen peers, and failures to send or decode.
    */
@@ -64,6 +60,7 @@
     private readonly self: PeerAddress,
     private readonly createMessage: () => PeerMessage,
     private readonly handleMessage: (message: PeerMessage) => void,
+    private readonly handleNews: (news: FeedNewsMessage) => void,
     private readonly clock: IClock & ITimers,
     private readonly logger: ILogger,
   ) {}
@@ -73,6 +70,11 @@
     return 1 + this.lastMessageMs.size;
   }
 
+  /** Instance names of the peers that sent a message recently. */
+  get aliveInstances(): readonly string[] {
+    return [...this.lastMessageMs.keys()];
+  }
+
   /** Number of gateways that the store lists, including this one and those that can't be reached. */
   get knownCount(): number {
     return 1 + this.peers.size;
@@ -164,7 +166,19 @@
     if (this.peers.size === 0) {
       return;
     }
-    const bytes = pack(toWire(this.createMessage()));
+    this.sendToPeers(pack(toWire(this.createMessage())));
+  }
+
+  /**
+   * Sends news of the store to all peers; datagrams may be lost.
+   *
+   * @param news - News to send.
+   */
+  sendNews(news: FeedNewsMessage): void {
+    this.sendToPeers(pack(newsToWire(news)));
+  }
+
+  private sendToPeers(bytes: Buffer): void {
     for (const { host, port } of this.peers.values()) {
       this.socket?.send(bytes, port, host, (err) => {
         if (err) {
@@ -175,13 +189,19 @@
   }
 
   private onMessage(bytes: Buffer): void {
-    let message: PeerMessage | undefined;
+    let wire: unknown;
     try {
-      message = fromWire(unpack(bytes));
+      wire = unpack(bytes);
     } catch (err) {
       this.logger.log(LogLevel.Warn, 'peer-message-unreadable', { reason: toErrorMessage(err) });
       return;
     }
+    const news = newsFromWire(wire);
+    if (news) {
+      this.handleNews(news);
+      return;
+    }
+    const message = fromWire(wire);
     if (message === undefined || message.sender === this.self.instance) {
       return;
     }
--- a/src/gateway/peers/node/peerRegistration.ts
+++ b/src/gateway/peers/node/peerRegistration.ts
@@ -6,7 +6,7 @@
   type IObjectStore,
   type IStoreEra,
 } from '../../../services/objects/common/objects.js';
-import type { PeerAddress } from './peerExchange.js';
+import type { PeerAddress } from '../common/peerAddress.js';
 
 /** Delay before a failed registration is retried, in milliseconds. */
 const retryDelayMs = 1_000;
--- a/src/gateway/peers/test/node/peerExchange.test.ts
+++ b/src/gateway/peers/test/node/peerExchange.test.ts
@@ -15,6 +15,7 @@
         throw new Error('no message is sent');
       },
       () => undefined,
+      () => undefined,
       new SystemClock(),
       { log: () => undefined },
     );
