Probe endpoints that broke a connection instead of skipping them at all gateways

Each break counted as silence for 2.5 s and was told to all gateways, although the endpoint answered probes at once and ran dozens of other streams: 61 streams within two seconds found no path, and the placer moved layers of other endpoints to replace sound ones. Change: a broken connection skips the endpoint here only until its probe is answered; peers hear of it, and placement counts it as silent, once the probe fails.

--- a/src/gateway/directory/common/endpointDirectory.ts
+++ b/src/gateway/directory/common/endpointDirectory.ts
@@ -41,6 +41,8 @@
 export enum Suspicion {
   /** It doesn't answer, or earlier stages of a path are waiting for it. */
   Silent = 'silent',
+  /** It broke a connection; whether it still answers is being found out. */
+  Disconnected = 'disconnected',
   /** It refused a request, for lack of capacity or because it is draining. */
   Refusing = 'refusing',
   /** Another endpoint uses its address, or it holds other layers than expected. */
@@ -79,6 +81,11 @@
 
   private readonly departures: Departures;
 
+  private readonly disconnections = new Emitter<Endpoint>();
+
+  /** Fires when an endpoint broke a connection, so that it must be probed. */
+  readonly onDidDisconnect = this.disconnections.event;
+
   private readonly removals = new Emitter<Endpoint>();
 
   /** Fires when an endpoint was removed or replaced by a later incarnation. */
@@ -294,6 +301,22 @@
     }
   }
 
+  /**
+   * Skips an endpoint that broke a connection until a probe tells whether it still answers; listeners of
+   * {@link onDidDisconnect} probe it. A stronger suspicion stays.
+   *
+   * @param endpoint - Incarnation that broke the connection.
+   * @param reason - How the connection ended, for the log.
+   */
+  recordDisconnection(endpoint: Endpoint, reason: string): void {
+    const { address, startedMs } = endpoint;
+    const kind = this.suspicionOf(endpoint)?.kind;
+    if (kind === undefined || kind === Suspicion.ReportedByPeer) {
+      this.suspect(address, Suspicion.Disconnected, reason, startedMs);
+    }
+    this.disconnections.fire(endpoint);
+  }
+
   /**
    * Ends the suspicion of an endpoint that was seen to work, unless it is known to drain.
    *
@@ -313,7 +336,22 @@
    */
   recordAnswer(endpoint: Endpoint): void {
     const kind = this.suspicionOf(endpoint)?.kind;
-    if (kind === Suspicion.Silent || kind === Suspicion.ReportedByPeer) {
+    if (
+      kind === Suspicion.Silent ||
+      kind === Suspicion.Disconnected ||
+      kind === Suspicion.ReportedByPeer
+    ) {
+      this.clearSuspicion(endpoint.address);
+    }
+  }
+
+  /**
+   * Ends the suspicion of an endpoint that broke a connection, unless there is another reason by now.
+   *
+   * @param endpoint - Incarnation that answered a probe sent after the connection ended.
+   */
+  recordProbeAnswer(endpoint: Endpoint): void {
+    if (this.suspicionOf(endpoint)?.kind === Suspicion.Disconnected) {
       this.clearSuspicion(endpoint.address);
     }
   }
@@ -328,6 +366,7 @@
     const kind = this.suspicionOf(endpoint)?.kind;
     return (
       kind === Suspicion.Silent ||
+      kind === Suspicion.Disconnected ||
       kind === Suspicion.ReportedByPeer ||
       kind === Suspicion.DrainingAtPeer
     );
@@ -426,6 +465,7 @@
   /** Removes every listener. */
   close(): void {
     this.removals.close();
+    this.disconnections.close();
   }
 
   private withKnownDrain(endpoint: Endpoint): Endpoint {
@@ -481,6 +521,7 @@
   ): number {
     switch (kind) {
       case Suspicion.Silent:
+      case Suspicion.Disconnected:
         return silentSuspicionMs;
       case Suspicion.Misdirected:
         return misdirectedSuspicionMs;
--- a/src/gateway/relay/node/streamRelay.ts
+++ b/src/gateway/relay/node/streamRelay.ts
@@ -579,7 +579,11 @@
     const firstEndpoint = this.path.firstStage?.endpoint;
     if (firstEndpoint) {
       const { address, startedMs } = firstEndpoint;
-      this.context.directory.suspect(address, Suspicion.Silent, reason, startedMs);
+      if (wasSent) {
+        this.context.directory.recordDisconnection(firstEndpoint, reason);
+      } else {
+        this.context.directory.suspect(address, Suspicion.Silent, reason, startedMs);
+      }
       this.excludedAddresses.add(address);
     }
     if (wasSent && this.phase === Phase.Sent) {
