Eject model endpoints that keep failing streams

Cause: an endpoint that answers each request with an error at once looks idle, so path search sends it more and more. Change: the outlier ejection of plain endpoints also judges the first endpoints of streams, with a test of its own for their lower failure rate. Ejected ones are used only if the others have no path.

--- a/src/gateway/admission/common/modelAdmission.ts
+++ b/src/gateway/admission/common/modelAdmission.ts
@@ -61,6 +61,8 @@
   accepting(): readonly Endpoint[];
   /** Returns whether the store lists an endpoint; others are used only if those lack capacity. */
   isConfirmed(endpoint: Endpoint): boolean;
+  /** Returns whether an endpoint keeps failing requests; it is used only if others have no path. */
+  isFailing(endpoint: Endpoint): boolean;
 }
 
 /** Handle of a request for admission. */
@@ -306,7 +308,7 @@
   }
 
   private findPath(req: PathRequest): LayerPath | undefined {
-    const endpoints = this.permittedEndpoints(this.pool.usable(), req);
+    const endpoints = this.withoutFailing(this.permittedEndpoints(this.pool.usable(), req), req);
     const confirmed = endpoints.filter((endpoint) => this.pool.isConfirmed(endpoint));
     if (confirmed.length < endpoints.length) {
       const path = this.finder.find(confirmed, { ...req, staysInDataCentre: true });
@@ -318,6 +320,15 @@
     return this.finder.find(endpoints, { ...req, staysInDataCentre });
   }
 
+  /** Leaves out endpoints that keep failing, unless the others can't serve the request at all. */
+  private withoutFailing(endpoints: readonly Endpoint[], req: PathRequest): readonly Endpoint[] {
+    const sound = endpoints.filter((endpoint) => !this.pool.isFailing(endpoint));
+    const isEnough =
+      sound.length === endpoints.length ||
+      this.finder.find(sound, { ...req, ignoresCapacity: true }) !== undefined;
+    return isEnough ? sound : endpoints;
+  }
+
   private permittedEndpoints(
     endpoints: readonly Endpoint[],
     { runningAddresses }: PathRequest,
--- a/src/gateway/admission/common/modelAdmissions.ts
+++ b/src/gateway/admission/common/modelAdmissions.ts
@@ -1,8 +1,10 @@
 import type { IClock, ITimers } from '../../../base/common/clock.js';
 import type { ConfigHolder } from '../../config/common/configHolder.js';
 import type { EngineProfile } from '../../config/common/configSnapshot.js';
+import { incarnationOf } from '../../directory/common/endpoint.js';
 import type { EndpointDirectory } from '../../directory/common/endpointDirectory.js';
 import { CrossDataCentreBudget } from '../../routing/common/crossDataCentreBudget.js';
+import type { EndpointEjections } from '../../routing/common/endpointEjections.js';
 import { PathFinder } from '../../routing/common/pathFinder.js';
 import type { ReservationLedger } from '../../routing/common/reservationLedger.js';
 import type { ISendPermission } from '../../signals/common/endpointSignals.js';
@@ -13,6 +15,8 @@
   readonly config: ConfigHolder;
   readonly directory: EndpointDirectory;
   readonly permission: ISendPermission;
+  /** Endpoints that keep failing. */
+  readonly ejections: EndpointEjections;
   readonly ledger: ReservationLedger;
   /** Returns the number of gateways that share the links between data centres. */
   readonly gatewayCount: () => number;
@@ -37,7 +41,8 @@
     if (existing) {
       return existing;
     }
-    const { config, directory, permission, ledger, gatewayCount, clock } = this.dependencies;
+    const { config, directory, permission, ejections, ledger, gatewayCount, clock } =
+      this.dependencies;
     const currentEngine = () => config.current?.config.services.get(service)?.engine ?? engine;
     const created = new ModelAdmission(
       new PathFinder(currentEngine, ledger),
@@ -45,6 +50,7 @@
         usable: () => directory.findUsable(service),
         accepting: () => directory.findAccepting(service),
         isConfirmed: (endpoint) => directory.isConfirmed(endpoint),
+        isFailing: (endpoint) => ejections.isEjected(incarnationOf(endpoint)),
       },
       permission,
       ledger,
--- a/src/gateway/admission/test/common/modelAdmission.test.ts
+++ b/src/gateway/admission/test/common/modelAdmission.test.ts
@@ -57,6 +57,7 @@
   let endpoints: Endpoint[];
   let skipped: Set<string>;
   let unconfirmed: Set<string>;
+  let failing: Set<string>;
   let limits: EndpointLimits;
   let directory: EndpointDirectory;
   let signals: EndpointSignals;
@@ -92,6 +93,7 @@
     );
     skipped = new Set();
     unconfirmed = new Set();
+    failing = new Set();
     limits = createLimits({ clock });
     const logger = { log: () => undefined };
     directory = new EndpointDirectory(clock, logger);
@@ -108,6 +110,7 @@
         usable: () => endpoints.filter(({ address }) => !skipped.has(address)),
         accepting: () => endpoints,
         isConfirmed: ({ address }) => !unconfirmed.has(address),
+        isFailing: ({ address }) => failing.has(address),
       },
       signals,
       ledger,
--- a/src/gateway/node/gatewayProgram.ts
+++ b/src/gateway/node/gatewayProgram.ts
@@ -5,14 +5,13 @@
 import { LogLevel, type ILogger } from '../../base/common/logger.js';
 import type { IRandom } from '../../base/common/random.js';
 import { LeaseCandidate } from '../../services/lease/common/lease.js';
-import { EndpointHealth } from '../../services/ejection/common/endpointHealth.js';
-import { SequentialTest } from '../../services/ejection/common/failureDetector.js';
+import type { SequentialTestOptions } from '../../services/ejection/common/failureDetector.js';
 import { EndpointSender } from '../../services/exchange/node/endpointSender.js';
 import type { EraChange } from '../../services/objects/common/objects.js';
 import type { GatewaySettings } from '../../services/settings/common/settings.js';
 import { ModelAdmissions } from '../admission/common/modelAdmissions.js';
 import { ConfigHolder } from '../config/common/configHolder.js';
-import { incarnationOf, type Endpoint } from '../directory/common/endpoint.js';
+import type { Endpoint } from '../directory/common/endpoint.js';
 import { EndpointDirectory, Suspicion } from '../directory/common/endpointDirectory.js';
 import { NewsExchange } from '../feeds/node/newsExchange.js';
 import type { StoreFeed } from '../feeds/node/storeFeed.js';
@@ -34,6 +33,11 @@
 import { RetryBudgets } from '../retries/common/retryBudgets.js';
 import { EndpointSignals } from '../signals/common/endpointSignals.js';
 import { PauseAwareProbes } from '../signals/common/pauseAwareProbes.js';
+import {
+  EndpointEjections,
+  engineFailureTest,
+  plainFailureTest,
+} from '../routing/common/endpointEjections.js';
 import { PlainRouter } from '../routing/common/plainRouter.js';
 import { ReservationLedger } from '../routing/common/reservationLedger.js';
 import { CrashProtection } from '../suspects/common/crashProtection.js';
@@ -75,9 +79,6 @@
  */
 const drainingRetryAfterMs = 50;
 
-/** Failure rate of a healthy plain endpoint; about one lookup in seven fails there. */
-const healthyFailureRate = 0.15;
-
 /**
  * Longest delay before this gateway writes again what the store has forgotten, in milliseconds. Spreads
  * the writes of all gateways.
@@ -114,11 +115,11 @@
 
   private readonly stallMonitor: StallMonitor;
 
-  private readonly health: EndpointHealth;
+  private readonly plainEjections: EndpointEjections;
 
-  private readonly plainRouter: PlainRouter;
+  private readonly engineEjections: EndpointEjections;
 
-  private readonly ejectedIncarnations = new Set<string>();
+  private readonly plainRouter: PlainRouter;
 
   private readonly admissions: ModelAdmissions;
 
@@ -156,6 +157,10 @@
       clock,
       logger,
     });
+    const createEjections = (test: SequentialTestOptions) =>
+      new EndpointEjections(test, this.config, this.directory, clock, logger);
+    this.plainEjections = createEjections(plainFailureTest);
+    this.engineEjections = createEjections(engineFailureTest);
     this.retryBudgets = new RetryBudgets(settings, () => this.peers, clock);
     this.signals = new EndpointSignals({
       limits: this.limits,
@@ -188,6 +193,7 @@
       ledger: this.ledger,
       signals: this.signals,
       supervisor: this.crashProtection.supervisor,
+      engineHealth: this.engineEjections.health,
       maxAnswerBytes: settings.maxAnswerBytes,
       retryBudgetOf: (service) => this.retryBudgets.of(service),
     };
@@ -195,6 +201,7 @@
       config: this.config,
       directory: this.directory,
       permission: this.signals,
+      ejections: this.engineEjections,
       ledger: this.ledger,
       gatewayCount: () => this.retryBudgets.assumedGatewayCount,
       clock,
@@ -228,12 +235,11 @@
     );
     this.prober = new EndpointProber(this.directory, platform.control, isPaused, clock);
     this.stallMonitor = new StallMonitor(platform.control, this.relayContext);
-    this.health = this.createHealth();
     this.plainRouter = new PlainRouter(
       settings.place,
       this.directory,
       this.ledger,
-      (incarnation) => this.ejectedIncarnations.has(incarnation),
+      (incarnation) => this.plainEjections.isEjected(incarnation),
       this.signals,
       clock,
     );
@@ -312,7 +318,8 @@
     this.prober.start();
     this.scheduleRepeatedly(expiryIntervalMs, () => {
       this.directory.removeExpired();
-      this.health.endExpiredEjections();
+      this.plainEjections.endExpired();
+      this.engineEjections.endExpired();
     });
     this.news.start();
     this.peerPort = peerPort;
@@ -373,40 +380,6 @@
     }
   }
 
-  private createHealth(): EndpointHealth {
-    const health = new EndpointHealth(
-      { firstEjectionMs: 2_000, maxEjectionMs: 8_000, maxEjectedFraction: 0.5 },
-      () =>
-        new SequentialTest({
-          baseRate: healthyFailureRate,
-          minFailures: 4,
-          criticalValue: 3,
-          maxExpectedFailures: 6,
-        }),
-      (incarnation) => this.incarnationsInServiceOf(incarnation),
-      this.dependencies.clock,
-      this.dependencies.logger,
-    );
-    health.onDidChange(({ endpoint, ejected }) => {
-      if (ejected) {
-        this.ejectedIncarnations.add(endpoint);
-      } else {
-        this.ejectedIncarnations.delete(endpoint);
-      }
-    });
-    return health;
-  }
-
-  private incarnationsInServiceOf(incarnation: string): readonly string[] {
-    for (const service of this.config.current?.config.services.keys() ?? []) {
-      const incarnations = this.directory.findByService(service).map(incarnationOf);
-      if (incarnations.includes(incarnation)) {
-        return incarnations;
-      }
-    }
-    return [incarnation];
-  }
-
   private startRelay(req: CallerRequest, caller: CallerResponse): IRelay | undefined {
     const service = this.config.current?.config.services.get(req.service);
     if (this.drainSequence.mustRefuse(service?.engine !== undefined, req)) {
@@ -438,7 +411,7 @@
         req,
         caller,
         this.plainRouter,
-        this.health,
+        this.plainEjections.health,
         this.relayContext,
         () => {},
       );
@@ -501,8 +474,8 @@
     this.ledger.clearLearnedLimit(endpoint.address);
     this.plainRouter.removeEndpoint(endpoint);
     this.signals.removeEndpoint(endpoint);
-    this.health.forget(incarnationOf(endpoint));
-    this.ejectedIncarnations.delete(incarnationOf(endpoint));
+    this.plainEjections.forget(endpoint);
+    this.engineEjections.forget(endpoint);
   }
 
   /**
--- a/src/gateway/relay/node/relayContext.ts
+++ b/src/gateway/relay/node/relayContext.ts
@@ -1,5 +1,6 @@
 import type { IClock, ITimers } from '../../../base/common/clock.js';
 import type { ILogger } from '../../../base/common/logger.js';
+import type { EndpointHealth } from '../../../services/ejection/common/endpointHealth.js';
 import type { EndpointSender } from '../../../services/exchange/node/endpointSender.js';
 import type { EndpointDirectory } from '../../directory/common/endpointDirectory.js';
 import type { RetryBudget } from '../../retries/common/retryBudget.js';
@@ -20,6 +21,8 @@
   readonly ledger: ReservationLedger;
   readonly signals: EndpointSignals;
   readonly supervisor: RunSupervisor;
+  /** Records the outcomes of streams at the first endpoints of their paths. */
+  readonly engineHealth: EndpointHealth;
   /** Maximum size of an answer that is not an event stream, in bytes. */
   readonly maxAnswerBytes: number;
   /** Returns the retry budget of a service. */
--- a/src/gateway/relay/node/streamRelay.ts
+++ b/src/gateway/relay/node/streamRelay.ts
@@ -467,6 +467,7 @@
     const metadata = this.context.dialect.readAnswer(head.status, head.headers);
     if (metadata.requestId !== undefined && metadata.requestId !== this.requestId) {
       this.exchange?.abort();
+      this.recordOutcome(true);
       this.handleFailedSend(SendFailure.Interrupted, 'answer to another request');
       return AnswerKind.Ignored;
     }
@@ -479,6 +480,7 @@
     }
     if (!metadata.hasSignature || metadata.isEncoded) {
       this.exchange?.abort();
+      this.recordOutcome(true);
       this.handleFailedSend(SendFailure.Interrupted, 'answer without signature');
       return AnswerKind.Ignored;
     }
@@ -531,6 +533,7 @@
       return;
     }
     const { directory } = this.context;
+    this.recordOutcome(false);
     this.run.recordSurvival();
     this.path.endpoints.forEach(({ address }) => directory.clearSuspicion(address));
     this.answer.end();
@@ -547,6 +550,7 @@
       return;
     }
     this.recordPossibleRun();
+    this.recordOutcome(head.status >= 500);
     this.run.recordAnswer();
     if (
       this.answer.hasBegun ||
@@ -631,6 +635,14 @@
     this.handleFailedSend(SendFailure.NotRun, `status ${status} by ${address ?? 'unknown'}`);
   }
 
+  /** Records whether the first endpoint of the path failed the request itself. */
+  private recordOutcome(hasFailed: boolean): void {
+    const firstEndpoint = this.path.firstStage?.endpoint;
+    if (firstEndpoint) {
+      this.context.engineHealth.record(incarnationOf(firstEndpoint), hasFailed);
+    }
+  }
+
   /** Whether the route allows the request to run at one more endpoint. */
   private get mayRunElsewhere(): boolean {
     return this.possibleRunAddresses.size < Math.max(minRunEndpoints, this.req.route.maxAttempts);
