Keep sums of the loads that peers report, and skip the check of news on other datagrams

Cause: a path search summed the reports of all peers for each endpoint: 380 us for 114 endpoints and 67 peers, at each look for capacity of each waiting request; and each datagram of a peer was first validated as news of the store, 229 us for one that isn't. Change: the sums are kept up to date with each report; news are told by their first element.

--- a/src/gateway/feeds/common/feedNewsWire.ts
+++ b/src/gateway/feeds/common/feedNewsWire.ts
@@ -70,6 +70,10 @@
  * @returns The news, or undefined if the datagram holds no valid ones.
  */
 export function newsFromWire(wire: unknown): FeedNewsMessage | undefined {
+  // Most datagrams are other messages; a failed validation costs more than a valid message.
+  if (!Array.isArray(wire) || wire[0] !== newsMarker) {
+    return undefined;
+  }
   const parsed = v.safeParse(messageSchema, wire);
   if (!parsed.success) {
     return undefined;
--- a/src/gateway/feeds/node/storeFeed.ts
+++ b/src/gateway/feeds/node/storeFeed.ts
@@ -76,6 +76,11 @@
   /** Ends the wait of the loop. */
   private wake: () => void = () => undefined;
 
+  private readonly catchUps = new Emitter<ReadConsistency>();
+
+  /** Fires when the feed has read changes that the news lacked, with the read that held them. */
+  readonly onDidCatchUp = this.catchUps.event;
+
   private readonly answers = new Emitter<void>();
 
   /** Fires when the store has answered a watcher, so that it has news for its followers. */
@@ -119,6 +124,7 @@
   close(): void {
     this.abortController.abort();
     this.answers.close();
+    this.catchUps.close();
   }
 
   /** Sets whether this feed watches the store or follows others that do. */
@@ -188,10 +194,11 @@
     const isFollowing = this.role === FeedRole.Follower && freshForMs > 0;
     if (isFollowing !== this.isFollowing) {
       this.isFollowing = isFollowing;
-      this.logger.log(LogLevel.Debug, 'feed-following', {
+      this.logger.log(LogLevel.Info, 'feed-mode-changed', {
         feed: this.name,
-        isFollowing,
-        ageMs: Math.round(Math.min(this.position.ageMs, Number.MAX_SAFE_INTEGER)),
+        follows: isFollowing,
+        role: this.role,
+        ageMs: Math.round(this.position.ageMs),
       });
     }
     if (revision === undefined) {
@@ -225,10 +232,11 @@
       this.applyList(listed.value);
       this.position.recordChanges(listed.value.revision);
     }
-    const isLagging = listed.isErr() || this.position.isBehind;
-    this.logger.log(LogLevel.Debug, 'feed-caught-up', { feed: this.name, isLagging });
-    if (isLagging) {
+    if (listed.isErr() || this.position.isBehind) {
       await this.list();
+      this.catchUps.fire(ReadConsistency.Latest);
+    } else {
+      this.catchUps.fire(ReadConsistency.MayLag);
     }
   }
 
--- a/src/gateway/node/gatewayMetrics.ts
+++ b/src/gateway/node/gatewayMetrics.ts
@@ -112,6 +112,26 @@
     registers: [this.registry],
   });
 
+  /** Reads the age of the copy of each feed, in milliseconds. */
+  private readonly feedAges = new Map<string, () => number>();
+
+  /** Time since each copy of the store was confirmed to be current, in milliseconds. */
+  readonly feedAge: Gauge = new Gauge({
+    name: 'ibisspar_feed_age_ms',
+    help: 'Time since the copy of a kind of object was confirmed to be current, in milliseconds',
+    labelNames: ['feed'],
+    registers: [this.registry],
+    collect: () => this.feedAges.forEach((read, feed) => this.feedAge.set({ feed }, read())),
+  });
+
+  /** Reads of the store after news of a change, by whether the cheaper one was recent enough. */
+  readonly feedCatchUps = new Counter({
+    name: 'ibisspar_feed_catch_ups_total',
+    help: 'Reads of the store for changes that the news lacked',
+    labelNames: ['feed', 'read'],
+    registers: [this.registry],
+  });
+
   /**
    * Registers a gauge of the requests of which a crash is on record.
    *
@@ -152,6 +172,28 @@
     this.observe('ibisspar_paused_endpoints', 'Endpoints that want no requests', countPaused);
   }
 
+  /**
+   * Registers a gauge of the age of a gateway's copy of the store.
+   *
+   * @param feed - Name of the feed that keeps the copy.
+   * @param readAgeMs - Returns the time since the copy was last confirmed to be current, in milliseconds;
+   *   called each time the metrics are read.
+   */
+  observeFeedAge(feed: string, readAgeMs: () => number): void {
+    this.feedAges.set(feed, readAgeMs);
+  }
+
+  /**
+   * Registers a gauge of the role of this gateway towards the store.
+   *
+   * @param isWatcher - Whether it watches the store for others; called each time the metrics are read.
+   */
+  observeFeedWatcher(isWatcher: () => boolean): void {
+    this.observe('ibisspar_feed_watcher', 'Whether this gateway watches the store for others', () =>
+      Number(isWatcher()),
+    );
+  }
+
   /**
    * Registers a gauge of the requests in flight.
    *
--- a/src/gateway/node/gatewayProgram.ts
+++ b/src/gateway/node/gatewayProgram.ts
@@ -13,6 +13,7 @@
 import { ConfigHolder } from '../config/common/configHolder.js';
 import type { Endpoint } from '../directory/common/endpoint.js';
 import { EndpointDirectory, Suspicion } from '../directory/common/endpointDirectory.js';
+import { FeedRole } from '../feeds/common/watcherElection.js';
 import { NewsExchange } from '../feeds/node/newsExchange.js';
 import type { StoreFeed } from '../feeds/node/storeFeed.js';
 import type { CallerResponse } from '../http/node/callerResponse.js';
@@ -271,6 +272,11 @@
     metrics.observeQuarantinedParts(() => this.crashProtection.quarantinedPartCount);
     metrics.observeLimitedEndpoints(() => this.limits.count);
     metrics.observePausedEndpoints(() => this.signals.pausedCount);
+    this.feeds.forEach((feed) => {
+      metrics.observeFeedAge(feed.name, () => feed.ageMs);
+      feed.onDidCatchUp((read) => metrics.feedCatchUps.inc({ feed: feed.name, read }));
+    });
+    metrics.observeFeedWatcher(() => this.news.currentRole !== FeedRole.Follower);
     metrics.observeInFlight(() => this.ingress.inFlight);
     this.ingress = new Ingress(
       this.config,
--- a/src/gateway/peers/common/peerMessage.ts
+++ b/src/gateway/peers/common/peerMessage.ts
@@ -5,7 +5,7 @@
   limitReportToWire,
   type LimitReport,
 } from '../../limits/common/limitReport.js';
-import type { EndpointLoad } from '../../routing/common/reservationLedger.js';
+import type { EndpointLoad } from '../../routing/common/endpointLoad.js';
 import type { SuspicionReport } from '../../suspects/common/crashProtection.js';
 
 /** Endpoint as a peer knows it. */
--- a/src/gateway/routing/common/reservationLedger.ts
+++ b/src/gateway/routing/common/reservationLedger.ts
@@ -1,16 +1,6 @@
 import type { IClock } from '../../../base/common/clock.js';
-
-/** Load of requests on one endpoint. */
-export interface EndpointLoad {
-  /** Reserved key-value cache capacity, in tokens times layers. */
-  tokenLayers: number;
-  /** Requests whose path includes the endpoint. */
-  requests: number;
-  /** Requests for which it runs the first stage of the path. */
-  firstStageRequests: number;
-  /** Expected prefill time of requests whose first event hasn't arrived yet, in milliseconds. */
-  prefillMs: number;
-}
+import { addLoad, emptyLoad, type EndpointLoad } from './endpointLoad.js';
+import { PeerLoads } from './peerLoads.js';
 
 /** Capacity that a request reserves at one endpoint. */
 export interface Reservation {
@@ -20,12 +10,6 @@
   readonly isFirstStage: boolean;
 }
 
-/**
- * Age after which the loads that a peer reported are ignored, in milliseconds. By then several of its
- * messages were lost, or it stopped.
- */
-const peerTimeoutMs = 1_000;
-
 /** Growth of a learned limit per second, as a share of the limit, until it no longer has an effect. */
 const limitGrowthPerSecond = 0.25;
 
@@ -49,17 +33,6 @@
   readonly atMs: number;
 }
 
-function emptyLoad(): EndpointLoad {
-  return { tokenLayers: 0, requests: 0, firstStageRequests: 0, prefillMs: 0 };
-}
-
-function addTo(load: EndpointLoad, other: EndpointLoad): void {
-  load.tokenLayers += other.tokenLayers;
-  load.requests += other.requests;
-  load.firstStageRequests += other.firstStageRequests;
-  load.prefillMs += other.prefillMs;
-}
-
 /**
  * Load of each endpoint: exact for requests of this process, as last reported for requests of its
  * peers.
@@ -67,10 +40,7 @@
 export class ReservationLedger {
   private readonly own = new Map<string, EndpointLoad>();
 
-  private readonly peers = new Map<
-    string,
-    { readonly atMs: number; readonly loads: ReadonlyMap<string, EndpointLoad> }
-  >();
+  private readonly peers: PeerLoads;
 
   /** Reservations of this process whose prefill is not complete. */
   private readonly prefilling = new Set<Reservation>();
@@ -81,7 +51,9 @@
   private readonly refusedAtMs = new Map<string, number>();
 
   /** @param clock - Source of time. */
-  constructor(private readonly clock: IClock) {}
+  constructor(private readonly clock: IClock) {
+    this.peers = new PeerLoads(clock);
+  }
 
   /**
    * Adds reservations of this process.
@@ -138,7 +110,7 @@
    * @param loads - Its reservations by address.
    */
   updatePeer(peer: string, loads: ReadonlyMap<string, EndpointLoad>): void {
-    this.peers.set(peer, { atMs: this.clock.monotonicMs(), loads });
+    this.peers.update(peer, loads);
   }
 
   /**
@@ -205,14 +177,11 @@
     const total = emptyLoad();
     const own = this.own.get(address);
     if (own) {
-      addTo(total, own);
+      addLoad(total, own);
     }
-    const nowMs = this.clock.monotonicMs();
-    for (const { atMs, loads } of this.peers.values()) {
-      const load = loads.get(address);
-      if (load && nowMs - atMs <= peerTimeoutMs) {
-        addTo(total, load);
-      }
+    const reported = this.peers.at(address);
+    if (reported) {
+      addLoad(total, reported);
     }
     return total;
   }
