Distribute the layers of a data centre anew when a gap has no other mend

Cause: a data centre whose cards form one chain has no spare. Ruled out: retries and refusals that come back together (the state outlived a power loss of all gateways), reservations of dead streams (the same). Change: after a gap has lasted 1.5 s, the endpoints that are left move their ranges step by step towards a split by memory; none gives up layers that nobody else holds.

--- a/src/gateway/placement/common/rangePlanner.ts
+++ b/src/gateway/placement/common/rangePlanner.ts
@@ -1,5 +1,6 @@
 import type { EngineProfile } from '../../config/common/configSnapshot.js';
 import type { LayerRange } from '../../directory/common/endpoint.js';
+import { ChainRebalancer } from './chainRebalancer.js';
 
 /** State of an endpoint that placement depends on. */
 export interface PlacedEndpoint {
@@ -24,6 +25,14 @@
   readonly layers: LayerRange;
 }
 
+/** Assignments for data centres that form chains together. */
+interface GroupPlan {
+  readonly group: readonly PlacedEndpoint[];
+  readonly chains: readonly Assignment[];
+  readonly spares: readonly Assignment[];
+  readonly repairs: readonly Assignment[];
+}
+
 /** Minimum memory that a chain needs for requests, as a share of the memory of its weights. */
 const minHeadroomShare = 0.1;
 
@@ -81,7 +90,8 @@
  * same number of requests. Where all cards together form two chains or more, the slowest kind of card
  * is part of them, which costs speed and gains memory. Elsewhere the slowest cards are spares, each
  * with a few of the layers that have the fewest holders. When layers of a data centre lose their last
- * holder, slow endpoints whose own layers have other holders take them over.
+ * holder, slow endpoints whose own layers have other holders take them over; if there are none, the
+ * {@link ChainRebalancer} distributes the layers of that data centre anew.
  */
 export class RangePlanner {
   /** @param engine - Engine profile of the service. */
@@ -95,9 +105,7 @@
    *   endpoints of chains, then ranges for empty spares.
    */
   plan(endpoints: readonly PlacedEndpoint[]): readonly Assignment[] {
-    const dataCentres = [...new Set(endpoints.map(({ dataCentre }) => dataCentre))].sort();
-    const groups = this.groupDataCentres(dataCentres, endpoints);
-    const plans = groups.map((group) => this.planGroup(group));
+    const plans = this.planGroups(endpoints);
     return [
       ...plans.flatMap(({ repairs }) => repairs),
       ...plans.flatMap(({ chains }) => chains),
@@ -105,6 +113,29 @@
     ];
   }
 
+  /**
+   * Plans how data centres distribute their layers anew, for gaps that no assignment of {@link plan} closes.
+   *
+   * @param endpoints - Endpoints that accept new requests.
+   * @returns The next ranges of endpoints that take part; empty if no data centre needs it.
+   */
+  planRebalancing(endpoints: readonly PlacedEndpoint[]): readonly Assignment[] {
+    const rebalancer = new ChainRebalancer({
+      layerCount: this.engine.layerCount,
+      usable: (memoryMb) => this.maxLayers(memoryMb, maxWeightShare),
+      total: (memoryMb) => Math.floor(memoryMb / this.engine.layerMb),
+    });
+    return this.planGroups(endpoints)
+      .filter(({ repairs, chains, spares }) => repairs.length + chains.length + spares.length === 0)
+      .flatMap(({ group }) => rebalancer.plan(group));
+  }
+
+  private planGroups(endpoints: readonly PlacedEndpoint[]): readonly GroupPlan[] {
+    const dataCentres = [...new Set(endpoints.map(({ dataCentre }) => dataCentre))].sort();
+    const groups = this.groupDataCentres(dataCentres, endpoints);
+    return groups.map((group) => this.planGroup(group));
+  }
+
   private get slowestStepFactor(): number {
     return Math.max(...[...this.engine.cards.values()].map(({ stepFactor }) => stepFactor));
   }
@@ -131,11 +162,7 @@
     return pooled.length > 0 ? [...selfSufficient, pooled] : selfSufficient;
   }
 
-  private planGroup(endpoints: readonly PlacedEndpoint[]): {
-    readonly chains: readonly Assignment[];
-    readonly spares: readonly Assignment[];
-    readonly repairs: readonly Assignment[];
-  } {
+  private planGroup(endpoints: readonly PlacedEndpoint[]): GroupPlan {
     const { chainCards, headroom } = this.chooseChainCards(endpoints);
     const spareCards = endpoints.filter((endpoint) => !chainCards.includes(endpoint));
     const slowCards = endpoints.filter(({ stepFactor }) => stepFactor >= this.slowestStepFactor);
@@ -147,7 +174,7 @@
       this.assignEmptyCards(chainCards, held, chainCards, headroom);
     const spares = this.assignEmptyCards(spareCards, [...held, ...chains], chainCards, headroom);
     const repairs = this.planRepairs(endpoints, slowCards, [...held, ...chains, ...spares]);
-    return { chains, spares, repairs };
+    return { group: endpoints, chains, spares, repairs };
   }
 
   /** Chooses the cards that form chains and the headroom of these chains. */
--- a/src/gateway/placement/node/placementLoop.ts
+++ b/src/gateway/placement/node/placementLoop.ts
@@ -40,6 +40,21 @@
 /** Delay before the next order to an endpoint that refused one or didn't answer, in milliseconds. */
 const orderRetryDelayMs = 1_000;
 
+/**
+ * Time for which a gap must have lasted before endpoints move their ranges to close it, in milliseconds.
+ * An endpoint that only fell silent for a moment gets its requests again by then.
+ */
+const rebalanceDelayMs = 1_500;
+
+/** Time without a gap after which the next one counts as new, in milliseconds. */
+const gapMemoryMs = 3_000;
+
+/** Layers of a service without a holder in some data centre. */
+interface Gap {
+  readonly sinceMs: number;
+  seenMs: number;
+}
+
 interface PendingOrder {
   readonly service: string;
   readonly layers: LayerRange;
@@ -60,6 +75,9 @@
   /** Number of endpoints of each service, with the monotonic time since which it is unchanged. */
   private readonly endpointCounts = new Map<string, { count: number; sinceMs: number }>();
 
+  /** Gaps that only a new distribution of layers can close, by service. */
+  private readonly gaps = new Map<string, Gap>();
+
   private cancelTimer: CancelTimer | undefined;
 
   /**
@@ -125,7 +143,12 @@
     }
     const placed = endpoints.flatMap((endpoint) => this.toPlacedEndpoints(endpoint, engine));
     const byAddress = new Map(endpoints.map((endpoint) => [endpoint.address, endpoint]));
-    for (const assignment of new RangePlanner(engine).plan(placed)) {
+    const planner = new RangePlanner(engine);
+    const assignments = [
+      ...planner.plan(placed),
+      ...this.whenGapLasts(service.name, planner.planRebalancing(placed)),
+    ];
+    for (const assignment of assignments) {
       const endpoint = byAddress.get(assignment.address);
       const isBackingOff = (this.retryAtMs.get(assignment.address) ?? 0) > nowMs;
       const isPaused = endpoint !== undefined && this.isPaused(endpoint);
@@ -136,6 +159,22 @@
     }
   }
 
+  /** Returns assignments that close a gap once it has lasted for a while; none before. */
+  private whenGapLasts(service: string, assignments: readonly Assignment[]): readonly Assignment[] {
+    const nowMs = this.clock.monotonicMs();
+    const known = this.gaps.get(service);
+    if (assignments.length === 0) {
+      if (known && nowMs - known.seenMs > gapMemoryMs) {
+        this.gaps.delete(service);
+      }
+      return [];
+    }
+    const gap = known ?? { sinceMs: nowMs, seenMs: nowMs };
+    gap.seenMs = nowMs;
+    this.gaps.set(service, gap);
+    return nowMs - gap.sinceMs >= rebalanceDelayMs ? assignments : [];
+  }
+
   private countPendingOrders(service: string): number {
     return [...this.pendingOrders.values()].filter((order) => order.service === service).length;
   }
