Wait four seconds before a data centre distributes its layers anew, and poll a lost store less

Cause: with 1.5 s, an endpoint that crashed for 3.6 s made ten others extend their ranges, which takes memory from requests for good; and in an outage of the store every gateway polled it every 0.8 s for each kind of object although watchers tell when it is back.

--- a/src/gateway/feeds/common/feedTiming.ts
+++ b/src/gateway/feeds/common/feedTiming.ts
@@ -13,6 +13,12 @@
 export const minRetryIntervalMs = 100;
 export const maxRetryIntervalMs = 800;
 
+/**
+ * Maximum interval between the starts of a follower's failing calls, in milliseconds. The news of a
+ * watcher that reaches the store again end its wait.
+ */
+export const maxFollowerRetryIntervalMs = 2_000;
+
 /**
  * Delay after changes that a backup watcher reads, in milliseconds. It matters only after the primary
  * watcher has failed, until another one has taken over.
--- a/src/gateway/feeds/node/storeFeed.ts
+++ b/src/gateway/feeds/node/storeFeed.ts
@@ -14,6 +14,7 @@
 } from '../common/feedSource.js';
 import {
   backupBatchDelayMs,
+  maxFollowerRetryIntervalMs,
   maxRetryIntervalMs,
   minRetryIntervalMs,
   type FeedTiming,
@@ -165,6 +166,9 @@
     }
     news.batches.forEach((batch) => this.applyBatch(batch));
     if (this.position.recordNews(news) && this.role === FeedRole.Follower) {
+      if (this.isStoreUnavailable) {
+        this.wake();
+      }
       this.markAvailable();
     }
     if (this.position.isBehind) {
@@ -329,8 +333,10 @@
       this.logger.log(LogLevel.Warn, 'store-lost', { feed: this.name, reason });
       this.sink.onLost();
     }
-    await this.delay(this.callStartedMs + this.retryIntervalMs - this.clock.monotonicMs());
-    this.retryIntervalMs = Math.min(maxRetryIntervalMs, this.retryIntervalMs * 2);
+    await this.wait(this.callStartedMs + this.retryIntervalMs - this.clock.monotonicMs());
+    const maxIntervalMs =
+      this.role === FeedRole.Follower ? maxFollowerRetryIntervalMs : maxRetryIntervalMs;
+    this.retryIntervalMs = Math.min(maxIntervalMs, this.retryIntervalMs * 2);
   }
 
   /** Waits for a time in milliseconds, until the feed is closed or until it is woken. */
--- a/src/gateway/placement/node/placementLoop.ts
+++ b/src/gateway/placement/node/placementLoop.ts
@@ -42,9 +42,9 @@
 
 /**
  * Time for which a gap must have lasted before endpoints move their ranges to close it, in milliseconds.
- * An endpoint that only fell silent for a moment gets its requests again by then.
+ * Most endpoints that crash or fall silent are back by then and hold or load the gap themselves.
  */
-const rebalanceDelayMs = 1_500;
+const rebalanceDelayMs = 4_000;
 
 /** Time without a gap after which the next one counts as new, in milliseconds. */
 const gapMemoryMs = 3_000;
