Tell gaps of endpoints that may come back from those of endpoints that are gone

Change: layers of an endpoint that is silent but still listed as ready are no gap for the new distribution; once it is no longer listed, moves begin after a second.

--- a/src/gateway/placement/common/rangePlanner.ts
+++ b/src/gateway/placement/common/rangePlanner.ts
@@ -11,8 +11,10 @@
   readonly stepFactor: number;
   /** Layers that it holds or was ordered to load. */
   readonly layers: LayerRange | undefined;
-  /** Whether it has no pending order. */
+  /** Whether it has no pending order and answers. */
   readonly isSettled: boolean;
+  /** Whether it doesn't answer at present, although the store still lists it. */
+  readonly isSilent: boolean;
   /** Requests whose path includes it. */
   readonly requests: number;
   /** Time since it was first seen without layers, in milliseconds; 0 if it holds layers. */
@@ -100,7 +102,7 @@
   /**
    * Plans the next assignments.
    *
-   * @param endpoints - Endpoints that accept new requests.
+   * @param endpoints - Endpoints that accept new requests and answer.
    * @returns First the moves that repair gaps, because they take the least time, then ranges for empty
    *   endpoints of chains, then ranges for empty spares.
    */
@@ -115,8 +117,9 @@
 
   /**
    * Plans how data centres distribute their layers anew, for gaps that no assignment of {@link plan} closes.
+   * Layers of silent endpoints are no gap: most of these endpoints come back soon.
    *
-   * @param endpoints - Endpoints that accept new requests.
+   * @param endpoints - Endpoints that the store lists as ready, including silent ones.
    * @returns The next ranges of endpoints that take part; empty if no data centre needs it.
    */
   planRebalancing(endpoints: readonly PlacedEndpoint[]): readonly Assignment[] {
--- a/src/gateway/placement/node/placementLoop.ts
+++ b/src/gateway/placement/node/placementLoop.ts
@@ -42,9 +42,9 @@
 
 /**
  * Time for which a gap must have lasted before endpoints move their ranges to close it, in milliseconds.
- * Most endpoints that crash or fall silent are back by then and hold or load the gap themselves.
+ * The store removes an endpoint that crashed at about the time at which its successor starts.
  */
-const rebalanceDelayMs = 4_000;
+const rebalanceDelayMs = 1_000;
 
 /** Time without a gap after which the next one counts as new, in milliseconds. */
 const gapMemoryMs = 3_000;
@@ -141,12 +141,13 @@
     if (endpoints.length === 0 || (isFirstPlan && nowMs - sinceMs < stableListMs)) {
       return;
     }
-    const placed = endpoints.flatMap((endpoint) => this.toPlacedEndpoints(endpoint, engine));
+    const expected = endpoints.flatMap((endpoint) => this.toPlacedEndpoints(endpoint, engine));
+    const placed = expected.filter(({ isSilent }) => !isSilent);
     const byAddress = new Map(endpoints.map((endpoint) => [endpoint.address, endpoint]));
     const planner = new RangePlanner(engine);
     const assignments = [
       ...planner.plan(placed),
-      ...this.whenGapLasts(service.name, planner.planRebalancing(placed)),
+      ...this.whenGapLasts(service.name, planner.planRebalancing(expected)),
     ];
     for (const assignment of assignments) {
       const endpoint = byAddress.get(assignment.address);
@@ -181,10 +182,11 @@
 
   private toPlacedEndpoints(endpoint: Endpoint, engine: EngineProfile): readonly PlacedEndpoint[] {
     const card = engine.cards.get(endpoint.card ?? '');
-    if (card === undefined || this.directory.isSilent(endpoint)) {
+    if (card === undefined) {
       return [];
     }
     const { address, dataCentre } = endpoint;
+    const isSilent = this.directory.isSilent(endpoint);
     const pendingRange = this.pendingOrders.get(incarnationOf(endpoint))?.layers;
     return [
       {
@@ -193,7 +195,8 @@
         memoryMb: card.memoryMb,
         stepFactor: card.stepFactor,
         layers: pendingRange ?? endpoint.layers,
-        isSettled: pendingRange === undefined,
+        isSettled: pendingRange === undefined && !isSilent,
+        isSilent,
         requests: this.ledger.loadAt(address).requests,
         emptyMs: this.trackEmptyMs(endpoint),
       },
--- a/src/gateway/placement/test/common/chainRebalancer.test.ts
+++ b/src/gateway/placement/test/common/chainRebalancer.test.ts
@@ -25,6 +25,7 @@
     stepFactor: 1,
     layers,
     isSettled: true,
+    isSilent: false,
     requests: 0,
     emptyMs: 0,
   };
@@ -120,6 +121,13 @@
     expect(plan).to.deep.equal([]);
   });
 
+  it('waits for an endpoint that is silent but still listed', () => {
+    const [first, lost, ...others] = createChain(deskMemories);
+    const silent = { ...lost, isSettled: false, isSilent: true };
+    expect(rebalancer.plan([first, silent, ...others])).to.deep.equal([]);
+    expect(rebalancer.plan([first, ...others])).not.to.deep.equal([]);
+  });
+
   it('never opens another gap or exceeds a card, and closes all gaps that memory allows', () => {
     fc.assert(
       fc.property(memories, fc.array(fc.nat(15), { minLength: 1, maxLength: 3 }), (cards, lost) => {
--- a/src/gateway/placement/test/common/rangePlanner.test.ts
+++ b/src/gateway/placement/test/common/rangePlanner.test.ts
@@ -15,6 +15,7 @@
       stepFactor,
       layers: undefined,
       isSettled: true,
+      isSilent: false,
       requests: 0,
       emptyMs: 60_000,
     }));
