Count no comments of a stalled stream as its progress

Ruled out: single bytes of an event, which never counted. Change: comments are passed on, and kept before the first event, but are no sign of progress. Measured: test failed before (the answer did not become complete).

--- a/src/gateway/relay/common/eventSplitter.ts
+++ b/src/gateway/relay/common/eventSplitter.ts
@@ -1,16 +1,31 @@
 /** Complete events of a stream, as the bytes that the endpoint sent. */
 export interface EventBatch {
-  /** One or more complete events, including the blank lines that end them. */
+  /** Complete events and comments, including the blank lines that end them. */
   readonly bytes: Buffer;
   /** Id of the last event that has one. */
   readonly lastId: string | undefined;
+  /** Number of events; 0 if there are only comments. */
   readonly count: number;
 }
 
 const lineFeed = 0x0a;
 const carriageReturn = 0x0d;
+const colon = 0x3a;
 const idField = Buffer.from('id:');
 
+/** Returns whether a block of lines holds only comments, which endpoints may send while they stall. */
+function isComment(block: Buffer): boolean {
+  let isLineStart = true;
+  for (const byte of block) {
+    const endsLine = byte === lineFeed || byte === carriageReturn;
+    if (isLineStart && !endsLine && byte !== colon) {
+      return false;
+    }
+    isLineStart = endsLine;
+  }
+  return true;
+}
+
 /** Returns the index after the blank line that ends the next event, or -1 if there is none. */
 function endOfEvent(bytes: Buffer, start: number): number {
   for (
@@ -58,7 +73,7 @@
    * Adds the next bytes of the stream.
    *
    * @param chunk - Bytes as received.
-   * @returns The events that these bytes complete, or undefined if there are none.
+   * @returns The events and comments that these bytes complete, or undefined if there are none.
    */
   push(chunk: Buffer): EventBatch | undefined {
     const bytes = this.rest.length > 0 ? Buffer.concat([this.rest, chunk]) : chunk;
@@ -66,11 +81,12 @@
     let count = 0;
     let lastId: string | undefined;
     for (let end = endOfEvent(bytes, 0); end >= 0; end = endOfEvent(bytes, end)) {
-      lastId = idOf(bytes.subarray(start, end)) ?? lastId;
-      count += 1;
+      const block = bytes.subarray(start, end);
+      lastId = idOf(block) ?? lastId;
+      count += isComment(block) ? 0 : 1;
       start = end;
     }
     this.rest = bytes.subarray(start);
-    return count > 0 ? { bytes: bytes.subarray(0, start), lastId, count } : undefined;
+    return start > 0 ? { bytes: bytes.subarray(0, start), lastId, count } : undefined;
   }
 }
--- a/src/gateway/relay/node/streamAnswer.ts
+++ b/src/gateway/relay/node/streamAnswer.ts
@@ -18,6 +18,9 @@
 
   private lastId: string | undefined;
 
+  /** Comments of the current run before its first event. */
+  private heldComments: Buffer[] = [];
+
   /**
    * @param req - Request of the caller.
    * @param caller - Receives the answer.
@@ -47,10 +50,16 @@
     return this.splitter.partial.length;
   }
 
+  /** Bytes that are kept until the first event of the current run, or until the end of the next one. */
+  get heldBytes(): number {
+    return this.heldComments.reduce((total, { length }) => total + length, this.partialBytes);
+  }
+
   /** Called when a run starts. */
   beginRun(): void {
     this.progress.beginRun();
     this.splitter = new EventSplitter();
+    this.heldComments = [];
   }
 
   /**
@@ -68,7 +77,7 @@
    * Adds the next bytes of the current run.
    *
    * @param chunk - Bytes as received.
-   * @returns The events that these bytes complete, or undefined if there are none.
+   * @returns The events and comments that these bytes complete, or undefined if there are none.
    */
   push(chunk: Buffer): EventBatch | undefined {
     return this.splitter.push(chunk);
@@ -88,6 +97,20 @@
     return this.caller.write(batch.bytes);
   }
 
+  /**
+   * Passes comments on, or keeps them until the first event. They show nothing of the run's progress.
+   *
+   * @param bytes - Complete comments.
+   * @returns False if the caller reads too slowly, so that the run has to be paused.
+   */
+  writeComments(bytes: Buffer): boolean {
+    if (this.wasBegun) {
+      return this.caller.write(bytes);
+    }
+    this.heldComments.push(bytes);
+    return true;
+  }
+
   /** Ends the answer as complete. */
   end(): void {
     this.begin();
@@ -99,6 +122,8 @@
       this.wasBegun = true;
       const { status, rawHeaders } = this.head;
       this.caller.begin(status, this.dialect.callerHeaders(rawHeaders));
+      this.heldComments.forEach((bytes) => this.caller.write(bytes));
+      this.heldComments = [];
     }
   }
 }
--- a/src/gateway/relay/node/streamRelay.ts
+++ b/src/gateway/relay/node/streamRelay.ts
@@ -18,6 +18,7 @@
   type IRelay,
 } from '../common/callerRequest.js';
 import type { AnswerMetadata } from '../common/dialect.js';
+import type { EventBatch } from '../common/eventSplitter.js';
 import { describePath, SendFailure, suspicionOf } from '../common/sendFailure.js';
 import { PathAcquisition } from './pathAcquisition.js';
 import type { RelayContext } from './relayContext.js';
@@ -495,17 +496,30 @@
       return true;
     }
     const batch = this.answer.push(chunk);
-    if (this.answer.partialBytes > maxEventBytes) {
+    if (this.answer.heldBytes > maxEventBytes) {
       this.abortOversizedAnswer(`event exceeds ${maxEventBytes} bytes`);
       return true;
     }
     if (batch === undefined) {
       return true;
     }
-    const nowMs = this.context.clock.monotonicMs();
+    const isCallerReady =
+      batch.count > 0 ? this.passEvents(batch) : this.answer.writeComments(batch.bytes);
+    if (!isCallerReady && !this.isAwaitingDrain) {
+      this.isAwaitingDrain = true;
+      this.caller.whenDrained(() => {
+        this.isAwaitingDrain = false;
+        this.exchange?.resume();
+      });
+    }
+    return isCallerReady;
+  }
+
+  /** Passes events on to the caller; returns false if it reads too slowly. */
+  private passEvents(batch: EventBatch): boolean {
     const { progress } = this.answer;
     const isFirst = progress.firstEventMs === undefined;
-    const isCallerReady = this.answer.write(batch, nowMs);
+    const isCallerReady = this.answer.write(batch, this.context.clock.monotonicMs());
     if (isFirst) {
       const firstEventMs = progress.firstEventMs ?? 0;
       this.context.metrics.latency.observe({ kind: RouteKind.Stream }, firstEventMs);
@@ -514,13 +528,6 @@
     if (progress.runEventCount >= progressEvents) {
       this.run.recordProgress();
     }
-    if (!isCallerReady && !this.isAwaitingDrain) {
-      this.isAwaitingDrain = true;
-      this.caller.whenDrained(() => {
-        this.isAwaitingDrain = false;
-        this.exchange?.resume();
-      });
-    }
     return isCallerReady;
   }
 
