Send no order under a lease that ran out while the process waited or was suspended

Cause: the fencing token was read before the endpoint's report and used after it; and the age of the lease was measured by a clock that stands still while the machine is suspended, so that a holder that woke up after others had taken over believed that it still held the lease. Ruled out: orders of a lower token at endpoints that saw a higher one; those were refused before, too. Change: the lease is checked again right before an order; its age is the larger of both clocks' ages, so that a step of the wall clock can only end it early.

--- a/src/base/test/common/fakeClock.ts
+++ b/src/base/test/common/fakeClock.ts
@@ -4,6 +4,9 @@
 export class FakeClock implements IClock, ITimers {
   private nowMs = 0;
 
+  /** Time by which the wall clock is ahead because it went on while the process was suspended. */
+  private suspendedMs = 0;
+
   private timers: { readonly atMs: number; readonly action: () => void }[] = [];
 
   monotonicMs(): number {
@@ -11,7 +14,12 @@
   }
 
   wallMs(): number {
-    return this.nowMs;
+    return this.nowMs + this.suspendedMs;
+  }
+
+  /** Lets time pass that the monotonic clock doesn't count, as when the machine is suspended. */
+  suspend(forMs: number): void {
+    this.suspendedMs += forMs;
   }
 
   after(delayMs: number, action: () => void): CancelTimer {
--- a/src/gateway/placement/node/placementLoop.ts
+++ b/src/gateway/placement/node/placementLoop.ts
@@ -246,7 +246,8 @@
       return false;
     }
     const { startedMs, isBusy, orderCount, layers: held } = report.value;
-    if (startedMs !== endpoint.startedMs || this.isPaused(endpoint)) {
+    const isLeaseHeld = this.lease.fencingToken() === fencingToken;
+    if (!isLeaseHeld || startedMs !== endpoint.startedMs || this.isPaused(endpoint)) {
       return false;
     }
     if (isBusy || !isSameRange(held, endpoint.layers)) {
--- a/src/gateway/placement/test/node/placementLoop.test.ts
+++ b/src/gateway/placement/test/node/placementLoop.test.ts
@@ -121,4 +121,59 @@
     loop.close();
     expect(Math.max(...reports.values())).to.equal(1);
   });
+
+  it('sends no order under a lease that ends while it waits for a report', async () => {
+    const clock = new FakeClock();
+    const config = new ConfigHolder(nullLogger);
+    const directory = new EndpointDirectory(clock, nullLogger);
+    config.applyIfNewer(
+      configWith({ services: new Map([['s', { name: 's', maxConnections: 9, engine }]]) }),
+    );
+    for (let number = 0; number < 40; number += 1) {
+      directory.update({
+        id: `e${number}`,
+        startedMs: 1,
+        service: 's',
+        address: `10.0.0.${number}:80`,
+        dataCentre: 'a',
+        state: EndpointState.Ready,
+        slots: 4,
+        card: [...engine.cards.keys()][0],
+        layers: undefined,
+      });
+    }
+    let fencingToken: number | undefined = 1;
+    let reportCount = 0;
+    let orderCount = 0;
+    const control = {
+      report: async () => {
+        reportCount += 1;
+        fencingToken = undefined;
+        return Ok({ startedMs: 1, layers: undefined, isBusy: false, orderCount: 0, stalled: [] });
+      },
+      loadLayers: async () => {
+        orderCount += 1;
+        return Ok(undefined);
+      },
+    } as unknown as IEndpointControl;
+    const loop = new PlacementLoop(
+      { fencingToken: () => fencingToken } as LeaseCandidate,
+      config,
+      directory,
+      new ReservationLedger(clock),
+      control,
+      () => false,
+      clock,
+      nullLogger,
+    );
+    loop.start();
+    for (let passedMs = 0; passedMs < 2_000 && reportCount === 0; passedMs += 200) {
+      clock.advance(200);
+      await sleep(1, new AbortController().signal);
+    }
+    await sleep(10, new AbortController().signal);
+    loop.close();
+    expect(reportCount).to.be.greaterThan(0);
+    expect(orderCount).to.equal(0);
+  });
 });
--- a/src/services/lease/common/lease.ts
+++ b/src/services/lease/common/lease.ts
@@ -75,6 +75,9 @@
 
   private lastRenewalMs = 0;
 
+  /** Wall-clock time of the last renewal, in milliseconds since 1970. */
+  private lastRenewalWallMs = 0;
+
   /** Monotonic time before which no lease of another process may be taken, in milliseconds. */
   private noTakeoverUntilMs = Number.NEGATIVE_INFINITY;
 
@@ -95,7 +98,7 @@
   /**
    * @param options - Identity of this candidate and duration of the lease.
    * @param store - Object store of the platform.
-   * @param clock - Source of monotonic time.
+   * @param clock - Source of time.
    * @param currentEra - Returns the era of the store.
    */
   constructor(
@@ -112,7 +115,11 @@
    *   ago.
    */
   term(): number | undefined {
-    const ageMs = this.clock.monotonicMs() - this.lastRenewalMs;
+    // The monotonic clock doesn't count the time for which the machine was suspended.
+    const ageMs = Math.max(
+      this.clock.monotonicMs() - this.lastRenewalMs,
+      this.clock.wallMs() - this.lastRenewalWallMs,
+    );
     return ageMs < this.options.durationMs * holderExpiryFraction ? this.heldTerm : undefined;
   }
 
@@ -274,6 +281,7 @@
     };
     const version = stored?.version ?? absentVersion;
     const { name } = this.options;
+    const startedWallMs = this.clock.wallMs() - (this.clock.monotonicMs() - startedMs);
     const put = await this.store.put(ObjectKind.Leases, name, record, version);
     this.lastWritten = undefined;
     if (put.isOk()) {
@@ -281,6 +289,7 @@
       this.heldTerm = term;
       this.heldEra = era;
       this.lastRenewalMs = startedMs;
+      this.lastRenewalWallMs = startedWallMs;
       this.mustRaiseTerm = false;
       this.mustReclaim = false;
     }
--- a/src/services/lease/test/common/lease.test.ts
+++ b/src/services/lease/test/common/lease.test.ts
@@ -66,6 +66,28 @@
     );
   });
 
+  it('treats its lease as expired after a suspension that the monotonic clock does not count', async () => {
+    await fc.assert(
+      fc.asyncProperty(fc.scheduler(), async (scheduler) => {
+        const clock = new FakeClock();
+        const store = new FaultyStore(scheduler, []);
+        const lease = new LeaseCandidate({ name: 'l', candidate: 'a', durationMs }, store, clock);
+        await scheduler.waitFor(lease.acquireOrRenew());
+        clock.suspend(durationMs);
+        expect(lease.term()).to.equal(undefined);
+        expect(lease.fencingToken()).to.equal(undefined);
+        await scheduler.waitFor(lease.acquireOrRenew());
+        expect(lease.term()).to.equal(1);
+        // The wall clock may also step back; the monotonic clock still ends the lease.
+        clock.suspend(-5 * durationMs);
+        expect(lease.term()).to.equal(1);
+        clock.advance(durationMs);
+        expect(lease.term()).to.equal(undefined);
+      }),
+      { seed: 95, numRuns: 20 },
+    );
+  });
+
   it('lets only one candidate take an abandoned lease, and another take a released lease immediately', async () => {
     await fc.assert(
       fc.asyncProperty(fc.scheduler(), async (scheduler) => {
