Go on after an error while a peer's message is applied

Cause: an error thrown while a datagram was handled left the socket's listener as an uncaught exception, after which a gateway drains and ends. Since all gateways get the same news of the store, one object that can't be applied would have ended all followers at once. Change: the feed lists its objects anew, as after an error in a change that it read itself; other messages are logged and left.

--- a/src/gateway/feeds/node/storeFeed.ts
+++ b/src/gateway/feeds/node/storeFeed.ts
@@ -153,11 +153,21 @@
   }
 
   /**
-   * Applies the changes in the news of a watcher, as far as they follow this copy without a gap.
+   * Applies the changes in the news of a watcher, as far as they follow this copy without a gap. If one
+   * can't be applied, the objects are listed anew.
    *
    * @param news - News of a gateway that watches the store.
    */
   handleNews(news: FeedNews<T>): void {
+    try {
+      this.applyNews(news);
+    } catch (err) {
+      this.handleError(err);
+      this.wake();
+    }
+  }
+
+  private applyNews(news: FeedNews<T>): void {
     if (this.position.revision === undefined) {
       return;
     }
@@ -183,16 +193,21 @@
       try {
         await this.step();
       } catch (err) {
-        this.logger.log(LogLevel.Error, 'feed-failed', {
-          feed: this.name,
-          reason: toErrorMessage(err),
-        });
-        this.position.reset();
+        this.handleError(err);
         await this.wait(maxRetryIntervalMs);
       }
     }
   }
 
+  /** Lets the objects be listed anew, because some may not have been applied. */
+  private handleError(err: unknown): void {
+    this.logger.log(LogLevel.Error, 'feed-failed', {
+      feed: this.name,
+      reason: toErrorMessage(err),
+    });
+    this.position.reset();
+  }
+
   private async step(): Promise<void> {
     const { revision, freshForMs } = this.position;
     const isFollowing = this.role === FeedRole.Follower && freshForMs > 0;
--- a/src/gateway/feeds/test/node/feedFleet.ts
+++ b/src/gateway/feeds/test/node/feedFleet.ts
@@ -181,6 +181,9 @@
 
   isStopped = false;
 
+  /** Object that can't be applied the next time; undefined if all can. */
+  failsOnce: string | undefined;
+
   /** Monotonic time of the last change of what is wrong with it, in milliseconds. */
   disturbedMs = 0;
 
@@ -201,7 +204,13 @@
       'endpoints',
       store.source(() => this.isStoreCut),
       {
-        onItem: (value) => this.copy.set(value.split('=')[0], value),
+        onItem: (value) => {
+          if (value === this.failsOnce) {
+            this.failsOnce = undefined;
+            throw new Error(`${value} cannot be applied`);
+          }
+          this.copy.set(value.split('=')[0], value);
+        },
         onRemoved: (name) => this.copy.delete(name),
         onListed: (names) =>
           [...this.copy.keys()]
--- a/src/gateway/feeds/test/node/newsExchange.test.ts
+++ b/src/gateway/feeds/test/node/newsExchange.test.ts
@@ -112,6 +112,22 @@
     expect(fleet.gateways[0].copy.get('a')).to.equal('a=1');
   });
 
+  it('reads the store again after news that could not be applied, and goes on', async () => {
+    fleet = new FeedFleet(6, 0, new SeededRandom(7));
+    await fleet.advance(4_000);
+    const follower = fleet.gateways.find(({ news }) => news.currentRole === FeedRole.Follower);
+    expect(follower).not.to.equal(undefined);
+    if (follower) {
+      follower.failsOnce = 'a=1';
+    }
+    fleet.store.write('a', 'a=1');
+    await fleet.advance(maxLagMs);
+    fleet.gateways.forEach(({ copy }) => expect(copy.get('a')).to.equal('a=1'));
+    fleet.store.write('a', 'a=2');
+    await fleet.advance(500);
+    fleet.gateways.forEach(({ copy }) => expect(copy.get('a')).to.equal('a=2'));
+  });
+
   it('tells followers of an outage that is too short for them to notice', async () => {
     fleet = new FeedFleet(6, 0, new SeededRandom(5));
     await fleet.advance(4_000);
--- a/src/gateway/peers/node/peerExchange.ts
+++ b/src/gateway/peers/node/peerExchange.ts
@@ -196,6 +196,15 @@
       this.logger.log(LogLevel.Warn, 'peer-message-unreadable', { reason: toErrorMessage(err) });
       return;
     }
+    try {
+      this.handleWire(wire);
+    } catch (err) {
+      // All peers get the same message, so an error must not end the process.
+      this.logger.log(LogLevel.Error, 'peer-message-failed', { reason: toErrorMessage(err) });
+    }
+  }
+
+  private handleWire(wire: unknown): void {
     const news = newsFromWire(wire);
     if (news) {
       this.handleNews(news);
--- a/src/gateway/peers/test/node/peerExchange.test.ts
+++ b/src/gateway/peers/test/node/peerExchange.test.ts
@@ -1,7 +1,8 @@
 import { createSocket } from 'node:dgram';
 import { once } from 'node:events';
 import { expect } from 'chai';
-import { SystemClock } from '../../../../base/node/systemClock.js';
+import { pack } from 'msgpackr';
+import { sleep, SystemClock } from '../../../../base/node/systemClock.js';
 import { PeerExchange } from '../../node/peerExchange.js';
 
 describe('PeerExchange', () => {
@@ -27,4 +28,35 @@
     exchange.close();
     other.close();
   });
+
+  it('goes on after a message that could not be handled', async () => {
+    const clock = new SystemClock();
+    const received: string[] = [];
+    const lines: string[] = [];
+    const exchange = new PeerExchange(
+      { instance: 'gw', host: '127.0.0.1', port: 0 },
+      () => {
+        throw new Error('no message is sent');
+      },
+      ({ sender }) => {
+        received.push(sender);
+        if (received.length === 1) {
+          throw new Error('cannot be handled');
+        }
+      },
+      () => undefined,
+      clock,
+      { log: (_level, event) => lines.push(event) },
+    );
+    const port = await exchange.start();
+    const other = createSocket('udp4');
+    for (let count = 0; received.length < 2 && count < 1_000; count += 1) {
+      other.send(pack(['peer', 1, [], [], [], 0]), port, '127.0.0.1');
+      await sleep(10, new AbortController().signal);
+    }
+    other.close();
+    exchange.close();
+    expect(received.length).to.be.greaterThan(1);
+    expect(lines).to.include('peer-message-failed');
+  });
 });
--- a/src/gateway/placement/test/node/placementLoop.test.ts
+++ b/src/gateway/placement/test/node/placementLoop.test.ts
@@ -16,6 +16,29 @@
 
 const nullLogger = { log: () => undefined };
 
+/** Creates a service whose endpoints hold no layers. */
+function createService(clock: FakeClock): { config: ConfigHolder; directory: EndpointDirectory } {
+  const config = new ConfigHolder(nullLogger);
+  const directory = new EndpointDirectory(clock, nullLogger);
+  config.applyIfNewer(
+    configWith({ services: new Map([['s', { name: 's', maxConnections: 9, engine }]]) }),
+  );
+  for (let number = 0; number < 40; number += 1) {
+    directory.update({
+      id: `e${number}`,
+      startedMs: 1,
+      service: 's',
+      address: `10.0.0.${number}:80`,
+      dataCentre: 'a',
+      state: EndpointState.Ready,
+      slots: 4,
+      card: [...engine.cards.keys()][0],
+      layers: undefined,
+    });
+  }
+  return { config, directory };
+}
+
 describe('PlacementLoop', () => {
   it('plans two services that have different numbers of endpoints', async () => {
     const clock = new FakeClock();
@@ -69,24 +92,7 @@
 
   it('asks an endpoint that pauses after an order for no reports', async () => {
     const clock = new FakeClock();
-    const config = new ConfigHolder(nullLogger);
-    const directory = new EndpointDirectory(clock, nullLogger);
-    config.applyIfNewer(
-      configWith({ services: new Map([['s', { name: 's', maxConnections: 9, engine }]]) }),
-    );
-    for (let number = 0; number < 40; number += 1) {
-      directory.update({
-        id: `e${number}`,
-        startedMs: 1,
-        service: 's',
-        address: `10.0.0.${number}:80`,
-        dataCentre: 'a',
-        state: EndpointState.Ready,
-        slots: 4,
-        card: [...engine.cards.keys()][0],
-        layers: undefined,
-      });
-    }
+    const { config, directory } = createService(clock);
     const reports = new Map<string, number>();
     let isPaused = false;
     const control = {
@@ -124,24 +130,7 @@
 
   it('sends no order under a lease that ends while it waits for a report', async () => {
     const clock = new FakeClock();
-    const config = new ConfigHolder(nullLogger);
-    const directory = new EndpointDirectory(clock, nullLogger);
-    config.applyIfNewer(
-      configWith({ services: new Map([['s', { name: 's', maxConnections: 9, engine }]]) }),
-    );
-    for (let number = 0; number < 40; number += 1) {
-      directory.update({
-        id: `e${number}`,
-        startedMs: 1,
-        service: 's',
-        address: `10.0.0.${number}:80`,
-        dataCentre: 'a',
-        state: EndpointState.Ready,
-        slots: 4,
-        card: [...engine.cards.keys()][0],
-        layers: undefined,
-      });
-    }
+    const { config, directory } = createService(clock);
     let fencingToken: number | undefined = 1;
     let reportCount = 0;
     let orderCount = 0;
