Name what watchers send feed updates, and their spread feed gossip

Cause: read as a newcomer would, news and telling were words of our own for a gossip of feed changes.

--- a/src/gateway/feeds/common/batchLog.ts
+++ b/src/gateway/feeds/common/batchLog.ts
@@ -1,13 +1,13 @@
 import type { IClock } from '../../../base/common/clock.js';
-import type { FeedBatch } from './feedNews.js';
+import type { FeedBatch } from './feedUpdate.js';
 
-/** Time for which a change is told again, so that it survives a few lost datagrams, in milliseconds. */
+/** Time for which a change is sent again, so that it survives a few lost datagrams, in milliseconds. */
 const repeatForMs = 1_000;
 
 /** Maximum number of changes in one message; a gateway that lacks more of them reads the store. */
 export const maxEventsPerMessage = 40;
 
-/** The latest changes of one kind of object that a watcher read, for its news. */
+/** The latest changes of one kind of object that a watcher read, for its updates. */
 export class BatchLog<T> {
   private entries: { readonly atMs: number; readonly batch: FeedBatch<T> }[] = [];
 
--- a/src/gateway/feeds/common/feedPosition.ts
+++ b/src/gateway/feeds/common/feedPosition.ts
@@ -1,9 +1,9 @@
 import type { IClock } from '../../../base/common/clock.js';
-import type { FeedNews } from './feedNews.js';
+import type { FeedUpdate } from './feedUpdate.js';
 import type { FeedTiming } from './feedTiming.js';
 
-/** Time without news of a watcher after which a copy is no longer taken for current, in milliseconds. */
-export const newsTimeoutMs = 1_300;
+/** Time without an update of a watcher after which a copy is no longer taken for current, in milliseconds. */
+export const updateTimeoutMs = 1_300;
 
 /** Time that an answer of the store may take beyond the wait of its watch, in milliseconds. */
 const answerMarginMs = 500;
@@ -16,22 +16,22 @@
 
 /**
  * Position of this process's copy of one kind of object in the history of the store, and how long ago
- * it was confirmed to be current, directly or by another gateway's news.
+ * it was confirmed to be current, directly or by another gateway's update.
  */
 export class FeedPosition {
   private knownRevision: number | undefined;
 
   private lastChangeRevision = 0;
 
-  /** Highest revision of a change that another gateway told of. */
-  private toldRevision = 0;
+  /** Highest revision of a change that another gateway reported. */
+  private reportedRevision = 0;
 
   private confirmedAtMs = Number.NEGATIVE_INFINITY;
 
   /** Monotonic times of recent confirmations, in rising order. */
   private confirmationsMs: readonly number[] = [];
 
-  /** Monotonic time of the last news that confirmed the copy, in milliseconds. */
+  /** Monotonic time of the last update that confirmed the copy, in milliseconds. */
   private heardAtMs = Number.NEGATIVE_INFINITY;
 
   /**
@@ -53,9 +53,9 @@
     return this.lastChangeRevision;
   }
 
-  /** Whether the copy lacks a change that another gateway told of. */
+  /** Whether the copy lacks a change that another gateway reported. */
   get isBehind(): boolean {
-    return this.knownRevision !== undefined && this.knownRevision < this.toldRevision;
+    return this.knownRevision !== undefined && this.knownRevision < this.reportedRevision;
   }
 
   /** Time since the copy was confirmed to be current, in milliseconds. */
@@ -70,7 +70,7 @@
   get freshForMs(): number {
     const nowMs = this.clock.monotonicMs();
     return Math.min(
-      this.heardAtMs + newsTimeoutMs - nowMs,
+      this.heardAtMs + updateTimeoutMs - nowMs,
       this.confirmedAtMs + this.timing.watchWaitMs + answerMarginMs - nowMs,
     );
   }
@@ -84,8 +84,8 @@
   recordAnswer(revision: number, hasChanged: boolean): void {
     this.confirm(this.clock.monotonicMs());
     this.advance(revision, hasChanged);
-    // An answer of the latest state holds every change, whatever another gateway told of.
-    this.toldRevision = Math.min(this.toldRevision, this.knownRevision ?? 0);
+    // An answer of the latest state holds every change, whatever another gateway reported.
+    this.reportedRevision = Math.min(this.reportedRevision, this.knownRevision ?? 0);
   }
 
   /**
@@ -98,21 +98,21 @@
   }
 
   /**
-   * Records the news of a watcher, after its changes were applied as far as possible.
+   * Records the update of a watcher, after its changes were applied as far as possible.
    *
-   * @param news - What the watcher knows.
-   * @returns Whether the news confirm that the copy is current.
+   * @param update - What the watcher knows.
+   * @returns Whether the update confirms that the copy is current.
    */
-  recordNews(news: Pick<FeedNews<unknown>, 'changedAt' | 'knownTo' | 'ageMs'>): boolean {
-    this.toldRevision = Math.max(this.toldRevision, news.changedAt);
+  recordUpdate(update: Pick<FeedUpdate<unknown>, 'changedAt' | 'knownTo' | 'ageMs'>): boolean {
+    this.reportedRevision = Math.max(this.reportedRevision, update.changedAt);
     const { knownRevision } = this;
-    if (knownRevision === undefined || this.isBehind || news.knownTo < knownRevision) {
+    if (knownRevision === undefined || this.isBehind || update.knownTo < knownRevision) {
       return false;
     }
-    this.advance(news.knownTo, false);
-    this.lastChangeRevision = Math.max(this.lastChangeRevision, news.changedAt);
+    this.advance(update.knownTo, false);
+    this.lastChangeRevision = Math.max(this.lastChangeRevision, update.changedAt);
     const nowMs = this.clock.monotonicMs();
-    this.confirm(nowMs - news.ageMs);
+    this.confirm(nowMs - update.ageMs);
     this.heardAtMs = nowMs;
     return true;
   }
--- a/src/gateway/feeds/common/feedTiming.ts
+++ b/src/gateway/feeds/common/feedTiming.ts
@@ -14,7 +14,7 @@
 export const maxRetryIntervalMs = 800;
 
 /**
- * Maximum interval between the starts of a follower's failing calls, in milliseconds. The news of a
+ * Maximum interval between the starts of a follower's failing calls, in milliseconds. The update of a
  * watcher that reaches the store again end its wait.
  */
 export const maxFollowerRetryIntervalMs = 2_000;
@@ -26,7 +26,7 @@
 export const backupBatchDelayMs = 1_000;
 
 /**
- * Longest wait of the feeds whose news are urgent, in milliseconds. If all watchers lose the store without
+ * Longest wait of the feeds whose changes are urgent, in milliseconds. If all watchers lose the store without
  * notice, their followers read it themselves when the last answer is that old.
  */
 const urgentWatchWaitMs = 1_200;
--- a/src/gateway/feeds/common/feedNews.ts
+++ b/src/gateway/feeds/common/feedUpdate.ts
@@ -19,7 +19,7 @@
 }
 
 /** What a gateway that watches the store tells the others about one kind of object. */
-export interface FeedNews<T> {
+export interface FeedUpdate<T> {
   /** Revision of the last change that the sender knows of. */
   readonly changedAt: number;
   /** Revision up to which the sender knows all changes. */
@@ -32,8 +32,8 @@
   readonly batches: readonly FeedBatch<T>[];
 }
 
-/** Encodes the objects of one kind for the news that gateways send to each other. */
-export interface INewsCodec<T> {
+/** Encodes the objects of one kind for the updates that gateways send to each other. */
+export interface IUpdateCodec<T> {
   /** Returns a value that can be packed. */
   encode(value: T): unknown;
   /** Returns the object, or undefined if the value isn't a valid one. */
--- a/src/gateway/feeds/common/feedNewsWire.ts
+++ b/src/gateway/feeds/common/feedUpdateWire.ts
@@ -1,23 +1,23 @@
 import * as v from 'valibot';
-import type { FeedBatch, FeedNews, INewsCodec } from './feedNews.js';
+import type { FeedBatch, FeedUpdate, IUpdateCodec } from './feedUpdate.js';
 import type { FeedEvent } from './feedSource.js';
 
-/** News of a gateway about the feeds that it watches, with the changes still encoded. */
-export interface FeedNewsMessage {
+/** Updates of a gateway about the feeds that it watches, with the changes still encoded. */
+export interface FeedUpdateMessage {
   /** Instance name of the sending gateway. */
   readonly sender: string;
-  /** News by the name of the feed. */
-  readonly feeds: ReadonlyMap<string, FeedNews<unknown>>;
+  /** Updates by the name of the feed. */
+  readonly feeds: ReadonlyMap<string, FeedUpdate<unknown>>;
 }
 
-/** First element of a message with news, by which it is told apart from the other messages of peers. */
-const newsMarker = 'feed-news';
+/** First element of a message with updates, by which it is told apart from the other messages of peers. */
+const updateMarker = 'feed-update';
 
 const revision = v.pipe(v.number(), v.safeInteger(), v.minValue(0));
 const duration = v.pipe(v.number(), v.finite(), v.minValue(0));
 
 const messageSchema = v.tuple([
-  v.literal(newsMarker),
+  v.literal(updateMarker),
   v.string(),
   v.array(
     v.tuple([
@@ -39,14 +39,14 @@
 ]);
 
 /**
- * Encodes news as nested arrays without field names, which keeps datagrams small.
+ * Encodes updates as nested arrays without field names, which keeps datagrams small.
  *
- * @param message - News whose objects a codec has encoded.
+ * @param message - Updates whose objects a codec has encoded.
  * @returns Nested arrays of strings, numbers and encoded objects.
  */
-export function newsToWire({ sender, feeds }: FeedNewsMessage): unknown {
+export function updateToWire({ sender, feeds }: FeedUpdateMessage): unknown {
   return [
-    newsMarker,
+    updateMarker,
     sender,
     [...feeds].map(([name, { changedAt, knownTo, ageMs, outage, batches }]) => [
       name,
@@ -64,14 +64,14 @@
 }
 
 /**
- * Decodes and validates news, but for the content of the objects.
+ * Decodes and validates updates, but for the content of the objects.
  *
  * @param wire - Unpacked datagram of a peer.
- * @returns The news, or undefined if the datagram holds no valid ones.
+ * @returns The updates, or undefined if the datagram holds no valid ones.
  */
-export function newsFromWire(wire: unknown): FeedNewsMessage | undefined {
+export function updateFromWire(wire: unknown): FeedUpdateMessage | undefined {
   // Most datagrams are other messages; a failed validation costs more than a valid message.
-  if (!Array.isArray(wire) || wire[0] !== newsMarker) {
+  if (!Array.isArray(wire) || wire[0] !== updateMarker) {
     return undefined;
   }
   const parsed = v.safeParse(messageSchema, wire);
@@ -104,25 +104,25 @@
 }
 
 /**
- * Encodes the objects in news.
+ * Encodes the objects in an update.
  *
- * @param news - News of a feed.
- * @param codec - Encodes the objects; undefined if news of this kind only tell of the revisions.
- * @returns News that can be packed. Changes that can't be encoded are left out with all before them.
+ * @param update - Update of a feed.
+ * @param codec - Encodes the objects; undefined if updates of this kind only tell of the revisions.
+ * @returns An update that can be packed. Changes that can't be encoded are left out with all before them.
  */
-export function encodeNews<T>(
-  news: FeedNews<T>,
-  codec: INewsCodec<T> | undefined,
-): FeedNews<unknown> {
+export function encodeUpdate<T>(
+  update: FeedUpdate<T>,
+  codec: IUpdateCodec<T> | undefined,
+): FeedUpdate<unknown> {
   const isSendable = (event: FeedEvent<T>) => event.isDeleted || event.item.value !== undefined;
   const isBatchSendable = ({ events }: FeedBatch<T>) => events.every(isSendable);
-  const firstSendable = news.batches.map(isBatchSendable).lastIndexOf(false) + 1;
+  const firstSendable = update.batches.map(isBatchSendable).lastIndexOf(false) + 1;
   return {
-    ...news,
+    ...update,
     batches:
       codec === undefined
         ? []
-        : news.batches.slice(firstSendable).map(({ from, to, events }) => ({
+        : update.batches.slice(firstSendable).map(({ from, to, events }) => ({
             from,
             to,
             events: events.map(({ item, isDeleted }) => ({
@@ -137,17 +137,17 @@
 }
 
 /**
- * Decodes the objects in news.
+ * Decodes the objects in an update.
  *
- * @param news - News as received.
- * @param codec - Decodes the objects; undefined if news of this kind only tell of the revisions.
- * @returns The news without the changes from the first one on that isn't valid.
+ * @param update - Update as received.
+ * @param codec - Decodes the objects; undefined if updates of this kind only tell of the revisions.
+ * @returns The update without the changes from the first one on that isn't valid.
  */
-export function decodeNews<T>(
-  news: FeedNews<unknown>,
-  codec: INewsCodec<T> | undefined,
-): FeedNews<T> {
-  const batches = news.batches.map(({ from, to, events }) => ({
+export function decodeUpdate<T>(
+  update: FeedUpdate<unknown>,
+  codec: IUpdateCodec<T> | undefined,
+): FeedUpdate<T> {
+  const batches = update.batches.map(({ from, to, events }) => ({
     from,
     to,
     events: events.map(({ item, isDeleted }) => ({
@@ -158,5 +158,5 @@
   const firstInvalid = batches.findIndex(({ events }) =>
     events.some(({ item, isDeleted }) => !isDeleted && item.value === undefined),
   );
-  return { ...news, batches: firstInvalid < 0 ? batches : batches.slice(0, firstInvalid) };
+  return { ...update, batches: firstInvalid < 0 ? batches : batches.slice(0, firstInvalid) };
 }
--- a/src/gateway/feeds/common/newsCodecs.ts
+++ b/src/gateway/feeds/common/updateCodecs.ts
@@ -1,7 +1,7 @@
 import * as v from 'valibot';
 import { EndpointState, type Endpoint } from '../../directory/common/endpoint.js';
 import type { PeerAddress } from '../../peers/common/peerAddress.js';
-import type { INewsCodec } from './feedNews.js';
+import type { IUpdateCodec } from './feedUpdate.js';
 
 const endpointSchema = v.tuple([
   v.string(),
@@ -16,7 +16,7 @@
 ]);
 
 /** Codec of the endpoints; arrays without field names keep the datagrams small. */
-export const endpointNewsCodec: INewsCodec<Endpoint> = {
+export const endpointUpdateCodec: IUpdateCodec<Endpoint> = {
   encode: ({ id, startedMs, service, address, dataCentre, state, slots, card, layers }) => [
     id,
     startedMs,
@@ -51,7 +51,7 @@
 const peerSchema = v.tuple([v.string(), v.string(), v.number()]);
 
 /** Codec of the gateways' addresses. */
-export const peerNewsCodec: INewsCodec<PeerAddress> = {
+export const peerUpdateCodec: IUpdateCodec<PeerAddress> = {
   encode: ({ instance, host, port }) => [instance, host, port],
   decode: (wire) => {
     const parsed = v.safeParse(peerSchema, wire);
--- a/src/gateway/feeds/common/watcherElection.ts
+++ b/src/gateway/feeds/common/watcherElection.ts
@@ -18,21 +18,21 @@
 export const watcherCount = 2;
 
 /**
- * Time within which a chosen gateway must send usable news before another one is chosen in its place,
+ * Time within which a chosen gateway must send a usable update before another one is chosen in its place,
  * in milliseconds.
  */
 export const watcherTrialMs = 2_500;
 
-/** Time for which a gateway that sent no usable news isn't chosen again, in milliseconds. */
+/** Time for which a gateway that sent no a usable update isn't chosen again, in milliseconds. */
 export const watcherExclusionMs = 5_000;
 
 /**
  * Chooses the gateways that watch the store. Each gateway chooses for itself among those that it
- * hears. If two choose differently, a few more watch than needed, or a follower hears no news and
+ * hears. If two choose differently, a few more watch than needed, or a follower hears no updates and
  * watches the store itself.
  */
 export class WatcherElection {
-  /** Monotonic time of the last usable news of each gateway, or of its choice if none arrived since. */
+  /** Monotonic time of the last a usable update of each gateway, or of its choice if none arrived since. */
   private readonly lastSignMs = new Map<string, number>();
 
   private readonly excludedUntilMs = new Map<string, number>();
@@ -47,11 +47,11 @@
   ) {}
 
   /**
-   * Records that a gateway sent news that confirm copies of the store.
+   * Records that a gateway sent an update that confirms copies of the store.
    *
    * @param instance - Instance name of the sender.
    */
-  recordNews(instance: string): void {
+  recordUpdate(instance: string): void {
     this.lastSignMs.set(instance, this.clock.monotonicMs());
     this.excludedUntilMs.delete(instance);
   }
--- a/src/gateway/feeds/node/newsExchange.ts
+++ b/src/gateway/feeds/node/feedGossip.ts
@@ -1,69 +1,69 @@
 import type { CancelTimer, IClock, ITimers } from '../../../base/common/clock.js';
 import type { Subscription } from '../../../base/common/event.js';
 import { LogLevel, type ILogger } from '../../../base/common/logger.js';
-import type { FeedNews, INewsCodec } from '../common/feedNews.js';
-import { decodeNews, encodeNews, type FeedNewsMessage } from '../common/feedNewsWire.js';
+import type { FeedUpdate, IUpdateCodec } from '../common/feedUpdate.js';
+import { decodeUpdate, encodeUpdate, type FeedUpdateMessage } from '../common/feedUpdateWire.js';
 import { FeedRole, WatcherElection } from '../common/watcherElection.js';
 import type { StoreFeed } from './storeFeed.js';
 
-/** Interval at which a watcher repeats its news, and at which roles are chosen, in milliseconds. */
+/** Interval at which a watcher repeats its updates, and at which roles are chosen, in milliseconds. */
 const repeatIntervalMs = 500;
 
-/** Time since a confirmation of the store up to which news of a watcher count for its election, in ms. */
+/** Time since a confirmation of the store up to which an update of a watcher counts for its election, in ms. */
 const maxUsableAgeMs = 2_000;
 
-/** Name of the feed whose news show whether a watcher still reaches the store. */
+/** Name of the feed whose updates show whether a watcher still reaches the store. */
 const referenceFeed = 'endpoints';
 
-/** Feed whose news are encoded. */
-interface INewsFeed {
+/** Feed whose updates are encoded. */
+interface IGossipedFeed {
   /** Sets whether the feed watches the store or follows others that do. */
   setRole(role: FeedRole): void;
-  /** Returns the news for the followers; undefined while there are none. */
-  createNews(): FeedNews<unknown> | undefined;
-  /** Applies the news of a watcher. */
-  handleNews(news: FeedNews<unknown>): void;
+  /** Returns the update for the followers; undefined while there is none. */
+  createUpdate(): FeedUpdate<unknown> | undefined;
+  /** Applies the update of a watcher. */
+  handleUpdate(update: FeedUpdate<unknown>): void;
 }
 
 /** A feed with the codec of its objects. */
-class NewsFeed<T> implements INewsFeed {
+class GossipedFeed<T> implements IGossipedFeed {
   /**
-   * @param feed - Feed that creates and handles the news.
-   * @param codec - Encodes its objects; undefined if its news only tell of revisions.
+   * @param feed - Feed that creates and handles the updates.
+   * @param codec - Encodes its objects; undefined if its updates only tell of revisions.
    */
   constructor(
     private readonly feed: StoreFeed<T>,
-    private readonly codec: INewsCodec<T> | undefined,
+    private readonly codec: IUpdateCodec<T> | undefined,
   ) {}
 
   setRole(role: FeedRole): void {
     this.feed.setRole(role);
   }
 
-  createNews(): FeedNews<unknown> | undefined {
-    const news = this.feed.createNews();
-    return news && encodeNews(news, this.codec);
+  createUpdate(): FeedUpdate<unknown> | undefined {
+    const update = this.feed.createUpdate();
+    return update && encodeUpdate(update, this.codec);
   }
 
-  handleNews(news: FeedNews<unknown>): void {
-    this.feed.handleNews(decodeNews(news, this.codec));
+  handleUpdate(update: FeedUpdate<unknown>): void {
+    this.feed.handleUpdate(decodeUpdate(update, this.codec));
   }
 }
 
-/** Sends news of the store to the other gateways. */
-export interface INewsChannel {
+/** Sends updates of feeds to the other gateways. */
+export interface IUpdateChannel {
   /** Instance names of the gateways that were heard recently. */
   readonly aliveInstances: readonly string[];
   /** Sends a message to all other gateways; it may be lost. */
-  sendNews(message: FeedNewsMessage): void;
+  sendUpdate(message: FeedUpdateMessage): void;
 }
 
 /**
  * Spreads what a few gateways read from the store to all others, so that the number of calls doesn't
  * grow with the number of gateways.
  */
-export class NewsExchange {
-  private readonly feeds = new Map<string, INewsFeed>();
+export class FeedGossip {
+  private readonly feeds = new Map<string, IGossipedFeed>();
 
   private readonly subscriptions: Subscription[] = [];
 
@@ -73,7 +73,7 @@
 
   private cancelTimer: CancelTimer | undefined;
 
-  /** Whether news are about to be sent. */
+  /** Whether updates are about to be sent. */
   private isSendPending = false;
 
   /**
@@ -84,7 +84,7 @@
    */
   constructor(
     private readonly self: string,
-    private readonly channel: INewsChannel,
+    private readonly channel: IUpdateChannel,
     private readonly clock: IClock & ITimers,
     private readonly logger: ILogger,
   ) {
@@ -99,15 +99,15 @@
   /**
    * Adds a feed.
    *
-   * @param feed - Feed that creates and handles the news.
+   * @param feed - Feed that creates and handles the updates.
    * @param codec - Encodes its objects; undefined to tell followers only that they must read the store.
    */
-  add<T>(feed: StoreFeed<T>, codec?: INewsCodec<T>): void {
-    this.feeds.set(feed.name, new NewsFeed(feed, codec));
+  add<T>(feed: StoreFeed<T>, codec?: IUpdateCodec<T>): void {
+    this.feeds.set(feed.name, new GossipedFeed(feed, codec));
     this.subscriptions.push(feed.onDidRead(() => this.scheduleSend()));
   }
 
-  /** Starts to choose roles and to repeat the news. */
+  /** Starts to choose roles and to repeat the updates. */
   start(): void {
     this.schedule();
   }
@@ -119,16 +119,16 @@
   }
 
   /**
-   * Applies the news of another gateway.
+   * Applies the update of another gateway.
    *
-   * @param message - News as received.
+   * @param message - Updates as received.
    */
-  handleMessage({ sender, feeds }: FeedNewsMessage): void {
-    for (const [name, news] of feeds) {
-      this.feeds.get(name)?.handleNews(news);
+  handleMessage({ sender, feeds }: FeedUpdateMessage): void {
+    for (const [name, update] of feeds) {
+      this.feeds.get(name)?.handleUpdate(update);
     }
     if ((feeds.get(referenceFeed)?.ageMs ?? Number.POSITIVE_INFINITY) <= maxUsableAgeMs) {
-      this.election.recordNews(sender);
+      this.election.recordUpdate(sender);
     }
   }
 
@@ -153,7 +153,7 @@
     }
   }
 
-  /** Sends the news once for all feeds that read something in this turn of the event loop. */
+  /** Sends one message for all feeds that read something in this turn of the event loop. */
   private scheduleSend(): void {
     if (!this.isSendPending) {
       this.isSendPending = true;
@@ -166,15 +166,15 @@
     if (this.role === FeedRole.Follower) {
       return;
     }
-    const feeds = new Map<string, FeedNews<unknown>>();
+    const feeds = new Map<string, FeedUpdate<unknown>>();
     for (const [name, feed] of this.feeds) {
-      const news = feed.createNews();
-      if (news) {
-        feeds.set(name, news);
+      const update = feed.createUpdate();
+      if (update) {
+        feeds.set(name, update);
       }
     }
     if (feeds.size > 0) {
-      this.channel.sendNews({ sender: this.self, feeds });
+      this.channel.sendUpdate({ sender: this.self, feeds });
     }
   }
 }
--- a/src/gateway/feeds/node/storeFeed.ts
+++ b/src/gateway/feeds/node/storeFeed.ts
@@ -3,7 +3,12 @@
 import { Emitter } from '../../../base/common/event.js';
 import { LogLevel, type ILogger } from '../../../base/common/logger.js';
 import { BatchLog } from '../common/batchLog.js';
-import { lastEvents, type FeedBatch, type FeedNews, type StoreOutage } from '../common/feedNews.js';
+import {
+  lastEvents,
+  type FeedBatch,
+  type FeedUpdate,
+  type StoreOutage,
+} from '../common/feedUpdate.js';
 import { FeedPosition } from '../common/feedPosition.js';
 import {
   HistoryLostError,
@@ -35,15 +40,15 @@
   onRecovered(): void;
 }
 
-/** Time for which a watcher tells its followers that the store was away, in milliseconds. */
-const outageToldForMs = 5_000;
+/** Time for which a watcher reports an outage of the store to its followers, in milliseconds. */
+const outageReportedForMs = 5_000;
 
 /**
  * Keeps a sink up to date with the objects of one kind in the store.
  *
  * A watcher lists them once, then watches for changes, and lists again after a failure or if the change
- * history is lost. A follower takes the changes from the news of watchers. It reads the store itself when
- * it lacks a change that a watcher told of, and watches like one while no news confirm its copy.
+ * history is lost. A follower takes the changes from the updates of watchers. It reads the store itself when
+ * it lacks a change that a watcher reported, and watches like one while no update confirms its copy.
  */
 export class StoreFeed<T> {
   private readonly abortController = new AbortController();
@@ -79,19 +84,19 @@
 
   private readonly catchUps = new Emitter<ReadConsistency>();
 
-  /** Fires when the feed has read changes that the news lacked, with the read that held them. */
+  /** Fires when the feed has read changes that the updates lacked, with the read that held them. */
   readonly onDidCatchUp = this.catchUps.event;
 
   private readonly answers = new Emitter<void>();
 
-  /** Fires when the store has answered a watcher, so that it has news for its followers. */
+  /** Fires when the store has answered a watcher, so that it has an update for its followers. */
   readonly onDidRead = this.answers.event;
 
   /** Whether a complete list has succeeded at least once. */
   hasListed = false;
 
   /**
-   * @param name - Name of the feed in log lines and in news.
+   * @param name - Name of the feed in log lines and in updates.
    * @param source - Lists and watches the objects.
    * @param sink - Receives the objects and changes.
    * @param timing - How often the feed calls the store.
@@ -136,8 +141,8 @@
     }
   }
 
-  /** Returns the news for the followers; undefined while the store hasn't been read. */
-  createNews(): FeedNews<T> | undefined {
+  /** Returns the update for the followers; undefined while the store hasn't been read. */
+  createUpdate(): FeedUpdate<T> | undefined {
     const { revision, changedAt, ageMs } = this.position;
     const endedAgoMs = this.clock.monotonicMs() - this.recoveredAtMs;
     const lastedMs = this.recoveredAtMs - this.lostAtMs;
@@ -147,35 +152,35 @@
           changedAt,
           knownTo: revision,
           ageMs,
-          outage: endedAgoMs < outageToldForMs ? { lastedMs, endedAgoMs } : undefined,
+          outage: endedAgoMs < outageReportedForMs ? { lastedMs, endedAgoMs } : undefined,
           batches: this.batches.recent(),
         };
   }
 
   /**
-   * Applies the changes in the news of a watcher, as far as they follow this copy without a gap. If one
+   * Applies the changes in the update of a watcher, as far as they follow this copy without a gap. If one
    * can't be applied, the objects are listed anew.
    *
-   * @param news - News of a gateway that watches the store.
+   * @param update - Update of a gateway that watches the store.
    */
-  handleNews(news: FeedNews<T>): void {
+  handleUpdate(update: FeedUpdate<T>): void {
     try {
-      this.applyNews(news);
+      this.applyUpdate(update);
     } catch (err) {
       this.handleError(err);
       this.wake();
     }
   }
 
-  private applyNews(news: FeedNews<T>): void {
+  private applyUpdate(update: FeedUpdate<T>): void {
     if (this.position.revision === undefined) {
       return;
     }
-    if (news.outage) {
-      this.recordToldOutage(news.outage);
+    if (update.outage) {
+      this.recordReportedOutage(update.outage);
     }
-    news.batches.forEach((batch) => this.applyBatch(batch));
-    if (this.position.recordNews(news) && this.role === FeedRole.Follower) {
+    update.batches.forEach((batch) => this.applyBatch(batch));
+    if (this.position.recordUpdate(update) && this.role === FeedRole.Follower) {
       if (this.isStoreUnavailable) {
         this.wake();
       }
@@ -244,7 +249,7 @@
     this.answers.fire();
   }
 
-  /** Reads what the news lacked, at the lower price if the answer turns out to be recent enough. */
+  /** Reads what the updates lacked, at the lower price if the answer turns out to be recent enough. */
   private async catchUp(): Promise<void> {
     const listed = await this.source.list(this.abortController.signal, ReadConsistency.MayLag);
     if (listed.isOk()) {
@@ -405,15 +410,15 @@
    * Takes over from a watcher that the store was away for a moment, which a follower need not notice.
    * The watcher alone was cut off if the store confirmed this copy to another gateway meanwhile.
    */
-  private recordToldOutage({ lastedMs, endedAgoMs }: StoreOutage): void {
+  private recordReportedOutage({ lastedMs, endedAgoMs }: StoreOutage): void {
     const endedAtMs = this.clock.monotonicMs() - endedAgoMs;
-    const isKnown = endedAtMs < this.recoveredAtMs + outageToldForMs;
+    const isKnown = endedAtMs < this.recoveredAtMs + outageReportedForMs;
     if (isKnown || this.position.wasConfirmedBetween(endedAtMs - lastedMs, endedAtMs)) {
       return;
     }
     this.recoveredAtMs = endedAtMs;
     this.lostAtMs = endedAtMs - lastedMs;
-    this.logger.log(LogLevel.Info, 'store-outage-told', {
+    this.logger.log(LogLevel.Info, 'store-outage-reported', {
       feed: this.name,
       lastedMs: Math.round(lastedMs),
       endedAgoMs: Math.round(endedAgoMs),
--- a/src/gateway/feeds/test/node/feedFleet.ts
+++ b/src/gateway/feeds/test/node/feedFleet.ts
@@ -2,8 +2,8 @@
 import type { SeededRandom } from '../../../../base/common/random.js';
 import { FakeClock } from '../../../../base/test/common/fakeClock.js';
 import { PlatformUnavailableError } from '../../../../services/objects/common/objects.js';
-import type { INewsCodec } from '../../common/feedNews.js';
-import type { FeedNewsMessage } from '../../common/feedNewsWire.js';
+import type { IUpdateCodec } from '../../common/feedUpdate.js';
+import type { FeedUpdateMessage } from '../../common/feedUpdateWire.js';
 import {
   HistoryLostError,
   ReadConsistency,
@@ -11,7 +11,7 @@
   type IFeedSource,
 } from '../../common/feedSource.js';
 import { endpointTiming } from '../../common/feedTiming.js';
-import { NewsExchange } from '../../node/newsExchange.js';
+import { FeedGossip } from '../../node/feedGossip.js';
 import { StoreFeed } from '../../node/storeFeed.js';
 
 /** Step of the simulated time, in milliseconds. */
@@ -43,7 +43,7 @@
   });
 }
 
-const textCodec: INewsCodec<string> = {
+const textCodec: IUpdateCodec<string> = {
   encode: (value) => value,
   decode: (wire) => (typeof wire === 'string' ? wire : undefined),
 };
@@ -192,7 +192,7 @@
 
   readonly feed: StoreFeed<string>;
 
-  readonly news: NewsExchange;
+  readonly gossip: FeedGossip;
 
   constructor(
     readonly instance: string,
@@ -227,28 +227,28 @@
     );
     const channel = {
       aliveInstances: () => fleet.heardBy(this),
-      sendNews: (message: FeedNewsMessage) => fleet.deliver(this, message),
+      sendUpdate: (message: FeedUpdateMessage) => fleet.deliver(this, message),
     };
-    this.news = new NewsExchange(
+    this.gossip = new FeedGossip(
       instance,
       {
         get aliveInstances() {
           return channel.aliveInstances();
         },
-        sendNews: channel.sendNews,
+        sendUpdate: channel.sendUpdate,
       },
       clock,
       logger,
     );
-    this.news.add(this.feed, textCodec);
+    this.gossip.add(this.feed, textCodec);
     this.feed.start();
-    this.news.start();
+    this.gossip.start();
   }
 
   close(): void {
     this.isStopped = true;
     this.feed.close();
-    this.news.close();
+    this.gossip.close();
   }
 }
 
@@ -289,14 +289,14 @@
           .map(({ instance }) => instance);
   }
 
-  /** Delivers news to all gateways that the sender reaches, but for lost datagrams. */
-  deliver(sender: SimulatedGateway, message: FeedNewsMessage): void {
+  /** Delivers updates to all gateways that the sender reaches, but for lost datagrams. */
+  deliver(sender: SimulatedGateway, message: FeedUpdateMessage): void {
     for (const receiver of this.gateways) {
       const isReached = receiver !== sender && !receiver.isPeersCut && !sender.isPeersCut;
       if (isReached && !receiver.isStopped && this.random.float() >= this.lossRate) {
         this.clock.after(transitMs, () => {
           if (!receiver.isStopped) {
-            receiver.news.handleMessage(message);
+            receiver.gossip.handleMessage(message);
           }
         });
       }
--- a/src/gateway/feeds/test/node/newsExchange.test.ts
+++ b/src/gateway/feeds/test/node/feedGossip.test.ts
@@ -11,7 +11,7 @@
 
 const seedCount = 25;
 
-describe('News of the store', () => {
+describe('FeedGossip', () => {
   let fleet: FeedFleet;
 
   afterEach(() => fleet.close());
@@ -82,7 +82,7 @@
     fleet = new FeedFleet(6, 0, new SeededRandom(3));
     await fleet.advance(4_000);
     for (const gateway of fleet.gateways) {
-      if (gateway.news.currentRole !== FeedRole.Follower) {
+      if (gateway.gossip.currentRole !== FeedRole.Follower) {
         gateway.isStoreCut = true;
         gateway.disturbedMs = fleet.clock.monotonicMs();
       }
@@ -95,7 +95,7 @@
     await fleet.advance(6_000);
     const roles = fleet.gateways
       .filter(({ isStoreCut }) => !isStoreCut)
-      .map(({ news }) => news.currentRole);
+      .map(({ gossip }) => gossip.currentRole);
     expect(roles).to.include(FeedRole.Primary);
     expect(roles).to.include(FeedRole.Follower);
   });
@@ -112,10 +112,10 @@
     expect(fleet.gateways[0].copy.get('a')).to.equal('a=1');
   });
 
-  it('reads the store again after news that could not be applied, and goes on', async () => {
+  it('reads the store again after an update that could not be applied, and goes on', async () => {
     fleet = new FeedFleet(6, 0, new SeededRandom(7));
     await fleet.advance(4_000);
-    const follower = fleet.gateways.find(({ news }) => news.currentRole === FeedRole.Follower);
+    const follower = fleet.gateways.find(({ gossip }) => gossip.currentRole === FeedRole.Follower);
     expect(follower).not.to.equal(undefined);
     if (follower) {
       follower.failsOnce = 'a=1';
@@ -142,7 +142,7 @@
   it('does not take a watcher that was cut off alone for an outage of the store', async () => {
     fleet = new FeedFleet(6, 0, new SeededRandom(6));
     await fleet.advance(4_000);
-    const primary = fleet.gateways.find(({ news }) => news.currentRole === FeedRole.Primary);
+    const primary = fleet.gateways.find(({ gossip }) => gossip.currentRole === FeedRole.Primary);
     expect(primary).not.to.equal(undefined);
     if (primary) {
       primary.isStoreCut = true;
@@ -172,7 +172,7 @@
       () => {
         // Faults that meet all watchers at once.
         fleet.gateways
-          .filter(({ news }) => news.currentRole !== FeedRole.Follower)
+          .filter(({ gossip }) => gossip.currentRole !== FeedRole.Follower)
           .forEach((gateway) => setCut(gateway, { isStoreCut: true }));
       },
       () => {
--- a/src/gateway/node/gatewayFeeds.ts
+++ b/src/gateway/node/gatewayFeeds.ts
@@ -14,8 +14,8 @@
   suspectTiming,
 } from '../feeds/common/feedTiming.js';
 import { StoreFeed } from '../feeds/node/storeFeed.js';
-import { endpointNewsCodec, peerNewsCodec } from '../feeds/common/newsCodecs.js';
-import type { NewsExchange } from '../feeds/node/newsExchange.js';
+import { endpointUpdateCodec, peerUpdateCodec } from '../feeds/common/updateCodecs.js';
+import type { FeedGossip } from '../feeds/node/feedGossip.js';
 import type { PeerAddress } from '../peers/common/peerAddress.js';
 import type { PeerExchange } from '../peers/node/peerExchange.js';
 import type { IDialect } from '../relay/common/dialect.js';
@@ -39,12 +39,12 @@
   readonly directory: EndpointDirectory;
   readonly peers: PeerExchange;
   readonly crashProtection: CrashProtection;
-  readonly news: NewsExchange;
+  readonly feedGossip: FeedGossip;
 }
 
 /**
  * Creates the feeds for the kinds of objects that a gateway reads from the store, and adds them to the
- * exchange of news.
+ * gossip between gateways.
  *
  * @param platform - Adapters that provide the sources of the feeds.
  * @param targets - Receive what the feeds read.
@@ -54,7 +54,7 @@
  */
 export function createFeeds(
   platform: PlatformAdapters,
-  { config, directory, peers, crashProtection, news }: FeedTargets,
+  { config, directory, peers, crashProtection, feedGossip }: FeedTargets,
   clock: IClock & ITimers,
   logger: ILogger,
 ): readonly StoreFeed<unknown>[] {
@@ -116,9 +116,9 @@
     logger,
   );
   // A configuration and the records of suspects don't fit into a datagram.
-  news.add(configFeed);
-  news.add(endpointFeed, endpointNewsCodec);
-  news.add(peerFeed, peerNewsCodec);
-  news.add(suspectFeed);
+  feedGossip.add(configFeed);
+  feedGossip.add(endpointFeed, endpointUpdateCodec);
+  feedGossip.add(peerFeed, peerUpdateCodec);
+  feedGossip.add(suspectFeed);
   return [configFeed, endpointFeed, peerFeed, suspectFeed];
 }
--- a/src/gateway/node/gatewayMetrics.ts
+++ b/src/gateway/node/gatewayMetrics.ts
@@ -124,10 +124,10 @@
     collect: () => this.feedAges.forEach((read, feed) => this.feedAge.set({ feed }, read())),
   });
 
-  /** Reads of the store after news of a change, by whether the cheaper one was recent enough. */
+  /** Reads of the store after updates that lacked a change, by whether the cheaper one was recent enough. */
   readonly feedCatchUps = new Counter({
     name: 'ibisspar_feed_catch_ups_total',
-    help: 'Reads of the store for changes that the news lacked',
+    help: 'Reads of the store for changes that the updates lacked',
     labelNames: ['feed', 'read'],
     registers: [this.registry],
   });
--- a/src/gateway/node/gatewayProgram.ts
+++ b/src/gateway/node/gatewayProgram.ts
@@ -14,7 +14,7 @@
 import type { Endpoint } from '../directory/common/endpoint.js';
 import { EndpointDirectory, Suspicion } from '../directory/common/endpointDirectory.js';
 import { FeedRole } from '../feeds/common/watcherElection.js';
-import { NewsExchange } from '../feeds/node/newsExchange.js';
+import { FeedGossip } from '../feeds/node/feedGossip.js';
 import type { StoreFeed } from '../feeds/node/storeFeed.js';
 import type { CallerResponse } from '../http/node/callerResponse.js';
 import { Ingress } from '../http/node/ingress.js';
@@ -104,7 +104,7 @@
 
   private readonly peers: PeerExchange;
 
-  private readonly news: NewsExchange;
+  private readonly feedGossip: FeedGossip;
 
   private readonly registration: PeerRegistration;
 
@@ -249,11 +249,11 @@
       { instance, host, port },
       () => this.createPeerMessage(),
       (message) => this.handlePeerMessage(message),
-      (message) => this.news.handleMessage(message),
+      (message) => this.feedGossip.handleMessage(message),
       clock,
       logger,
     );
-    this.news = new NewsExchange(instance, this.peers, clock, logger);
+    this.feedGossip = new FeedGossip(instance, this.peers, clock, logger);
     this.registration = new PeerRegistration(platform.store, logger);
     this.feeds = createFeeds(
       platform,
@@ -262,7 +262,7 @@
         directory: this.directory,
         peers: this.peers,
         crashProtection: this.crashProtection,
-        news: this.news,
+        feedGossip: this.feedGossip,
       },
       clock,
       logger,
@@ -276,7 +276,7 @@
       metrics.observeFeedAge(feed.name, () => feed.ageMs);
       feed.onDidCatchUp((read) => metrics.feedCatchUps.inc({ feed: feed.name, read }));
     });
-    metrics.observeFeedWatcher(() => this.news.currentRole !== FeedRole.Follower);
+    metrics.observeFeedWatcher(() => this.feedGossip.currentRole !== FeedRole.Follower);
     metrics.observeInFlight(() => this.ingress.inFlight);
     this.ingress = new Ingress(
       this.config,
@@ -327,7 +327,7 @@
       this.plainEjections.endExpired();
       this.engineEjections.endExpired();
     });
-    this.news.start();
+    this.feedGossip.start();
     this.peerPort = peerPort;
     this.registerAsPeer();
     void this.keepLease();
@@ -353,7 +353,7 @@
     this.ingress.close();
     this.status.close();
     this.feeds.forEach((feed) => feed.close());
-    this.news.close();
+    this.feedGossip.close();
     this.peers.close();
     this.registration.close();
     this.placement.close();
--- a/src/gateway/peers/node/peerExchange.ts
+++ b/src/gateway/peers/node/peerExchange.ts
@@ -3,7 +3,11 @@
 import { toErrorMessage } from '../../../base/common/errors.js';
 import { LogLevel, type ILogger } from '../../../base/common/logger.js';
 import type { CancelTimer, IClock, ITimers } from '../../../base/common/clock.js';
-import { newsFromWire, newsToWire, type FeedNewsMessage } from '../../feeds/common/feedNewsWire.js';
+import {
+  updateFromWire,
+  updateToWire,
+  type FeedUpdateMessage,
+} from '../../feeds/common/feedUpdateWire.js';
 import type { PeerAddress } from '../common/peerAddress.js';
 import { fromWire, toWire, type PeerMessage } from '../common/peerMessage.js';
 
@@ -52,7 +56,7 @@
    * @param self - Instance name and address of this gateway.
    * @param createMessage - Returns the message to send; called once for each round of messages.
    * @param handleMessage - Called with each valid message of a peer.
-   * @param handleNews - Called with the news of the store that a peer sent.
+   * @param handleUpdate - Called with the feed updates that a peer sent.
    * @param clock - Source of time and timers.
    * @param logger - Receives lost and newly seen peers, and failures to send or decode.
    */
@@ -60,7 +64,7 @@
     private readonly self: PeerAddress,
     private readonly createMessage: () => PeerMessage,
     private readonly handleMessage: (message: PeerMessage) => void,
-    private readonly handleNews: (news: FeedNewsMessage) => void,
+    private readonly handleUpdate: (update: FeedUpdateMessage) => void,
     private readonly clock: IClock & ITimers,
     private readonly logger: ILogger,
   ) {}
@@ -170,12 +174,12 @@
   }
 
   /**
-   * Sends news of the store to all peers; datagrams may be lost.
+   * Sends updates of feeds to all peers; datagrams may be lost.
    *
-   * @param news - News to send.
+   * @param update - Updates to send.
    */
-  sendNews(news: FeedNewsMessage): void {
-    this.sendToPeers(pack(newsToWire(news)));
+  sendUpdate(update: FeedUpdateMessage): void {
+    this.sendToPeers(pack(updateToWire(update)));
   }
 
   private sendToPeers(bytes: Buffer): void {
@@ -205,9 +209,9 @@
   }
 
   private handleWire(wire: unknown): void {
-    const news = newsFromWire(wire);
-    if (news) {
-      this.handleNews(news);
+    const update = updateFromWire(wire);
+    if (update) {
+      this.handleUpdate(update);
       return;
     }
     const message = fromWire(wire);
