End a script of the review with status 2 on an error of a stand-in

Cause: Node.js exits with 1 on an uncaught error, which would look like a broken rule. Change: handlers in the shared stand-ins; they also end all processes when a script is stopped.

--- a/review/lib/standins.mjs
+++ b/review/lib/standins.mjs
@@ -670,6 +670,10 @@
     process.exit(status);
   };
   setTimeout(() => void end(2, 'could not run: out of time'), maxRunMs);
+  // An error in a stand-in must not look like a broken rule.
+  process.on('uncaughtException', (err) => void end(2, `could not run: ${err.stack}`));
+  process.on('unhandledRejection', (err) => void end(2, `could not run: ${err}`));
+  ['SIGTERM', 'SIGINT'].forEach((name) => process.on(name, () => void end(2, 'was stopped')));
   const world = {
     recorder,
     folder,
