Give a list of several pages the revision of its oldest page

Cause: a follower that lacks changes reads a list that may lag. Its pages can be of different ages, and the list was given the revision of the first one. Changes that an older later page lacked counted as known, so the full list was not read and nothing brought them.

Fix: the revision of a list is that of its oldest page, so a list that is too old is noticed and read again at full price. This holds for lists of all kinds.

--- a/src/gateway/feeds/common/feedPosition.ts
+++ b/src/gateway/feeds/common/feedPosition.ts
@@ -23,8 +23,7 @@
 
   private lastChangeRevision = 0;
 
-  /** Highest revision of a change that another gateway reported. */
-  private reportedRevision = 0;
+  private highestReportedRevision = 0;
 
   private confirmedAtMs = Number.NEGATIVE_INFINITY;
 
@@ -53,9 +52,14 @@
     return this.lastChangeRevision;
   }
 
+  /** Highest revision of a change that another gateway reported. */
+  get reportedRevision(): number {
+    return this.highestReportedRevision;
+  }
+
   /** Whether the copy lacks a change that another gateway reported. */
   get isBehind(): boolean {
-    return this.knownRevision !== undefined && this.knownRevision < this.reportedRevision;
+    return this.knownRevision !== undefined && this.knownRevision < this.highestReportedRevision;
   }
 
   /** Time since the copy was confirmed to be current, in milliseconds. */
@@ -85,7 +89,7 @@
     this.confirm(this.clock.monotonicMs());
     this.advance(revision, hasChanged);
     // An answer of the latest state holds every change, whatever another gateway reported.
-    this.reportedRevision = Math.min(this.reportedRevision, this.knownRevision ?? 0);
+    this.highestReportedRevision = Math.min(this.highestReportedRevision, this.knownRevision ?? 0);
   }
 
   /**
@@ -104,7 +108,7 @@
    * @returns Whether the update confirms that the copy is current.
    */
   recordUpdate(update: Pick<FeedUpdate<unknown>, 'changedAt' | 'knownTo' | 'ageMs'>): boolean {
-    this.reportedRevision = Math.max(this.reportedRevision, update.changedAt);
+    this.highestReportedRevision = Math.max(this.highestReportedRevision, update.changedAt);
     const { knownRevision } = this;
     if (knownRevision === undefined || this.isBehind || update.knownTo < knownRevision) {
       return false;
--- a/src/gateway/feeds/common/feedSource.ts
+++ b/src/gateway/feeds/common/feedSource.ts
@@ -11,9 +11,14 @@
   readonly decodeError: string | undefined;
 }
 
-/** All objects of one kind at a revision of the store. */
+/** All objects of one kind, with every change up to a revision of the store. */
 export interface FeedList<T> {
   readonly revision: number;
+  /**
+   * Revision of the latest page. A list of several pages may show some later changes, but not all of those
+   * between the two revisions.
+   */
+  readonly newestRevision: number;
   readonly items: readonly FeedItem<T>[];
 }
 
--- a/src/gateway/feeds/node/storeFeed.ts
+++ b/src/gateway/feeds/node/storeFeed.ts
@@ -251,10 +251,18 @@
 
   /** Reads what the updates lacked, at the lower price if the answer turns out to be recent enough. */
   private async catchUp(): Promise<void> {
+    const { reportedRevision } = this.position;
     const listed = await this.source.list(this.abortController.signal, ReadConsistency.MayLag);
     if (listed.isOk()) {
+      const { revision, newestRevision } = listed.value;
+      this.logger.log(LogLevel.Info, 'feed-lagging-list', {
+        feed: this.name,
+        revision,
+        newestRevision,
+        reportedRevision,
+      });
       this.applyList(listed.value);
-      this.position.recordChanges(listed.value.revision);
+      this.position.recordChanges(revision);
     }
     if (listed.isErr() || this.position.isBehind) {
       await this.list();
--- a/src/gateway/feeds/test/node/feedFleet.ts
+++ b/src/gateway/feeds/test/node/feedFleet.ts
@@ -2,12 +2,14 @@
 import type { SeededRandom } from '../../../../base/common/random.js';
 import { FakeClock } from '../../../../base/test/common/fakeClock.js';
 import { PlatformUnavailableError } from '../../../../services/objects/common/objects.js';
+import { PagedList } from '../../../../services/objects/common/pagedList.js';
 import type { IUpdateCodec } from '../../common/feedUpdate.js';
 import type { FeedUpdateMessage } from '../../common/feedUpdateWire.js';
 import {
   HistoryLostError,
   ReadConsistency,
   type FeedEvent,
+  type FeedItem,
   type IFeedSource,
 } from '../../common/feedSource.js';
 import { endpointTiming } from '../../common/feedTiming.js';
@@ -20,8 +22,11 @@
 /** Time of one datagram, in milliseconds. */
 const transitMs = 20;
 
-/** Time by which a read that may lag shows an older state, in milliseconds. */
-const readLagMs = 2_000;
+/** Times by which the pages of a read that may lag show an older state, in milliseconds. */
+const pageLagsMs = [0, 2_000, 500];
+
+/** First names after which a page of a list ends; the last page has no end. */
+const pageEnds = ['e1', 'e3', '\uffff'];
 
 /** Store calls that ended in a test. */
 export interface CallCounts {
@@ -117,16 +122,8 @@
           await this.delay(isCut() ? 500 : 0);
           return failure();
         }
-        const nowMs = this.clock.monotonicMs();
-        const state = this.stateAt(isLagging ? nowMs - readLagMs : nowMs);
-        return Ok({
-          revision: isLagging ? state.revision : this.revision,
-          items: [...state.objects].map(([name, value]) => ({
-            name,
-            value,
-            decodeError: undefined,
-          })),
-        });
+        const { items, revision, newestRevision } = this.readPages(isLagging);
+        return Ok({ items, revision, newestRevision });
       },
       watch: async (revision, waitMs) => {
         this.calls.watches += 1;
@@ -152,6 +149,21 @@
     };
   }
 
+  /** Reads a list page by page; pages that may lag show states of different ages. */
+  private readPages(isLagging: boolean): PagedList<FeedItem<string>> {
+    const nowMs = this.clock.monotonicMs();
+    const list = new PagedList<FeedItem<string>>();
+    pageEnds.forEach((end, page) => {
+      const state = this.stateAt(isLagging ? nowMs - pageLagsMs[page] : nowMs);
+      const start = page === 0 ? '' : pageEnds[page - 1];
+      const items = [...state.objects]
+        .filter(([name]) => name > start && name <= end)
+        .map(([name, value]) => ({ name, value, decodeError: undefined }));
+      list.add(items, isLagging ? state.revision : this.revision);
+    });
+    return list;
+  }
+
   private delay(ms: number): Promise<void> {
     return ms <= 0
       ? Promise.resolve()
--- a/src/gateway/feeds/test/node/storeFeed.test.ts
+++ b/src/gateway/feeds/test/node/storeFeed.test.ts
@@ -88,7 +88,7 @@
     const source: IFeedSource<string> = {
       list: async () => {
         calls.push('list');
-        return Ok({ revision: 3, items: [] });
+        return Ok({ revision: 3, newestRevision: 3, items: [] });
       },
       watch: async (revision) => {
         calls.push(`watch ${revision}`);
@@ -119,6 +119,7 @@
       list: async () =>
         Ok({
           revision: 3,
+          newestRevision: 3,
           items: [{ name: 'a', value: `v${applied.length}`, decodeError: undefined }],
         }),
       watch: async () => {
