Send followers a change to an invalid entry as a removal

What operators saw: each change of another writer's entry made all gateways that follow the watchers read the list of endpoints.

Cause: an update left out every batch with an object that couldn't be decoded, and all batches before it, so followers lacked a change.

Fix: such an object is sent as a deleted one. A gateway that reads it from the store does the same: it holds no endpoint under that name.

Evidence: 'spreads changes to objects that cannot be decoded without a list' failed before.

--- a/src/gateway/feeds/common/feedUpdateWire.ts
+++ b/src/gateway/feeds/common/feedUpdateWire.ts
@@ -1,5 +1,5 @@
 import * as v from 'valibot';
-import type { FeedBatch, FeedUpdate, IUpdateCodec } from './feedUpdate.js';
+import type { FeedUpdate, IUpdateCodec } from './feedUpdate.js';
 import type { FeedEvent } from './feedSource.js';
 
 /** Updates of a gateway about the feeds that it watches, with the changes still encoded. */
@@ -108,30 +108,26 @@
  *
  * @param update - Update of a feed.
  * @param codec - Encodes the objects; undefined if updates of this kind only tell of the revisions.
- * @returns An update that can be packed. Changes that can't be encoded are left out with all before them.
+ * @returns An update that can be packed. Objects whose content couldn't be decoded are sent as deleted ones,
+ * since the receivers' copies hold neither.
  */
 export function encodeUpdate<T>(
   update: FeedUpdate<T>,
   codec: IUpdateCodec<T> | undefined,
 ): FeedUpdate<unknown> {
-  const isSendable = (event: FeedEvent<T>) => event.isDeleted || event.item.value !== undefined;
-  const isBatchSendable = ({ events }: FeedBatch<T>) => events.every(isSendable);
-  const firstSendable = update.batches.map(isBatchSendable).lastIndexOf(false) + 1;
+  const encodeEvent = ({ item: { name, value }, isDeleted }: FeedEvent<T>): FeedEvent<unknown> =>
+    isDeleted || value === undefined
+      ? { item: { name, value: undefined, decodeError: undefined }, isDeleted: true }
+      : { item: { name, value: codec?.encode(value), decodeError: undefined }, isDeleted: false };
   return {
     ...update,
     batches:
       codec === undefined
         ? []
-        : update.batches.slice(firstSendable).map(({ from, to, events }) => ({
+        : update.batches.map(({ from, to, events }) => ({
             from,
             to,
-            events: events.map(({ item, isDeleted }) => ({
-              item: {
-                ...item,
-                value: isDeleted || item.value === undefined ? undefined : codec.encode(item.value),
-              },
-              isDeleted,
-            })),
+            events: events.map(encodeEvent),
           })),
   };
 }
--- a/src/gateway/feeds/test/node/feedFleet.ts
+++ b/src/gateway/feeds/test/node/feedFleet.ts
@@ -78,19 +78,30 @@
         break;
       }
       revision = changeRevision;
-      if (event.isDeleted) {
+      if (event.isDeleted || event.item.value === undefined) {
         objects.delete(event.item.name);
       } else {
-        objects.set(event.item.name, event.item.value ?? '');
+        objects.set(event.item.name, event.item.value);
       }
     }
     return { objects, revision };
   }
 
+  /** Writes an object, or deletes it if the value is undefined. */
   write(name: string, value: string | undefined): void {
+    const last = this.stateAt(this.clock.monotonicMs()).objects.get(name);
+    const item = { name, value: value ?? last, decodeError: undefined };
+    this.record({ item, isDeleted: value === undefined });
+  }
+
+  /** Replaces the content of an object by one that can't be decoded. */
+  writeInvalid(name: string): void {
+    const item = { name, value: undefined, decodeError: 'invalid' };
+    this.record({ item, isDeleted: false });
+  }
+
+  private record(event: FeedEvent<string>): void {
     this.revision += 1;
-    const item = { name, value, decodeError: undefined };
-    const event = { item, isDeleted: value === undefined };
     this.changes.push({ revision: this.revision, atMs: this.clock.monotonicMs(), event });
     this.wakeAll();
   }
--- a/src/gateway/feeds/test/node/feedGossip.test.ts
+++ b/src/gateway/feeds/test/node/feedGossip.test.ts
@@ -78,6 +78,21 @@
     }
   });
 
+  // Guards against one invalid entry that makes all followers read the store at each of its changes.
+  it('spreads changes to objects that cannot be decoded without a list', async () => {
+    fleet = new FeedFleet(12, 0, new SeededRandom(8));
+    fleet.store.write('a', 'a=1');
+    await fleet.advance(4_000);
+    const { lists, laggingLists } = fleet.store.calls;
+    for (let change = 0; change < 5; change += 1) {
+      fleet.store.writeInvalid('a');
+      fleet.store.write('b', `b=${change}`);
+      await fleet.advance(500);
+      fleet.gateways.forEach(({ copy }) => expect([...copy]).to.deep.equal([['b', `b=${change}`]]));
+    }
+    expect(fleet.store.calls).to.include({ lists, laggingLists });
+  });
+
   it('lets followers watch themselves once both watchers lose the store without notice', async () => {
     fleet = new FeedFleet(6, 0, new SeededRandom(3));
     await fleet.advance(4_000);
@@ -194,8 +209,10 @@
       const roll = random.float();
       if (roll < 0.5) {
         fleet.store.write(name, `${name}=${round}`);
-      } else if (roll < 0.65) {
+      } else if (roll < 0.6) {
         fleet.store.write(name, undefined);
+      } else if (roll < 0.65) {
+        fleet.store.writeInvalid(name);
       } else if (roll < 0.75) {
         fleet.store.writeElsewhere();
       } else {
