Refuse all keys once the last one has been taken away

Cause: the decoder used undefined both for a configuration without organisations, which needs no key, and for organisations without keys.

Evidence: config-in-force logged keys=1 for the version before, and no number of keys for the last one.

Fix: the map of keys is absent only without organisations. The same mistake elsewhere: a route with an empty list of services was dropped, and a shorter prefix took its requests; it is kept, and answers 404.

--- a/src/gateway/config/common/configSnapshot.ts
+++ b/src/gateway/config/common/configSnapshot.ts
@@ -109,6 +109,9 @@
   readonly routes: readonly Route[];
   readonly services: ReadonlyMap<string, ServiceProfile>;
   readonly limits: CallerLimits;
-  /** Organisation names by API key; undefined if requests need no keys. */
+  /**
+   * Organisation names by API key; undefined if the configuration has no organisations, so that requests need
+   * no key. Empty if organisations exist but hold no key, so that every key is refused.
+   */
   readonly organisationByKey: ReadonlyMap<string, string> | undefined;
 }
--- a/src/gateway/config/common/routeTable.ts
+++ b/src/gateway/config/common/routeTable.ts
@@ -69,7 +69,7 @@
     const route = this.byHost
       .get(hostName(req.host))
       ?.find(({ pathPrefix }) => path.startsWith(pathPrefix));
-    if (route === undefined) {
+    if (route === undefined || route.targets.length === 0) {
       return { verdict: Verdict.NoRoute };
     }
     const keys = this.config.organisationByKey;
--- a/src/gateway/config/test/common/routeTable.test.ts
+++ b/src/gateway/config/test/common/routeTable.test.ts
@@ -53,11 +53,27 @@
     });
   });
 
-  it('requires no key if the configuration has no keys', () => {
+  it('requires no key if the configuration has no organisations', () => {
     const open = new RouteTable(configWith({ organisationByKey: undefined }));
     expect(decide(open, '/a/x').verdict).to.equal(Verdict.Allowed);
   });
 
+  it('refuses all keys if no organisation holds one', () => {
+    const routes = [routeWith({}), routeWith({ pathPrefix: '/open/', isPublic: true })];
+    const closed = new RouteTable(configWith({ routes, organisationByKey: new Map() }));
+    expect(decide(closed, '/a/x').verdict).to.equal(Verdict.UnknownKey);
+    expect(decide(closed, '/a/x', 'key').verdict).to.equal(Verdict.UnknownKey);
+    expect(decide(closed, '/open/x', 'key').verdict).to.equal(Verdict.Allowed);
+  });
+
+  // Guards against a service that gets the requests of a longer prefix whose list of services is empty.
+  it('finds no route if the longest prefix has no service, whatever a shorter one has', () => {
+    const nested = routeWith({ pathPrefix: '/a/b/', targets: [] });
+    const routes = new RouteTable(configWith({ routes: [routeWith({}), nested] }));
+    expect(decide(routes, '/a/b/x', 'key').verdict).to.equal(Verdict.NoRoute);
+    expect(decide(routes, '/a/x', 'key').verdict).to.equal(Verdict.Allowed);
+  });
+
   it('distributes requests over services by weight', () => {
     const targets = [
       { service: 'one', weight: 90 },
