Retry a read on a new connection to the store if one falls silent

Cause: a watch that got no answer within 1.9 s was followed by another one on a pooled connection that was silent too. Besides, the unanswered watch counted as an outage of the store, after which endpoints that leave are kept for two seconds.

Writes are sent once.

--- a/src/bin/ibisspar-gateway.ts
+++ b/src/bin/ibisspar-gateway.ts
@@ -19,6 +19,7 @@
 import { GatewayMetrics } from '../gateway/node/gatewayMetrics.js';
 import { GatewayProgram } from '../gateway/node/gatewayProgram.js';
 import { ObjectKind } from '../services/objects/common/objects.js';
+import { NoAnswer } from '../services/objects/node/storeConnections.js';
 import { gatewaySchema, type GatewaySettings } from '../services/settings/common/settings.js';
 import { loadSettings } from '../services/settings/node/loadSettings.js';
 
@@ -59,9 +60,12 @@
     lineWriter.write(line),
   );
   const logger = new SampledLogger(consola, maxLinesPerSecond, clock);
-  const store = new StoreClient(settings.storeAddress, settings.storeCallMs, (outcome) =>
-    metrics.storeCalls.inc({ outcome }),
-  );
+  const store = new StoreClient(settings.storeAddress, settings.storeCallMs, (outcome) => {
+    metrics.storeCalls.inc({ outcome: String(outcome) });
+    if (outcome === NoAnswer.Silent) {
+      logger.log(LogLevel.Warn, 'store-call-unanswered');
+    }
+  });
   const control = new ReplicaControl(reportTimeoutMs, orderTimeoutMs);
   const program = new GatewayProgram({
     settings,
--- a/src/services/objects/node/httpObjectStore.ts
+++ b/src/services/objects/node/httpObjectStore.ts
@@ -1,12 +1,12 @@
 import { Err, Ok, type Result } from 'ts-results-es';
-import { Agent, request } from 'undici';
-import { toErrorMessage } from '../../../base/common/errors.js';
-import { eraOf, EraTracker, revisionOf, toVersion } from '../common/eraTracker.js';
+import type { Event } from '../../../base/common/event.js';
+import { eraOf, revisionOf, toVersion } from '../common/eraTracker.js';
 import {
   absentVersion,
   PlatformRefusedError,
   PlatformUnavailableError,
   VersionConflictError,
+  type EraChange,
   type IObjectStore,
   type IStoreEra,
   type ObjectKind,
@@ -15,22 +15,7 @@
   type WatchBatch,
   type WriteError,
 } from '../common/objects.js';
-
-interface Reply {
-  readonly status: number;
-  readonly body: unknown;
-  /** Era of the platform that answered. */
-  readonly era: number;
-}
-
-interface Call {
-  readonly method: 'GET' | 'PUT';
-  readonly path: string;
-  readonly headers?: Record<string, string>;
-  readonly body?: string;
-  readonly timeoutMs: number;
-  readonly signal?: AbortSignal;
-}
+import { StoreConnections, type StoreReply } from './storeConnections.js';
 
 /** Time by which the timeout of a watch call exceeds the requested wait, in milliseconds. */
 const watchGraceMs = 1_000;
@@ -39,7 +24,7 @@
   return `/objects/${encodeURIComponent(kind)}/${encodeURIComponent(name)}`;
 }
 
-function createRefusedError(reply: Reply): PlatformRefusedError {
+function createRefusedError(reply: StoreReply): PlatformRefusedError {
   return new PlatformRefusedError(`platform answered status ${reply.status}`);
 }
 
@@ -50,39 +35,45 @@
 /** Header in which all answers give the era of the objects. */
 const eraHeader = 'platform-era';
 
+/** Timeout for opening a connection, in milliseconds. */
+const connectTimeoutMs = 1_000;
+
+const maxConnections = 8;
+
 /**
  * Client of the object API over HTTP. Every call has a timeout. The versions and sequence numbers that it
  * hands out include the era of the platform.
  */
 export class HttpObjectStore implements IObjectStore, IStoreEra {
-  private readonly eraTracker = new EraTracker();
-
-  readonly onDidChangeEra = this.eraTracker.onDidChange;
-
-  private readonly agent = new Agent({ connections: 8, connect: { timeout: 1_000 } });
+  private readonly connections: StoreConnections;
 
   /**
    * @param baseUrl - URL of the platform, for example `http://127.0.0.1:8000`.
    * @param callTimeoutMs - Timeout of every call except a watch, in milliseconds.
    */
   constructor(
-    private readonly baseUrl: string,
+    baseUrl: string,
     private readonly callTimeoutMs: number,
-  ) {}
+  ) {
+    this.connections = new StoreConnections(
+      { origin: baseUrl, eraHeader, maxConnections, connectTimeoutMs },
+      () => undefined,
+    );
+  }
+
+  get onDidChangeEra(): Event<EraChange> {
+    return this.connections.eraTracker.onDidChange;
+  }
 
   get era(): number {
-    return this.eraTracker.era;
+    return this.connections.eraTracker.era;
   }
 
   async get<T>(
     kind: ObjectKind,
     name: string,
   ): Promise<Result<StoredObject<T> | undefined, ReadError>> {
-    const reply = await this.call({
-      method: 'GET',
-      path: objectPath(kind, name),
-      timeoutMs: this.callTimeoutMs,
-    });
+    const reply = await this.readPath(objectPath(kind, name));
     return reply.andThen((answer) => {
       if (answer.status === 404) {
         return Ok(undefined);
@@ -94,11 +85,7 @@
   }
 
   async list<T>(kind: ObjectKind): Promise<Result<readonly StoredObject<T>[], ReadError>> {
-    const reply = await this.call({
-      method: 'GET',
-      path: `/objects/${kind}`,
-      timeoutMs: this.callTimeoutMs,
-    });
+    const reply = await this.readPath(`/objects/${kind}`);
     return reply.andThen((answer) =>
       answer.status === 200
         ? Ok(
@@ -124,11 +111,11 @@
     const condition: Record<string, string> = isNew
       ? { 'if-none-match': '*' }
       : { 'if-match': String(revisionOf(version)) };
-    const reply = await this.call({
+    const reply = await this.connections.call({
       method: 'PUT',
       path: objectPath(kind, name),
-      headers: { 'content-type': 'application/json', ...condition },
-      body: JSON.stringify(value),
+      headers: condition,
+      body: value,
       timeoutMs: this.callTimeoutMs,
     });
     return reply.andThen((answer): Result<number, WriteError> => {
@@ -153,11 +140,13 @@
   ): Promise<Result<WatchBatch, ReadError>> {
     const { era } = this;
     const after = eraOf(sequence) === era ? revisionOf(sequence) : 0;
-    const reply = await this.call({
+    const path = `/watch/${kind}?after=${after}`;
+    const reply = await this.connections.call({
       method: 'GET',
-      path: `/watch/${kind}?after=${after}&waitMs=${waitMs}`,
+      path: `${path}&waitMs=${waitMs}`,
       timeoutMs: waitMs + watchGraceMs,
       signal,
+      fallback: { path: `${path}&waitMs=0`, timeoutMs: watchGraceMs },
     });
     return reply.andThen((answer): Result<WatchBatch, ReadError> => {
       if (answer.status !== 200) {
@@ -178,41 +167,24 @@
    * @returns The decoded JSON body.
    */
   async read<T>(path: string): Promise<Result<T, ReadError>> {
-    const reply = await this.call({ method: 'GET', path, timeoutMs: this.callTimeoutMs });
+    const reply = await this.readPath(path);
     return reply.andThen((answer) =>
       answer.status === 200 ? Ok(answer.body as T) : Err(createRefusedError(answer)),
     );
   }
 
   /** Closes the connections and removes every listener; calls that are in progress fail. */
-  async close(): Promise<void> {
-    this.eraTracker.close();
-    await this.agent.destroy();
+  close(): Promise<void> {
+    return this.connections.close();
   }
 
-  private async call(call: Call): Promise<Result<Reply, PlatformUnavailableError>> {
-    const timeoutSignal = AbortSignal.timeout(call.timeoutMs);
-    try {
-      const res = await request(`${this.baseUrl}${call.path}`, {
-        method: call.method,
-        headers: call.headers,
-        body: call.body,
-        dispatcher: this.agent,
-        signal: call.signal ? AbortSignal.any([timeoutSignal, call.signal]) : timeoutSignal,
-      });
-      const body: unknown = await res.body.json();
-      const era = this.eraTracker.read(res.headers[eraHeader]);
-      if (!this.eraTracker.observe(era)) {
-        return Err(
-          new PlatformUnavailableError(`platform answered from era ${era}, now it is ${this.era}`),
-        );
-      }
-      if (res.statusCode >= 500 || res.statusCode === 429) {
-        return Err(new PlatformUnavailableError(`platform answered status ${res.statusCode}`));
-      }
-      return Ok({ status: res.statusCode, body, era });
-    } catch (err) {
-      return Err(new PlatformUnavailableError(toErrorMessage(err), { cause: err }));
-    }
+  private readPath(path: string): Promise<Result<StoreReply, PlatformUnavailableError>> {
+    const { callTimeoutMs: timeoutMs } = this;
+    return this.connections.call({
+      method: 'GET',
+      path,
+      timeoutMs,
+      fallback: { path, timeoutMs },
+    });
   }
 }
