Keep the timeout of a call of the store from being collected

What callers could see: a gateway that follows no configuration any more after a connection to the store has fallen silent (CONFIG).

Cause: Node.js 20 holds the signals in AbortSignal.any weakly. Once the caller is optimised, garbage collection takes the timeout signal and its timer, and an unanswered call waits for as long as its connection is open.

Evidence: the test of four gateways with silent connections failed once in a run of the whole suite, where one gateway didn't hear of a configuration for 60 s. That the failure of the suite came this way is not shown.

Fix: CallSignal holds its own timer. The linter refuses AbortSignal.any; two other uses of it are gone. Timers longer than 2^31 - 1 ms, which ended at once, are shortened to that.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -34,6 +34,12 @@
   { target: ['./src', './platform'], from: ['./soak'] },
 ].filter((zone) => zone.from.length > 0);
 
+const lostTimeouts = {
+  object: 'AbortSignal',
+  property: 'any',
+  message: 'Node.js 20 collects the timeout signals in it as garbage; use CallSignal',
+};
+
 const inputOutputModules = ['fs', 'net', 'http', 'https', 'dgram', 'dns', 'timers', 'process'].map(
   (name) => `node:${name}`,
 );
@@ -67,6 +73,7 @@
       'no-restricted-syntax': ['error', 'ForInStatement', 'LabeledStatement', 'WithStatement'],
       'no-underscore-dangle': 'off',
       'n/no-unsupported-features/node-builtins': 'off',
+      'no-restricted-properties': ['error', lostTimeouts],
       'class-methods-use-this': 'off',
       'max-classes-per-file': 'off',
       curly: ['error', 'all'],
@@ -120,6 +127,7 @@
       ],
       'no-restricted-properties': [
         'error',
+        lostTimeouts,
         { object: 'Date', property: 'now', message: 'common code takes the time as an argument' },
         {
           object: 'Math',
--- a/src/base/common/clock.ts
+++ b/src/base/common/clock.ts
@@ -9,8 +9,11 @@
 /** Cancels the timer that it was returned for. */
 export type CancelTimer = () => void;
 
+/** Longest delay of a timer, in milliseconds; Node.js doesn't wait at all if it is longer. */
+export const maxTimerMs = 2 ** 31 - 1;
+
 /** Timers, injected so that tests can control them. */
 export interface ITimers {
-  /** Calls `action` once after `delayMs` milliseconds, unless cancelled before. */
+  /** Calls `action` once after `delayMs` milliseconds, {@link maxTimerMs} at most, unless cancelled before. */
   after(delayMs: number, action: () => void): CancelTimer;
 }
--- a/src/base/node/systemClock.ts
+++ b/src/base/node/systemClock.ts
@@ -1,5 +1,5 @@
 import { performance } from 'node:perf_hooks';
-import type { CancelTimer, IClock, ITimers } from '../common/clock.js';
+import { maxTimerMs, type CancelTimer, type IClock, type ITimers } from '../common/clock.js';
 
 /** Clock and timers of the operating system. */
 export class SystemClock implements IClock, ITimers {
@@ -12,7 +12,7 @@
   }
 
   after(delayMs: number, action: () => void): CancelTimer {
-    const timer = setTimeout(action, delayMs);
+    const timer = setTimeout(action, Math.min(delayMs, maxTimerMs));
     return () => clearTimeout(timer);
   }
 }
@@ -29,7 +29,7 @@
     return Promise.resolve();
   }
   return new Promise((resolve) => {
-    const timer = setTimeout(finish, delayMs);
+    const timer = setTimeout(finish, Math.min(delayMs, maxTimerMs));
     function finish(): void {
       clearTimeout(timer);
       signal?.removeEventListener('abort', finish);
--- a/src/entry/rules/node/ruleFeed.ts
+++ b/src/entry/rules/node/ruleFeed.ts
@@ -92,6 +92,7 @@
   /** Stops the watch. */
   close(): void {
     this.abortController.abort();
+    this.watchController.abort();
     this.changes.close();
   }
 
@@ -178,16 +179,16 @@
     const { signal } = this.abortController;
     let sequence = 0;
     while (!signal.aborted) {
+      this.watchController = new AbortController();
       if (!(await this.refresh())) {
         await sleep(retryDelayMs, signal);
         continue;
       }
-      this.watchController = new AbortController();
       const batch = await this.objects.watch(
         ObjectKind.RuleManifest,
         sequence,
         maxWatchWaitMs,
-        AbortSignal.any([signal, this.watchController.signal]),
+        this.watchController.signal,
       );
       if (batch.isOk()) {
         sequence = batch.value.sequence;
--- a/src/services/objects/node/httpObjectStore.ts
+++ b/src/services/objects/node/httpObjectStore.ts
@@ -145,7 +145,7 @@
       method: 'GET',
       path: `${path}&waitMs=${waitMs}`,
       timeoutMs: waitMs + watchGraceMs,
-      signal,
+      signals: [signal],
       fallback: { path: `${path}&waitMs=0`, timeoutMs: watchGraceMs },
     });
     return reply.andThen((answer): Result<WatchBatch, ReadError> => {
--- a/src/services/objects/node/objectCache.ts
+++ b/src/services/objects/node/objectCache.ts
@@ -82,6 +82,7 @@
   /** Ends the watch and removes the listeners of `onDidChange`. */
   close(): void {
     this.abortController.abort();
+    this.watchController.abort();
     this.changes.close();
   }
 
@@ -98,7 +99,7 @@
         this.kind,
         sequence,
         watchWaitMs,
-        AbortSignal.any([signal, this.watchController.signal]),
+        this.watchController.signal,
       );
       const refreshed = batch.isOk() && (batch.value.names.length === 0 || (await this.refresh()));
       if (refreshed) {
--- a/src/services/objects/node/storeConnections.ts
+++ b/src/services/objects/node/storeConnections.ts
@@ -1,6 +1,7 @@
 import { Err, Ok, type Result } from 'ts-results-es';
 import { Agent, request } from 'undici';
 import { toErrorMessage } from '../../../base/common/errors.js';
+import { CallSignal } from '../../../base/node/callSignal.js';
 import { EraTracker } from '../common/eraTracker.js';
 import { PlatformUnavailableError } from '../common/objects.js';
 
@@ -11,8 +12,8 @@
   readonly headers?: Readonly<Record<string, string>>;
   readonly body?: unknown;
   readonly timeoutMs: number;
-  /** Aborts the call. */
-  readonly signal?: AbortSignal;
+  /** Each of them aborts the call. */
+  readonly signals?: readonly AbortSignal[];
   /** Read that is sent on a new connection if this one gets no answer; undefined for writes. */
   readonly fallback?: StoreRead;
 }
@@ -172,9 +173,9 @@
     call: StoreCall,
     generation: ConnectionGeneration,
   ): Promise<{ readonly result: CallResult; readonly isSilent: boolean }> {
-    const { signal, fallback, body } = call;
-    const timeout = AbortSignal.timeout(call.timeoutMs);
-    const silenced = fallback ? AbortSignal.any([timeout, generation.silenced]) : timeout;
+    const { signals = [], fallback, body } = call;
+    const endingSignals = fallback ? [...signals, generation.silenced] : signals;
+    const callSignal = new CallSignal(call.timeoutMs, endingSignals);
     try {
       const res = await request(`${this.options.origin}${call.path}`, {
         method: call.method,
@@ -184,7 +185,7 @@
         },
         body: body === undefined ? undefined : JSON.stringify(body),
         dispatcher: generation.agent,
-        signal: signal ? AbortSignal.any([silenced, signal]) : silenced,
+        signal: callSignal.signal,
       });
       const text = await res.body.text();
       generation.hasAnswered = true;
@@ -192,10 +193,13 @@
       const era = this.eraTracker.read(res.headers[this.options.eraHeader]);
       return { result: this.toReply(res.statusCode, text, era), isSilent: false };
     } catch (err) {
-      const isSilent = silenced.aborted && !(signal?.aborted ?? false);
+      const isAborted = signals.some(({ aborted }) => aborted);
+      const isSilent = callSignal.signal.aborted && !isAborted;
       this.onCall(isSilent ? NoAnswer.Silent : NoAnswer.Failed);
       const result = Err(new PlatformUnavailableError(toErrorMessage(err), { cause: err }));
       return { result, isSilent };
+    } finally {
+      callSignal.close();
     }
   }
 
--- a/src/services/objects/test/node/storeConnections.test.ts
+++ b/src/services/objects/test/node/storeConnections.test.ts
@@ -165,7 +165,7 @@
       method: 'GET',
       path: '/a',
       timeoutMs,
-      signal: controller.signal,
+      signals: [controller.signal],
       fallback: { path: '/a-again', timeoutMs },
     });
     await waitUntil(() => seen.length === 1);
