Take a limit that no gateway can reach for none

What callers could see: a gateway that stops for good (LOST) once an endpoint names a limit such as 1e12 requests a second in an answer.

Cause: the permits of a limit are issued one by one in a loop whose length is the rate times the time since the last call.

Evidence: by reading the loop; the new test names up to 1e308 a second and passes now. It wasn't run against the old code, which it would stop.

Fix: a limit above 10,000 a second restricts nothing, whoever tells it, and an issuer keeps 1,000 permits.

--- a/src/gateway/limits/common/endpointLimits.ts
+++ b/src/gateway/limits/common/endpointLimits.ts
@@ -16,6 +16,12 @@
  */
 const minPerSecond = 0.1;
 
+/**
+ * Highest limit that restricts an endpoint, in requests per second. One that names more takes whatever the
+ * gateways send.
+ */
+const maxPerSecond = 10_000;
+
 /** Demand of a gateway without requests, in requests per second, so that a first one finds a part. */
 const minDemandPerSecond = 0.25;
 
@@ -207,16 +213,18 @@
    * Records the limit that an endpoint names, unless a newer answer is known.
    *
    * @param endpoint - Endpoint that answered.
-   * @param perSecond - Limit in requests per second; undefined if it names none.
+   * @param namedPerSecond - Limit in requests per second; undefined if it names none.
    * @param atMs - Monotonic time of the answer.
    * @param peer - Peer that got the answer; undefined if this gateway got it.
    */
   private learn(
     endpoint: Endpoint,
-    perSecond: number | undefined,
+    namedPerSecond: number | undefined,
     atMs: number,
     peer?: string,
   ): void {
+    const isLimit = namedPerSecond !== undefined && namedPerSecond <= maxPerSecond;
+    const perSecond = isLimit ? namedPerSecond : undefined;
     const incarnation = incarnationOf(endpoint);
     const known = this.limits.get(incarnation);
     if (peer !== undefined && known && atMs <= known.knownAtMs + orderingToleranceMs) {
--- a/src/gateway/limits/common/permitIssuer.ts
+++ b/src/gateway/limits/common/permitIssuer.ts
@@ -4,6 +4,9 @@
 const minLifetimeMs = 1_000;
 const maxLifetimeMs = 2_000;
 
+/** Maximum number of permits that can be used at a time. */
+const maxPermits = 1_000;
+
 const millisecondsPerSecond = 1_000;
 
 /**
@@ -56,12 +59,13 @@
     this.fraction = due - count;
     this.issuedAtMs = this.issuedAtMs.filter((atMs) => atMs > oldestMs);
     const newestMs = nowMs - this.fraction * intervalMs;
-    for (let index = count - 1; index >= 0; index -= 1) {
+    for (let index = Math.min(count, maxPermits) - 1; index >= 0; index -= 1) {
       const atMs = newestMs - index * intervalMs;
       if (atMs > oldestMs) {
         this.issuedAtMs.push(atMs);
       }
     }
+    this.issuedAtMs = this.issuedAtMs.slice(-maxPermits);
   }
 
   /** Uses the oldest permit. If there is none, the next one is issued later instead. */
--- a/src/gateway/limits/test/common/endpointLimits.test.ts
+++ b/src/gateway/limits/test/common/endpointLimits.test.ts
@@ -2,6 +2,7 @@
 import { SeededRandom } from '../../../../base/common/random.js';
 import { FakeClock } from '../../../../base/test/common/fakeClock.js';
 import type { EndpointLimits } from '../../common/endpointLimits.js';
+import { PermitIssuer } from '../../common/permitIssuer.js';
 import type { LimitReport } from '../../common/limitReport.js';
 import { createLimits, endpoint } from './fixtures.js';
 
@@ -233,6 +234,32 @@
     ]);
   });
 
+  // Guards against a limit whose number of permits stops the gateway, or fills its memory.
+  it('do not restrict an endpoint that names more than gateways can send', () => {
+    for (const perSecond of [20_000, 1e9, 1e15, 1e308, Number.POSITIVE_INFINITY]) {
+      const clock = new FakeClock();
+      const limits = createLimits({ clock });
+      limits.recordAnswer(endpoint, { perSecond: 5, text: '5' });
+      limits.recordAnswer(endpoint, { perSecond, text: String(perSecond) });
+      expect(limits.count).to.equal(0);
+      clock.advance(60_000);
+      expect(limits.mayUse(endpoint)).to.equal(true);
+      limits.handleReport('p', [{ incarnation: 'e@1', perSecond, ageMs: 0, demandPerSecond: 1 }]);
+      expect(limits.count).to.equal(0);
+    }
+  });
+
+  it('issue no more permits than are kept, however high the rate is', () => {
+    const clock = new FakeClock();
+    const permits = new PermitIssuer(0, clock);
+    clock.advance(1_000);
+    permits.issue(1e15, 1);
+    expect(permits.available).to.be.within(1, 1_000);
+    clock.advance(100);
+    permits.issue(50, 100);
+    expect(permits.available).to.be.at.least(5);
+  });
+
   it('ask refused callers to return one after the other, not together', () => {
     const clock = new FakeClock();
     const limits = createLimits({ clock });
