Apply the other objects beside one that can't be applied

What callers could see: a gateway that stops following a list (DRAIN, CONFIG) because an error occurs each time that one object is applied.

Cause: an error ended the list or batch at that object, and the feed read the list anew, with the same result.

Evidence: the new test, with one object whose application always fails, failed before: the objects after it were missing and nothing was watched.

--- a/src/gateway/feeds/node/storeFeed.ts
+++ b/src/gateway/feeds/node/storeFeed.ts
@@ -10,10 +10,10 @@
   type StoreOutage,
 } from '../common/feedUpdate.js';
 import { FeedPosition } from '../common/feedPosition.js';
+import type { IFeedSink } from '../common/feedSink.js';
 import {
   HistoryLostError,
   ReadConsistency,
-  type FeedItem,
   type FeedList,
   type IFeedSource,
 } from '../common/feedSource.js';
@@ -24,22 +24,9 @@
   minRetryIntervalMs,
   type FeedTiming,
 } from '../common/feedTiming.js';
+import { ItemApplier } from '../common/itemApplier.js';
 import { FeedRole } from '../common/watcherElection.js';
 
-/** Receives the objects and changes that a feed reads. */
-export interface IFeedSink<T> {
-  /** Called when an object was added or changed. */
-  onItem(value: T): void;
-  /** Called when an object was deleted, or when its current content can't be decoded. */
-  onRemoved(name: string): void;
-  /** Called with the names of all objects after each complete list. */
-  onListed(names: ReadonlySet<string>): void;
-  /** Called when the store stops answering. */
-  onLost(): void;
-  /** Called when the store answers again after a failure. */
-  onRecovered(): void;
-}
-
 /** Time for which a watcher reports an outage of the store to its followers, in milliseconds. */
 const outageReportedForMs = 5_000;
 
@@ -53,7 +40,7 @@
 export class StoreFeed<T> {
   private readonly abortController = new AbortController();
 
-  private readonly decodeErrors = new Map<string, string>();
+  private readonly items: ItemApplier<T>;
 
   private isStoreUnavailable = false;
 
@@ -114,6 +101,7 @@
     this.lastAnswerMs = clock.monotonicMs();
     this.position = new FeedPosition(timing, clock);
     this.batches = new BatchLog(clock);
+    this.items = new ItemApplier(name, sink, logger);
   }
 
   /** Time since the copy was confirmed to be current, in milliseconds. */
@@ -311,8 +299,11 @@
       return;
     }
     this.batches.clear();
-    items.forEach((item) => this.applyItem(item));
+    const failure = this.items.apply(items.map((item) => ({ item, isDeleted: false })));
     this.sink.onListed(new Set(items.map(({ name }) => name)));
+    if (failure) {
+      throw failure;
+    }
   }
 
   /** Applies changes unless the copy includes all of them, or lacks changes before them. */
@@ -321,34 +312,12 @@
     if (revision === undefined || revision < batch.from || revision >= batch.to) {
       return;
     }
-    for (const { item, isDeleted } of batch.events) {
-      if (isDeleted) {
-        this.decodeErrors.delete(item.name);
-        this.sink.onRemoved(item.name);
-      } else {
-        this.applyItem(item);
-      }
-    }
+    const failure = this.items.apply(batch.events);
     this.batches.add(batch);
     this.position.recordChanges(batch.to);
-  }
-
-  private applyItem(item: FeedItem<T>): void {
-    if (item.value !== undefined) {
-      this.decodeErrors.delete(item.name);
-      this.sink.onItem(item.value);
-      return;
-    }
-    const decodeError = item.decodeError ?? 'unknown decoding error';
-    if (this.decodeErrors.get(item.name) !== decodeError) {
-      this.decodeErrors.set(item.name, decodeError);
-      this.logger.log(LogLevel.Warn, 'feed-item-skipped', {
-        feed: this.name,
-        object: item.name,
-        fault: decodeError,
-      });
+    if (failure) {
+      throw failure;
     }
-    this.sink.onRemoved(item.name);
   }
 
   private async handleFailure(reason: string): Promise<void> {
--- a/src/gateway/feeds/test/node/storeFeed.test.ts
+++ b/src/gateway/feeds/test/node/storeFeed.test.ts
@@ -154,4 +154,54 @@
     expect(applied).to.deep.equal(['v0', 'v1']);
     feed.close();
   });
+
+  // Guards against one object that keeps a feed from applying the others, or from following changes.
+  it('applies the other objects beside one that can never be applied, and watches them', async () => {
+    const copy = new Map<string, string>();
+    const clock = new FakeClock();
+    const watches: number[] = [];
+    const noAnswer = new Promise<void>(() => {});
+    const item = (name: string) => ({ name, value: `${name}=1`, decodeError: undefined });
+    const source: IFeedSource<string> = {
+      list: async () => Ok({ revision: 3, newestRevision: 3, items: ['a', 'odd', 'z'].map(item) }),
+      watch: async (revision) => {
+        watches.push(revision);
+        await (revision === 3 ? undefined : noAnswer);
+        return Ok({
+          revision: 4,
+          events: ['odd', 'b'].map((name) => ({ item: item(name), isDeleted: false })),
+        });
+      },
+    };
+    const ignore = () => undefined;
+    const feed = new StoreFeed<string>(
+      'test',
+      source,
+      {
+        onItem: (value) => {
+          if (value.startsWith('odd')) {
+            throw new Error('cannot be applied');
+          }
+          copy.set(value.split('=')[0], value);
+        },
+        onRemoved: ignore,
+        onListed: ignore,
+        onLost: ignore,
+        onRecovered: ignore,
+      },
+      { watchWaitMs: 1_000, batchDelayMs: 0 },
+      clock,
+      { log: ignore },
+    );
+    feed.start();
+    await settle();
+    expect([...copy.keys()]).to.deep.equal(['a', 'z']);
+    for (let round = 0; round < 10; round += 1) {
+      clock.advance(maxRetryIntervalMs);
+      await settle();
+    }
+    expect([...copy.keys()]).to.deep.equal(['a', 'z', 'b']);
+    expect(watches).to.deep.equal([3, 4]);
+    feed.close();
+  });
 });
