Check every number that another process says against a bound

Cause: schemas bounded numbers from below only, and loops and arrays were as long as the numbers said. Updates between gateways were checked less than the store's entries.

Fix: boundedValues.ts and endpointSchema.ts hold the schemas of numbers, times, ports, addresses and layers from entries, reports, updates, peers, configurations and the stored lease. LayerCheck leaves endpoints out whose layers the model of the configuration in force, or their card, can't have. A chain has at least one card. A configuration's engine that can't be planned with is logged, and its requests are refused at once.

--- a/src/entry/placement/node/placementLease.ts
+++ b/src/entry/placement/node/placementLease.ts
@@ -1,4 +1,5 @@
 import type { IClock } from '../../../base/common/clock.js';
+import type { ILogger } from '../../../base/common/logger.js';
 import { LeaseCandidate } from '../../../services/lease/common/lease.js';
 import {
   firstEra,
@@ -20,12 +21,14 @@
  * @param options - Identity of the entry and duration of the lease.
  * @param store - Object store of the platform.
  * @param clock - Source of monotonic time.
+ * @param logger - Receives a stored lease that can't be read.
  * @returns The candidate; the caller steps it.
  */
 export function createPlacementLease(
   options: PlacementLeaseOptions,
   store: IObjectStore & IStoreEra,
   clock: IClock,
+  logger?: ILogger,
 ): LeaseCandidate {
   const { region, incarnation: candidate, durationMs } = options;
   const leaseOptions = {
@@ -36,7 +39,7 @@
       return store.era > firstEra;
     },
   };
-  const lease = new LeaseCandidate(leaseOptions, store, clock, () => store.era);
+  const lease = new LeaseCandidate(leaseOptions, store, clock, () => store.era, logger);
   store.onDidChangeEra(() => lease.handleEraChange());
   return lease;
 }
--- a/src/gateway/admission/common/modelAdmissions.ts
+++ b/src/gateway/admission/common/modelAdmissions.ts
@@ -3,6 +3,7 @@
 import type { EngineProfile } from '../../config/common/configSnapshot.js';
 import { incarnationOf } from '../../directory/common/endpoint.js';
 import type { EndpointDirectory } from '../../directory/common/endpointDirectory.js';
+import type { LayerCheck } from '../../directory/common/layerCheck.js';
 import { CrossDataCentreBudget } from '../../routing/common/crossDataCentreBudget.js';
 import type { EndpointEjections } from '../../routing/common/endpointEjections.js';
 import { PathFinder } from '../../routing/common/pathFinder.js';
@@ -14,6 +15,7 @@
 export interface ModelAdmissionsDependencies {
   readonly config: ConfigHolder;
   readonly directory: EndpointDirectory;
+  readonly layerCheck: LayerCheck;
   readonly permission: ISendPermission;
   /** Endpoints that keep failing. */
   readonly ejections: EndpointEjections;
@@ -41,14 +43,14 @@
     if (existing) {
       return existing;
     }
-    const { config, directory, permission, ejections, ledger, gatewayCount, clock } =
+    const { config, directory, layerCheck, permission, ejections, ledger, gatewayCount, clock } =
       this.dependencies;
     const currentEngine = () => config.current?.config.services.get(service)?.engine ?? engine;
     const created = new ModelAdmission(
       new PathFinder(currentEngine, ledger),
       {
-        usable: () => directory.findUsable(service),
-        accepting: () => directory.findAccepting(service),
+        usable: () => layerCheck.filter(directory.findUsable(service), currentEngine()),
+        accepting: () => layerCheck.filter(directory.findAccepting(service), currentEngine()),
         isConfirmed: (endpoint) => directory.isConfirmed(endpoint),
         isFailing: (endpoint) => ejections.isEjected(incarnationOf(endpoint)),
       },
--- a/src/gateway/config/common/configHolder.ts
+++ b/src/gateway/config/common/configHolder.ts
@@ -45,6 +45,12 @@
       services: config.services.size,
       keys: config.organisationByKey?.size,
     });
+    for (const { name, engineFault } of config.services.values()) {
+      if (engineFault !== undefined) {
+        const fields = { version: config.version, service: name, fault: engineFault };
+        this.logger.log(LogLevel.Error, 'config-engine-invalid', fields);
+      }
+    }
     this.changes.fire(this.currentTable);
     return true;
   }
--- a/src/gateway/config/common/configSnapshot.ts
+++ b/src/gateway/config/common/configSnapshot.ts
@@ -91,6 +91,8 @@
   readonly maxConnections: number;
   /** Engine profile of a model service; undefined for plain services. */
   readonly engine: EngineProfile | undefined;
+  /** Why the engine profile can't be used, so that requests can't be served; undefined if it can. */
+  readonly engineFault?: string;
 }
 
 /** Limits on the requests and connections of callers. */
--- a/src/gateway/feeds/common/feedUpdateWire.ts
+++ b/src/gateway/feeds/common/feedUpdateWire.ts
@@ -1,4 +1,5 @@
 import * as v from 'valibot';
+import { amountSchema, wholeNumberSchema } from '../../../base/common/boundedValues.js';
 import type { FeedUpdate, IUpdateCodec } from './feedUpdate.js';
 import type { FeedEvent } from './feedSource.js';
 
@@ -13,24 +14,21 @@
 /** First element of a message with updates, by which it is told apart from the other messages of peers. */
 const updateMarker = 'feed-update';
 
-const revision = v.pipe(v.number(), v.safeInteger(), v.minValue(0));
-const duration = v.pipe(v.number(), v.finite(), v.minValue(0));
-
 const messageSchema = v.tuple([
   v.literal(updateMarker),
   v.string(),
   v.array(
     v.tuple([
       v.string(),
-      revision,
-      revision,
-      duration,
-      v.nullable(v.tuple([duration, duration])),
+      wholeNumberSchema,
+      wholeNumberSchema,
+      amountSchema,
+      v.nullable(v.tuple([amountSchema, amountSchema])),
       // Batches: from, to, and the events as the object's name, whether it was deleted, and its content.
       v.array(
         v.tuple([
-          revision,
-          revision,
+          wholeNumberSchema,
+          wholeNumberSchema,
           v.array(v.tuple([v.string(), v.boolean(), v.nullable(v.unknown())])),
         ]),
       ),
--- a/src/gateway/feeds/common/updateCodecs.ts
+++ b/src/gateway/feeds/common/updateCodecs.ts
@@ -1,18 +1,24 @@
 import * as v from 'valibot';
-import { EndpointState, type Endpoint } from '../../directory/common/endpoint.js';
-import type { PeerAddress } from '../../peers/common/peerAddress.js';
+import { textSchema } from '../../../base/common/boundedValues.js';
+import type { Endpoint } from '../../directory/common/endpoint.js';
+import {
+  endpointSchemas,
+  layerIndexSchema,
+  toLayerRange,
+} from '../../directory/common/endpointSchema.js';
+import { peerAddressSchemas, type PeerAddress } from '../../peers/common/peerAddress.js';
 import type { IUpdateCodec } from './feedUpdate.js';
 
 const endpointSchema = v.tuple([
   v.string(),
-  v.number(),
-  v.string(),
-  v.string(),
-  v.string(),
-  v.enum(EndpointState),
-  v.number(),
-  v.nullable(v.string()),
-  v.nullable(v.tuple([v.number(), v.number()])),
+  endpointSchemas.startedMs,
+  endpointSchemas.service,
+  endpointSchemas.address,
+  endpointSchemas.dataCentre,
+  endpointSchemas.state,
+  endpointSchemas.slots,
+  v.nullable(endpointSchemas.card),
+  v.nullable(v.tuple([layerIndexSchema, layerIndexSchema])),
 ]);
 
 /** Codec of the endpoints; arrays without field names keep the datagrams small. */
@@ -43,12 +49,12 @@
       state,
       slots,
       card: card ?? undefined,
-      layers: layers ? { from: layers[0], to: layers[1] } : undefined,
+      layers: layers ? toLayerRange(layers[0], layers[1]) : undefined,
     };
   },
 };
 
-const peerSchema = v.tuple([v.string(), v.string(), v.number()]);
+const peerSchema = v.tuple([textSchema, peerAddressSchemas.host, peerAddressSchemas.port]);
 
 /** Codec of the gateways' addresses. */
 export const peerUpdateCodec: IUpdateCodec<PeerAddress> = {
--- a/src/gateway/limits/common/limitReport.ts
+++ b/src/gateway/limits/common/limitReport.ts
@@ -1,4 +1,5 @@
 import * as v from 'valibot';
+import { amountSchema } from '../../../base/common/boundedValues.js';
 
 /** What a gateway tells its peers about the limit of an endpoint. */
 export interface LimitReport {
@@ -11,11 +12,9 @@
   readonly demandPerSecond: number;
 }
 
-const amount = v.pipe(v.number(), v.finite(), v.minValue(0));
-
 /** Format of a report between gateways: no field names, and null in place of a missing limit. */
 export const limitReportSchema = v.pipe(
-  v.tuple([v.string(), v.nullable(amount), amount, amount]),
+  v.tuple([v.string(), v.nullable(amountSchema), amountSchema, amountSchema]),
   v.transform(([incarnation, perSecond, ageMs, demandPerSecond]): LimitReport => ({
     incarnation,
     perSecond: perSecond ?? undefined,
--- a/src/gateway/node/gatewayProgram.ts
+++ b/src/gateway/node/gatewayProgram.ts
@@ -12,6 +12,7 @@
 import { ModelAdmissions } from '../admission/common/modelAdmissions.js';
 import { ConfigHolder } from '../config/common/configHolder.js';
 import type { Endpoint } from '../directory/common/endpoint.js';
+import { LayerCheck } from '../directory/common/layerCheck.js';
 import { EndpointDirectory, Suspicion } from '../directory/common/endpointDirectory.js';
 import { FeedRole } from '../feeds/common/watcherElection.js';
 import { FeedGossip } from '../feeds/node/feedGossip.js';
@@ -80,6 +81,9 @@
  */
 const drainingRetryAfterMs = 50;
 
+/** Delay after which a caller may try a service again whose engine profile is invalid, in milliseconds. */
+const invalidEngineRetryAfterMs = 4_000;
+
 /**
  * Longest delay before this gateway writes again what the store has forgotten, in milliseconds. Spreads
  * the writes of all gateways.
@@ -198,9 +202,11 @@
       maxAnswerBytes: settings.maxAnswerBytes,
       retryBudgetOf: (service) => this.retryBudgets.of(service),
     };
+    const layerCheck = new LayerCheck(logger);
     this.admissions = new ModelAdmissions({
       config: this.config,
       directory: this.directory,
+      layerCheck,
       permission: this.signals,
       ejections: this.engineEjections,
       ledger: this.ledger,
@@ -217,6 +223,7 @@
       platform.store,
       clock,
       () => platform.store.era,
+      logger,
     );
     this.leaseScheduler = new LeaseScheduler(
       this.lease,
@@ -228,6 +235,7 @@
       this.lease,
       this.config,
       this.directory,
+      layerCheck,
       this.ledger,
       platform.control,
       isPaused,
@@ -300,6 +308,7 @@
     this.config.onDidChange(({ config: { version } }) => metrics.configVersion.set(version));
     this.directory.onDidRemove((endpoint) => this.releaseEndpoint(endpoint));
     this.directory.onDidRemove((endpoint) => this.crashProtection.handleRemoval(endpoint));
+    this.directory.onDidRemove((endpoint) => layerCheck.remove(endpoint));
   }
 
   /** Ports of the load balancer's readiness check and of the metrics. */
@@ -397,6 +406,15 @@
       });
       return undefined;
     }
+    if (service?.engineFault !== undefined) {
+      this.dependencies.metrics.refusals.inc({ reason: 'engine-invalid' });
+      caller.refuse({
+        status: RefusalStatus.Unavailable,
+        detail: `the engine profile of ${service.name} is invalid`,
+        retryAfterMs: invalidEngineRetryAfterMs,
+      });
+      return undefined;
+    }
     this.retryBudgets.of(req.service).countRequest();
     this.limits.countRequest(req.service);
     let relay: IRelay;
--- a/src/gateway/peers/common/peerMessage.ts
+++ b/src/gateway/peers/common/peerMessage.ts
@@ -1,4 +1,5 @@
 import * as v from 'valibot';
+import { amountSchema, wholeNumberSchema } from '../../../base/common/boundedValues.js';
 import { suspectRecordSchema } from '../../../services/suspects/common/suspectRecord.js';
 import {
   limitReportSchema,
@@ -36,22 +37,20 @@
   readonly placingTerm: number;
 }
 
-const amount = v.pipe(v.number(), v.minValue(0));
-
 const messageSchema = v.tuple([
   v.string(),
-  v.number(),
-  v.array(v.tuple([v.string(), amount, amount, amount, amount])),
+  wholeNumberSchema,
+  v.array(v.tuple([v.string(), amountSchema, amountSchema, amountSchema, amountSchema])),
   v.array(v.string()),
   v.array(v.string()),
-  v.number(),
+  wholeNumberSchema,
   v.optional(v.array(v.string()), []),
   v.optional(v.array(suspectRecordSchema), []),
   v.optional(v.array(v.string()), []),
   v.optional(v.array(v.string()), []),
   v.optional(v.array(limitReportSchema), []),
   // Start times of the suspects and then of the draining endpoints.
-  v.optional(v.array(v.nullable(v.number())), []),
+  v.optional(v.array(v.nullable(wholeNumberSchema)), []),
 ]);
 
 /**
--- a/src/gateway/placement/common/rangePlanner.ts
+++ b/src/gateway/placement/common/rangePlanner.ts
@@ -378,9 +378,9 @@
   }
 }
 
-/** Returns how many chains fit into the memory of the cards. */
+/** Returns how many chains of at least one card each fit into the memory of the cards. */
 function chainCount(cards: readonly PlacedEndpoint[], chainMb: number): number {
-  return Math.floor(sum(cards.map(({ memoryMb }) => memoryMb)) / chainMb);
+  return Math.min(cards.length, Math.floor(sum(cards.map(({ memoryMb }) => memoryMb)) / chainMb));
 }
 
 function longestRun(
--- a/src/gateway/placement/node/placementLoop.ts
+++ b/src/gateway/placement/node/placementLoop.ts
@@ -11,6 +11,7 @@
   type LayerRange,
 } from '../../directory/common/endpoint.js';
 import type { EndpointDirectory } from '../../directory/common/endpointDirectory.js';
+import type { LayerCheck } from '../../directory/common/layerCheck.js';
 import type { ReservationLedger } from '../../routing/common/reservationLedger.js';
 import {
   OrderRefusal,
@@ -84,6 +85,7 @@
    * @param lease - Lease whose holder may send orders; gives their fencing token.
    * @param config - Holder of the current configuration.
    * @param directory - Known endpoints.
+   * @param layerCheck - Leaves out endpoints that state impossible layers.
    * @param ledger - Active requests of each endpoint.
    * @param control - Reads reports of endpoints and sends them orders.
    * @param isPaused - Whether an endpoint wants nothing of this gateway now; it gets no orders and is asked
@@ -95,6 +97,7 @@
     private readonly lease: LeaseCandidate,
     private readonly config: ConfigHolder,
     private readonly directory: EndpointDirectory,
+    private readonly layerCheck: LayerCheck,
     private readonly ledger: ReservationLedger,
     private readonly control: IEndpointControl,
     private readonly isPaused: (endpoint: Endpoint) => boolean,
@@ -131,8 +134,8 @@
 
   private planService(service: ServiceProfile, engine: EngineProfile, fencingToken: number): void {
     const nowMs = this.clock.monotonicMs();
-    const endpoints = this.directory
-      .findByService(service.name)
+    const endpoints = this.layerCheck
+      .filter(this.directory.findByService(service.name), engine)
       .filter(({ state }) => state === EndpointState.Ready);
     const known = this.endpointCounts.get(service.name);
     const sinceMs = known?.count === endpoints.length ? known.sinceMs : nowMs;
--- a/src/gateway/placement/test/node/placementLoop.test.ts
+++ b/src/gateway/placement/test/node/placementLoop.test.ts
@@ -6,6 +6,7 @@
 import { ConfigHolder } from '../../../config/common/configHolder.js';
 import { configWith, engine } from '../../../config/test/common/fixtures.js';
 import { EndpointState } from '../../../directory/common/endpoint.js';
+import { LayerCheck } from '../../../directory/common/layerCheck.js';
 import { EndpointDirectory } from '../../../directory/common/endpointDirectory.js';
 import {
   EndpointSilentError,
@@ -75,6 +76,7 @@
       lease,
       config,
       directory,
+      new LayerCheck(nullLogger),
       ledger,
       control,
       () => false,
@@ -111,6 +113,7 @@
       { fencingToken: () => 1 } as LeaseCandidate,
       config,
       directory,
+      new LayerCheck(nullLogger),
       new ReservationLedger(clock),
       control,
       () => isPaused,
@@ -149,6 +152,7 @@
       { fencingToken: () => fencingToken } as LeaseCandidate,
       config,
       directory,
+      new LayerCheck(nullLogger),
       new ReservationLedger(clock),
       control,
       () => false,
--- a/src/services/lease/common/lease.ts
+++ b/src/services/lease/common/lease.ts
@@ -1,23 +1,37 @@
+import * as v from 'valibot';
+import { describeIssues, wholeNumberSchema } from '../../../base/common/boundedValues.js';
 import type { IClock } from '../../../base/common/clock.js';
+import { LogLevel, type ILogger } from '../../../base/common/logger.js';
 import {
   absentVersion,
   ObjectKind,
   type IObjectStore,
   type StoredObject,
 } from '../../objects/common/objects.js';
-import { revisionOf } from '../../objects/common/eraTracker.js';
+import { eraOf, revisionOf } from '../../objects/common/eraTracker.js';
 
-/** Stored state of a lease. */
-export interface LeaseRecord {
+/**
+ * Number of terms that an era of the store can hold. A fencing token is a term together with the era, so
+ * that it is higher than every token of an earlier era, although the store may have forgotten terms.
+ */
+const termsPerEra = 2 ** 32;
+
+const leaseSchema = v.object({
   /** Incarnation of the holder; empty after a release. */
-  readonly holder: string;
+  holder: v.string(),
   /** Fencing token of the holder's orders; increases with each change of holder. */
-  readonly term: number;
+  term: v.pipe(wholeNumberSchema, v.maxValue(termsPerEra - 1)),
   /** Increases with each renewal and each change of holder. */
-  readonly renewals: number;
+  renewals: wholeNumberSchema,
   /** Era of the store in which the record was written. */
-  readonly era?: number;
-}
+  era: v.optional(wholeNumberSchema),
+});
+
+/** Stored state of a lease. */
+export type LeaseRecord = Readonly<v.InferOutput<typeof leaseSchema>>;
+
+/** Holder of a lease whose record can't be read; no candidate has this name. */
+const unknownHolder = '?';
 
 /** Identity and timing of a lease candidate. */
 export interface LeaseOptions {
@@ -40,12 +54,6 @@
  */
 const holderExpiryFraction = 0.7;
 
-/**
- * Number of terms that an era of the store can hold. A fencing token is a term together with the era, so
- * that it is higher than every token of an earlier era, although the store may have forgotten terms.
- */
-const termsPerEra = 2 ** 32;
-
 /**
  * Returns the fencing token that stands for a term in an era.
  *
@@ -100,12 +108,14 @@
    * @param store - Object store of the platform.
    * @param clock - Source of time.
    * @param currentEra - Returns the era of the store.
+   * @param logger - Receives a stored record that can't be read.
    */
   constructor(
     private readonly options: LeaseOptions,
     private readonly store: IObjectStore,
     private readonly clock: IClock,
     private readonly currentEra: () => number = () => 0,
+    private readonly logger?: ILogger,
   ) {}
 
   /**
@@ -174,11 +184,11 @@
       await this.write(this.lastWritten, this.lastWritten.value.term, startedMs);
       return;
     }
-    const read = await this.store.get<LeaseRecord>(ObjectKind.Leases, this.options.name);
+    const read = await this.store.get(ObjectKind.Leases, this.options.name);
     if (read.isErr()) {
       return;
     }
-    const stored = read.value;
+    const stored = read.value && this.toLease(read.value);
     if (this.mustReclaim) {
       await this.reclaim(stored, startedMs);
       return;
@@ -207,15 +217,34 @@
 
   /** Releases the lease, so that another candidate can take it without waiting for its expiry. */
   async release(): Promise<void> {
-    const read = await this.store.get<LeaseRecord>(ObjectKind.Leases, this.options.name);
+    const read = await this.store.get(ObjectKind.Leases, this.options.name);
     this.heldTerm = undefined;
     this.lastWritten = undefined;
-    if (read.isOk() && read.value?.value.holder === this.options.candidate) {
-      const { version, value } = read.value;
+    const stored = read.isOk() && read.value ? this.toLease(read.value) : undefined;
+    if (stored?.value.holder === this.options.candidate) {
+      const { version, value } = stored;
       await this.store.put(ObjectKind.Leases, this.options.name, { ...value, holder: '' }, version);
     }
   }
 
+  /**
+   * Validates a stored record. One that can't be read counts as the lease of an unknown holder, whose term
+   * can't exceed the revision of the record.
+   */
+  private toLease(stored: StoredObject): StoredObject<LeaseRecord> {
+    const parsed = v.safeParse(leaseSchema, stored.value);
+    if (parsed.success) {
+      return { ...stored, value: parsed.output };
+    }
+    this.logger?.log(LogLevel.Error, 'lease-invalid', {
+      lease: this.options.name,
+      fault: describeIssues(parsed.issues),
+    });
+    const term = revisionOf(stored.version);
+    const value = { holder: unknownHolder, term, renewals: 0, era: eraOf(stored.version) };
+    return { ...stored, value };
+  }
+
   private get mustWaitIfAbsent(): boolean {
     return this.options.mustWaitIfAbsent ?? false;
   }
--- a/src/services/lease/test/common/lease.test.ts
+++ b/src/services/lease/test/common/lease.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
 import { FakeClock } from '../../../../base/test/common/fakeClock.js';
+import { absentVersion, ObjectKind } from '../../../objects/common/objects.js';
 import { FaultyStore, StoreFault } from '../../../objects/test/common/faultyStore.js';
 import { LeaseCandidate } from '../../common/lease.js';
 
@@ -88,6 +89,27 @@
     );
   });
 
+  // Guards against a fencing token that is no number, which endpoints would refuse or take for the highest.
+  it('takes over a stored lease that cannot be read, under a usable term', async () => {
+    const invalid = [{ holder: 5 }, { holder: 'x', term: 1e308, renewals: 1 }, 'lease', null];
+    for (const record of invalid) {
+      await fc.assert(
+        fc.asyncProperty(fc.scheduler(), async (scheduler) => {
+          const clock = new FakeClock();
+          const store = new FaultyStore(scheduler, []);
+          await scheduler.waitFor(store.put(ObjectKind.Leases, 'l', record, absentVersion));
+          const lease = new LeaseCandidate({ name: 'l', candidate: 'a', durationMs }, store, clock);
+          await scheduler.waitFor(lease.acquireOrRenew());
+          expect(lease.term()).to.equal(undefined);
+          clock.advance(durationMs + 1);
+          await scheduler.waitFor(lease.acquireOrRenew());
+          expect(lease.term()).to.equal(2);
+        }),
+        { seed: 96, numRuns: 5 },
+      );
+    }
+  });
+
   it('lets only one candidate take an abandoned lease, and another take a released lease immediately', async () => {
     await fc.assert(
       fc.asyncProperty(fc.scheduler(), async (scheduler) => {
--- a/src/services/suspects/common/suspectRecord.ts
+++ b/src/services/suspects/common/suspectRecord.ts
@@ -1,4 +1,5 @@
 import * as v from 'valibot';
+import { amountSchema } from '../../../base/common/boundedValues.js';
 
 const ids = v.pipe(v.array(v.string()), v.readonly());
 
@@ -15,7 +16,7 @@
   /** Process that may run the request again; empty if none has claimed it. */
   runner: v.string(),
   /** Wall-clock time of the latest crash or claim, in milliseconds since 1970. */
-  atMs: v.number(),
+  atMs: amountSchema,
 });
 
 /** Record of a request that was running when an endpoint crashed. */
