Count an answer that may be another request's as a possible run

Cause: foreign and unsigned answers to streams weren't counted as possible runs; a refusal without an id was a proof on any connection; a stream was sent to the same first endpoint on the same connection again, where a copy of the refusal has the right id; the connection of a foreign answer to a plain request was kept.

Fix: isAnswerTo decides first: an answer names this request, or none on a connection that has carried no other. All others count as possible runs and close their connection.

--- a/src/gateway/relay/common/dialect.ts
+++ b/src/gateway/relay/common/dialect.ts
@@ -50,6 +50,22 @@
   readonly namedPause: NamedPause | undefined;
 }
 
+/**
+ * Returns whether an answer is certainly the one to a request. On a connection that has carried others, an
+ * endpoint may write a copy of an earlier answer in its place, which only its id tells apart.
+ *
+ * @param requestId - Id of the request.
+ * @param answer - What was read from the answer.
+ * @param isFirstOnConnection - Whether the connection has carried no other request.
+ */
+export function isAnswerTo(
+  requestId: string | undefined,
+  answer: AnswerMetadata,
+  isFirstOnConnection: boolean,
+): boolean {
+  return answer.requestId === undefined ? isFirstOnConnection : answer.requestId === requestId;
+}
+
 /** Rate limit that an endpoint in need names in an answer. */
 export interface NamedLimit {
   /** Requests per second; undefined if the text isn't a rate. */
--- a/src/gateway/relay/node/plainRelay.ts
+++ b/src/gateway/relay/node/plainRelay.ts
@@ -21,6 +21,7 @@
   type IRelay,
 } from '../common/callerRequest.js';
 import type { PlainRouter } from '../../routing/common/plainRouter.js';
+import { isAnswerTo } from '../common/dialect.js';
 import type { RelayContext } from './relayContext.js';
 import { RetryAllowance } from './retryAllowance.js';
 
@@ -202,6 +203,22 @@
     );
   }
 
+  /**
+   * @internal Called with the head of an answer. Its connection is closed if the answer belongs to another
+   * request, since the right one may still come on it.
+   */
+  onHead(send: Send, head: AnswerHead): void {
+    if (this.isFinished || send.isFinished) {
+      return;
+    }
+    const metadata = this.context.dialect.readAnswer(head.status, head.headers);
+    if (!isAnswerTo(this.req.metadata.requestId, metadata, head.isFirstOnConnection)) {
+      send.exchange?.abort();
+      this.finishSend(send);
+      this.handlePossibleRun(send, 'answer to another request');
+    }
+  }
+
   /** @internal Called when a send was answered completely. */
   onAnswer(send: Send, head: AnswerHead, body: Buffer): void {
     if (this.isFinished || send.isFinished) {
@@ -214,10 +231,6 @@
     if (!isPausing) {
       this.router.recordLatency(send.endpoint, clock.monotonicMs() - send.sentAtMs);
     }
-    if (metadata.requestId !== undefined && metadata.requestId !== this.req.metadata.requestId) {
-      this.handlePossibleRun(send, 'answer to another request');
-      return;
-    }
     this.context.signals.recordAnswer(send.endpoint, metadata);
     if (metadata.didNotRun) {
       this.handleNotRun(send, `status ${head.status}`);
@@ -428,6 +441,7 @@
 
   onHead(head: AnswerHead): void {
     this.head = head;
+    this.relay.onHead(this.send, head);
   }
 
   onData(chunk: Buffer): boolean {
--- a/src/gateway/relay/node/streamRelay.ts
+++ b/src/gateway/relay/node/streamRelay.ts
@@ -17,7 +17,7 @@
   type ICallerSink,
   type IRelay,
 } from '../common/callerRequest.js';
-import type { AnswerMetadata } from '../common/dialect.js';
+import { isAnswerTo, type AnswerMetadata } from '../common/dialect.js';
 import type { EventBatch } from '../common/eventSplitter.js';
 import { describePath, SendFailure, suspicionOf } from '../common/sendFailure.js';
 import { PathAcquisition } from './pathAcquisition.js';
@@ -117,6 +117,9 @@
 
   private readonly excludedAddresses = new Set<string>();
 
+  /** Addresses of the first endpoints to which the request was sent. */
+  private readonly sentAddresses = new Set<string>();
+
   private readonly cancelDeadline: CancelTimer;
 
   /**
@@ -454,11 +457,11 @@
       this,
       new BoundedBody(this.context.maxAnswerBytes),
     );
-    this.exchange = sender.send(
-      firstEndpoint.address,
-      { method, target, headers, body, maxIdleMs: maxReuseIdleMs },
-      answerSink,
-    );
+    const { address } = firstEndpoint;
+    // A copy of an earlier answer to this request would bear its id.
+    const maxIdleMs = this.sentAddresses.has(address) ? undefined : maxReuseIdleMs;
+    this.sentAddresses.add(address);
+    this.exchange = sender.send(address, { method, target, headers, body, maxIdleMs }, answerSink);
   }
 
   onHead(sendNumber: number, head: AnswerHead): AnswerKind {
@@ -466,10 +469,8 @@
       return AnswerKind.Ignored;
     }
     const metadata = this.context.dialect.readAnswer(head.status, head.headers);
-    if (metadata.requestId !== undefined && metadata.requestId !== this.requestId) {
-      this.exchange?.abort();
-      this.recordOutcome(true);
-      this.handleFailedSend(SendFailure.Interrupted, 'answer to another request');
+    if (!isAnswerTo(this.requestId, metadata, head.isFirstOnConnection)) {
+      this.abandonAnswer('answer to another request');
       return AnswerKind.Ignored;
     }
     this.context.signals.recordAnswer(this.path.endpoints[0], metadata);
@@ -480,9 +481,7 @@
       return AnswerKind.Failure;
     }
     if (!metadata.hasSignature || metadata.isEncoded) {
-      this.exchange?.abort();
-      this.recordOutcome(true);
-      this.handleFailedSend(SendFailure.Interrupted, 'answer without signature');
+      this.abandonAnswer('answer without signature');
       return AnswerKind.Ignored;
     }
     this.recordPossibleRun();
@@ -491,6 +490,14 @@
     return AnswerKind.Events;
   }
 
+  /** Ends a send whose answer can't be passed on, although the endpoint may run the request. */
+  private abandonAnswer(reason: string): void {
+    this.exchange?.abort();
+    this.recordOutcome(true);
+    this.recordPossibleRun();
+    this.handleFailedSend(SendFailure.Interrupted, reason);
+  }
+
   onEvents(chunk: Buffer): boolean {
     if (this.phase !== Phase.Streaming) {
       return true;
--- a/src/services/exchange/node/endpointSender.ts
+++ b/src/services/exchange/node/endpointSender.ts
@@ -12,8 +12,11 @@
   /** Header names at even indices, each followed by its value. */
   readonly headers: string[];
   readonly body: Buffer | undefined;
-  /** Longest idle time after which a kept-alive connection is reused for it, in milliseconds. */
-  readonly maxIdleMs: number;
+  /**
+   * Longest idle time after which a kept-alive connection is reused for it, in milliseconds; undefined if it
+   * needs a connection that has carried no other request.
+   */
+  readonly maxIdleMs: number | undefined;
 }
 
 /** Status and headers of an endpoint's answer. */
@@ -22,6 +25,8 @@
   readonly headers: HeaderMap;
   /** Header names at even indices, each followed by its value. */
   readonly rawHeaders: readonly string[];
+  /** Whether its connection has carried no other request, so that no earlier answer can have taken its place. */
+  readonly isFirstOnConnection: boolean;
 }
 
 /** Receives the answer to a request, or the error that ended the exchange. */
@@ -71,6 +76,9 @@
 
   idleSinceMs = 0;
 
+  /** Number of requests that were sent on the connection. */
+  requestCount = 0;
+
   /** Whether the endpoint has closed or reset the connection. */
   hasEnded = false;
 
@@ -119,6 +127,7 @@
   /** Adds listeners before the client adds its own, so that `hasEnded` is set when an answer ends. */
   private watch(socket: Socket): void {
     this.gate = new ReadGate(socket);
+    this.requestCount = 0;
     this.hasEnded = false;
     this.failureReason = undefined;
     socket.once('end', () => {
@@ -161,6 +170,7 @@
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
     this.controller = controller;
+    this.connection.requestCount += 1;
     if (this.isFinished) {
       controller.abort(new Error('aborted'));
     }
@@ -175,7 +185,12 @@
     if (!this.isFinished && status >= 200) {
       this.isFramed = hasFraming(headers);
       const raw = (controller.rawHeaders ?? []) as readonly (Buffer | string)[];
-      this.sink.onHead({ status, headers, rawHeaders: raw.map((each) => each.toString('latin1')) });
+      this.sink.onHead({
+        status,
+        headers,
+        rawHeaders: raw.map((each) => each.toString('latin1')),
+        isFirstOnConnection: this.connection.requestCount === 1,
+      });
     }
   }
 
@@ -257,7 +272,10 @@
    */
   send(address: string, req: OutboundRequest, sink: IAnswerSink): IExchange {
     const openConnections = this.connectionsTo(address);
-    const idleConnection = this.lastUsedIdleConnection(openConnections, req.maxIdleMs);
+    const idleConnection =
+      req.maxIdleMs === undefined
+        ? undefined
+        : this.lastUsedIdleConnection(openConnections, req.maxIdleMs);
     if (idleConnection === undefined && openConnections.size >= this.maxConnections) {
       queueMicrotask(() => sink.onError('too many connections', false));
       return { resume: () => undefined, abort: () => undefined };
