Pass on only answers that continue a stream that broke off

Cause: a resumed run was checked for its signature and id, but not whether it goes on with what the caller has. Error statuses never leaked.

Evidence: of 26 answers in place of the rest of a stream, seven leaked on the code before: 204, 206, another media type, text or a head in place of an event, an unnumbered event, and the stream from its first event.

Fix: after a stream has begun, the next answer must have the same status and media type, and its first event a higher id than the last one. Else the endpoint is left out and the stream goes on elsewhere or ends incomplete.

Measured: brokenOffStreams.test.ts failed in three of its four tests before and passes; 59 tests of streams pass.

--- a/src/gateway/relay/common/eventSplitter.ts
+++ b/src/gateway/relay/common/eventSplitter.ts
@@ -2,6 +2,8 @@
 export interface EventBatch {
   /** Complete events and comments, including the blank lines that end them. */
   readonly bytes: Buffer;
+  /** Id of the first event; undefined if it has none, or if there are only comments. */
+  readonly firstId: string | undefined;
   /** Id of the last event that has one. */
   readonly lastId: string | undefined;
   /** Number of events; 0 if there are only comments. */
@@ -79,14 +81,19 @@
     const bytes = this.rest.length > 0 ? Buffer.concat([this.rest, chunk]) : chunk;
     let start = 0;
     let count = 0;
+    let firstId: string | undefined;
     let lastId: string | undefined;
     for (let end = endOfEvent(bytes, 0); end >= 0; end = endOfEvent(bytes, end)) {
       const block = bytes.subarray(start, end);
-      lastId = idOf(block) ?? lastId;
-      count += isComment(block) ? 0 : 1;
+      if (!isComment(block)) {
+        const id = idOf(block);
+        firstId = count === 0 ? id : firstId;
+        lastId = id ?? lastId;
+        count += 1;
+      }
       start = end;
     }
     this.rest = bytes.subarray(start);
-    return start > 0 ? { bytes: bytes.subarray(0, start), lastId, count } : undefined;
+    return start > 0 ? { bytes: bytes.subarray(0, start), firstId, lastId, count } : undefined;
   }
 }
--- a/src/gateway/relay/node/streamAnswer.ts
+++ b/src/gateway/relay/node/streamAnswer.ts
@@ -2,6 +2,7 @@
 import type { IDialect } from '../common/dialect.js';
 import { EventSplitter, type EventBatch } from '../common/eventSplitter.js';
 import { StreamProgress } from '../common/streamProgress.js';
+import type { HeaderMap } from '../../../services/exchange/common/headerMap.js';
 import type { AnswerHead } from '../../../services/exchange/node/endpointSender.js';
 
 /** Answer to the caller of a stream: the events of its runs, one run after the other. */
@@ -13,11 +14,17 @@
 
   private wasBegun = false;
 
-  /** Head of the current run's answer, passed on with its first event; a failure before it gets a status. */
+  /**
+   * Head that the caller got or, until then, that of the current run's answer. It is passed on with the first
+   * event; a failure before it gets a status.
+   */
   private head: AnswerHead | undefined;
 
   private lastId: string | undefined;
 
+  /** Whether the current run must go on where an earlier one ended, and has sent no event yet. */
+  private isAtSeam = false;
+
   /** Comments of the current run before its first event. */
   private heldComments: Buffer[] = [];
 
@@ -58,10 +65,39 @@
   /** Called when a run starts. */
   beginRun(): void {
     this.progress.beginRun();
+    this.isAtSeam = this.wasBegun;
     this.splitter = new EventSplitter();
     this.heldComments = [];
   }
 
+  /**
+   * Returns whether the body of an answer may be passed on after what the caller has got: its head must be of
+   * the same kind as the one that the caller got.
+   *
+   * @param next - Status and headers of the current run's answer.
+   */
+  mayContinueWith(next: AnswerHead): boolean {
+    if (!this.wasBegun || this.head === undefined) {
+      return true;
+    }
+    const types = [this.head, next].map(({ headers }) => mediaTypeOf(headers));
+    const isSameType = types.includes(undefined) || types[0] === types[1];
+    return next.status === this.head.status && isSameType;
+  }
+
+  /**
+   * Returns whether events follow those that the caller has got, as far as their ids tell.
+   *
+   * @param batch - Complete events of the current run.
+   */
+  isContinuedBy({ count, firstId }: EventBatch): boolean {
+    const lastNumber = Number(this.lastId);
+    if (!this.isAtSeam || count === 0 || this.lastId === undefined || Number.isNaN(lastNumber)) {
+      return true;
+    }
+    return firstId !== undefined && Number(firstId) > lastNumber;
+  }
+
   /**
    * Keeps the head of the current run's answer until its first event.
    *
@@ -69,7 +105,7 @@
    * @param nowMs - Monotonic time, in milliseconds.
    */
   keepHead(head: AnswerHead, nowMs: number): void {
-    this.head = head;
+    this.head = this.wasBegun ? this.head : head;
     this.progress.recordSign(nowMs);
   }
 
@@ -93,6 +129,7 @@
   write(batch: EventBatch, nowMs: number): boolean {
     this.progress.recordEvents(batch.count, nowMs);
     this.lastId = batch.lastId ?? this.lastId;
+    this.isAtSeam = false;
     this.begin();
     return this.caller.write(batch.bytes);
   }
@@ -127,3 +164,9 @@
     }
   }
 }
+
+/** Returns the media type of an answer without its parameters, in lower case. */
+function mediaTypeOf(headers: HeaderMap): string | undefined {
+  const type = headers['content-type'];
+  return typeof type === 'string' ? type.split(';')[0].trim().toLowerCase() : undefined;
+}
--- a/src/gateway/relay/node/streamRelay.ts
+++ b/src/gateway/relay/node/streamRelay.ts
@@ -484,6 +484,10 @@
       this.abandonAnswer('answer without signature');
       return AnswerKind.Ignored;
     }
+    if (!this.answer.mayContinueWith(head)) {
+      this.rejectContinuation(`answer of another kind: status ${head.status}`);
+      return AnswerKind.Ignored;
+    }
     this.recordPossibleRun();
     this.phase = Phase.Streaming;
     this.answer.keepHead(head, this.context.clock.monotonicMs());
@@ -498,6 +502,15 @@
     this.handleFailedSend(SendFailure.Interrupted, reason);
   }
 
+  /** Ends a send whose answer doesn't go on where the caller's stream broke off. */
+  private rejectContinuation(reason: string): void {
+    const { firstAddress } = this;
+    if (firstAddress !== undefined) {
+      this.excludedAddresses.add(firstAddress);
+    }
+    this.abandonAnswer(reason);
+  }
+
   onEvents(chunk: Buffer): boolean {
     if (this.phase !== Phase.Streaming) {
       return true;
@@ -510,6 +523,10 @@
     if (batch === undefined) {
       return true;
     }
+    if (!this.answer.isContinuedBy(batch)) {
+      this.rejectContinuation(`event ${batch.firstId} after ${this.answer.lastEventId}`);
+      return true;
+    }
     const isCallerReady =
       batch.count > 0 ? this.passEvents(batch) : this.answer.writeComments(batch.bytes);
     if (!isCallerReady && !this.isAwaitingDrain) {
