Run a stream at no more endpoints than its route allows

Cause: a constant allowed two endpoints whatever the route says, so that a stream could be resumed.

Evidence: stream-sent send=2 with another first endpoint.

Fix: the route's number holds. An endpoint whose connection broke is no longer left out if the stream may run nowhere else, so such a stream goes on where it ran.

--- a/src/gateway/relay/node/streamRelay.ts
+++ b/src/gateway/relay/node/streamRelay.ts
@@ -48,12 +48,6 @@
 /** Maximum number of times that one request is sent, even if its route allows more endpoints. */
 const maxSends = 4;
 
-/**
- * Number of endpoints at which a stream may run even if its route allows fewer, so that it can resume
- * after an interruption.
- */
-const minRunEndpoints = 2;
-
 /** Minimum time before the deadline for a request to be sent again, in milliseconds. */
 const minRemainingMs = 300;
 
@@ -117,6 +111,9 @@
 
   private readonly excludedAddresses = new Set<string>();
 
+  /** Addresses of first endpoints whose connection broke. */
+  private readonly brokenAddresses = new Set<string>();
+
   /** Addresses of the first endpoints to which the request was sent. */
   private readonly sentAddresses = new Set<string>();
 
@@ -383,6 +380,7 @@
       reservedTokens: promptTokens + reservedAnswerShare * expected,
       excludedAddresses: new Set([
         ...this.excludedAddresses,
+        ...this.avoidedBrokenAddresses,
         ...this.run.avoidedAddresses,
         ...(avoidedAddress === undefined ? [] : [avoidedAddress]),
       ]),
@@ -390,6 +388,11 @@
     };
   }
 
+  /** Endpoints whose connection broke, unless the request may run nowhere else. */
+  private get avoidedBrokenAddresses(): Iterable<string> {
+    return this.hasOnlyEndpoint ? [] : this.brokenAddresses;
+  }
+
   /** Asks for a run; the request is sent once it is admitted and a path is reserved. */
   private requestRun(isResumed: boolean): void {
     this.phase = Phase.Waiting;
@@ -415,7 +418,7 @@
       objectiveMs: this.req.route.objectiveMs,
       maxWaitMs: Math.min(remainingMs, isResumed ? maxResumeWaitMs : maxWaitMs),
       isResumed,
-      waitsForPath: this.answer.hasBegun,
+      waitsForPath: this.answer.hasBegun || this.hasOnlyEndpoint,
     });
     if (outcome?.isOk()) {
       this.send(outcome.value);
@@ -619,7 +622,7 @@
       } else {
         this.context.directory.suspect(address, Suspicion.Silent, reason, startedMs);
       }
-      this.excludedAddresses.add(address);
+      this.brokenAddresses.add(address);
     }
     if (wasSent && this.phase === Phase.Sent) {
       this.recordPossibleRun();
@@ -676,7 +679,12 @@
 
   /** Whether the route allows the request to run at one more endpoint. */
   private get mayRunElsewhere(): boolean {
-    return this.possibleRunAddresses.size < Math.max(minRunEndpoints, this.req.route.maxAttempts);
+    return this.possibleRunAddresses.size < Math.max(1, this.req.route.maxAttempts);
+  }
+
+  /** Whether the request may run again, but only at the endpoint that may have run it already. */
+  private get hasOnlyEndpoint(): boolean {
+    return this.possibleRunAddresses.size === 1 && !this.mayRunElsewhere;
   }
 
   /** Records that the request may have run at the first endpoint of the current path. */
