--- a/soak/common/records.ts
+++ b/soak/common/records.ts
@@ -136,6 +136,12 @@
   EndpointResetsUnframed = 'resetting-unframed-answers',
   EndpointAnswersWithoutEnd = 'answering-without-end',
   EndpointAnswersWrongRequest = 'misanswering',
+  /** An endpoint refuses some requests, and writes its refusals once more before later answers. */
+  EndpointRepeatsRefusals = 'repeating-refusals',
+  /** Another writer leaves entries that no endpoint writes. */
+  OddEntries = 'odd-entries',
+  /** Pages of lists that may lag show an older state, and followers of the watchers have to read some. */
+  OldPages = 'old-pages',
   AddKey = 'add-key',
   RevokeKey = 'revoke-key',
   GrowConfig = 'grow-config',
--- a/soak/node/faultInjector.ts
+++ b/soak/node/faultInjector.ts
@@ -80,6 +80,7 @@
   [FaultKind.EndpointResetsUnframed]: Behaviour.ResetAfterWhole,
   [FaultKind.EndpointAnswersWithoutEnd]: Behaviour.AnswerWithoutEnd,
   [FaultKind.EndpointAnswersWrongRequest]: Behaviour.AnswerWrongRequest,
+  [FaultKind.EndpointRepeatsRefusals]: Behaviour.ShedAndRepeat,
 };
 
 /** Injects planned faults from outside the gateways and records when each was in effect. */
@@ -139,6 +140,12 @@
       );
     } else if (kind === FaultKind.StoreComesBackOlder) {
       await this.runExclusively(kind, 'store', 'store', () => this.drillStore(durationMs));
+    } else if (kind === FaultKind.OddEntries) {
+      await this.runExclusively(kind, 'entries', 'odd entries', () => this.leaveOddEntries(fault));
+    } else if (kind === FaultKind.OldPages) {
+      await this.runExclusively(kind, 'entries', 'old pages', () =>
+        this.fleet.showOldPages(durationMs),
+      );
     } else if (kind === FaultKind.CrashingRequest) {
       await this.runExclusively(kind, 'endpoints', 'crashing request', () =>
         this.sendCrashingRequest(fault),
@@ -208,6 +215,13 @@
     }
   }
 
+  private async leaveOddEntries({ startOffsetMs, durationMs }: PlannedFault): Promise<void> {
+    const prefix = `odd-${startOffsetMs}`;
+    this.fleet.writeOddEntries(prefix);
+    await sleep(durationMs);
+    this.fleet.removeOddEntries(prefix);
+  }
+
   private async drillStore(durationMs: number): Promise<void> {
     const copy = this.fleet.store.copy();
     await sleep(durationMs);
--- a/soak/node/soakFleet.ts
+++ b/soak/node/soakFleet.ts
@@ -7,6 +7,7 @@
   observedArrivals,
   observedRuns,
   removeReplica,
+  writeEntry,
   sharedParts,
   writeConfig,
   type ObservedArrival,
@@ -15,6 +16,7 @@
 import { ProcessGroup, type RunningProcess } from '../../src/bench/node/processes.js';
 import { FaultProxy } from '../../src/bench/node/faultProxy.js';
 import { SeededRandom } from '../../src/base/common/random.js';
+import { maxEventsPerMessage } from '../../src/gateway/feeds/common/batchLog.js';
 import { crashingPrefix, retryBudget } from '../common/checkers.js';
 import {
   RequestKind,
@@ -23,6 +25,7 @@
   type OrderRecord,
 } from '../common/records.js';
 import { longRouteTimeoutMs, shutdownGraceMs } from '../common/timeLimits.js';
+import { oddEntries } from './oddEntries.js';
 
 const dataCentres = ['a', 'b', 'c'];
 
@@ -61,6 +64,22 @@
 /** Time for which it is down if a part of the prompt has crashed it, in milliseconds. */
 const partCrashDownMs = 2_000;
 
+/** Objects in a page of a list while pages show states of different ages. */
+const smallPageSize = 8;
+
+/** Time for which old pages are shown after more changes than an update holds, in milliseconds. */
+const oldPagesMs = 1_500;
+
+/** Entry of an endpoint of a service that no route uses. */
+const idleEntry = {
+  service: 'idle',
+  addr: '127.0.0.1:9',
+  zone: 'a',
+  slots: 1,
+  state: 'ready',
+  born: 1,
+};
+
 /** First characters of the ids of parts of prompts that crash endpoints. */
 export const crashingPartPrefix = 'dead';
 
@@ -330,6 +349,38 @@
     }
   }
 
+  /** Writes entries of endpoints that don't exist, each with something that no endpoint writes. */
+  writeOddEntries(prefix: string): void {
+    oddEntries().forEach((entry, index) => writeEntry(this.store, `${prefix}-${index}`, entry));
+  }
+
+  /** Removes the entries that {@link writeOddEntries} wrote. */
+  removeOddEntries(prefix: string): void {
+    oddEntries().forEach((_entry, index) => removeReplica(this.store, `${prefix}-${index}`));
+  }
+
+  /**
+   * Lets lists that may lag show pages of different ages for a time, and writes more changes meanwhile than
+   * an update between gateways holds, so that those which follow the watchers read a list.
+   */
+  async showOldPages(durationMs: number): Promise<void> {
+    const { store } = this;
+    const { pageSize } = store;
+    store.laggingCopy = store.copy();
+    store.isFirstPageCurrent = true;
+    store.pageSize = smallPageSize;
+    await sleep(durationMs);
+    const names = Array.from(
+      { length: maxEventsPerMessage + 1 },
+      (_unused, index) => `idle-${index}`,
+    );
+    names.forEach((name) => writeEntry(store, name, idleEntry));
+    await sleep(oldPagesMs);
+    store.laggingCopy = undefined;
+    store.pageSize = pageSize;
+    names.forEach((name) => removeReplica(store, name));
+  }
+
   /** Lets an endpoint say in its answers that it leaves, then replaces it by one with a new name. */
   async sayLeaving(endpoint: SoakEndpoint, durationMs: number): Promise<void> {
     const { replica } = endpoint;
--- a/soak/test/soak.test.ts
+++ b/soak/test/soak.test.ts
@@ -25,6 +25,17 @@
   FaultKind.GrowConfig,
 ];
 
+/** What other writers, the store's pages and endpoints' refusals may do, beside what shows a stale copy. */
+const misleadingKinds = [
+  FaultKind.OddEntries,
+  FaultKind.OldPages,
+  FaultKind.EndpointRepeatsRefusals,
+  FaultKind.SilenceStoreLink,
+  FaultKind.RemoveEndpointEntry,
+  FaultKind.RevokeKey,
+  FaultKind.StopGateway,
+];
+
 async function expectNoViolation(options: SoakOptions): Promise<void> {
   const report = await runSoak(options);
   const violated = Object.entries(report.violations).filter(([, { length }]) => length > 0);
@@ -39,6 +50,15 @@
   it('finds no violated guarantee beside crashing parts, silent seconds and unframed answers', () =>
     expectNoViolation({ seed: 3775, seconds: 5, gateways: 2, callers: 2, kinds }));
 
+  it('finds no violated guarantee beside odd entries, old pages and refusals written again', () =>
+    expectNoViolation({
+      seed: 51001,
+      seconds: 6,
+      gateways: 4,
+      callers: 2,
+      kinds: misleadingKinds,
+    }));
+
   it('finds no whole request without an answer around planned work beside silent endpoints', () =>
     expectNoViolation({
       seed: 20413,
--- a/src/gateway/feeds/test/node/storeFeed.test.ts
+++ b/src/gateway/feeds/test/node/storeFeed.test.ts
@@ -2,10 +2,22 @@
 import { Err, Ok } from 'ts-results-es';
 import { FakeClock } from '../../../../base/test/common/fakeClock.js';
 import { PlatformUnavailableError } from '../../../../services/objects/common/objects.js';
+import type { IFeedSink } from '../../common/feedSink.js';
 import type { IFeedSource } from '../../common/feedSource.js';
 import { maxRetryIntervalMs, minRetryIntervalMs } from '../../common/feedTiming.js';
 import { StoreFeed } from '../../node/storeFeed.js';
 
+const ignore = () => undefined;
+
+/** Sink that ignores all but the objects. */
+const sinkOf = (onItem: (value: string) => void): IFeedSink<string> => ({
+  onItem,
+  onRemoved: ignore,
+  onListed: ignore,
+  onLost: ignore,
+  onRecovered: ignore,
+});
+
 /** Lets all promises that can settle do so. */
 function settle(): Promise<void> {
   return new Promise((resolve) => {
@@ -28,11 +40,10 @@
       return Err(new PlatformUnavailableError('no answer'));
     };
     const source: IFeedSource<string> = { list: fail, watch: fail };
-    const ignore = () => undefined;
     feed = new StoreFeed<string>(
       'test',
       source,
-      { onItem: ignore, onRemoved: ignore, onListed: ignore, onLost: ignore, onRecovered: ignore },
+      sinkOf(ignore),
       { watchWaitMs: 1_000, batchDelayMs: 0 },
       clock,
       { log: ignore },
@@ -96,11 +107,10 @@
         return Ok({ revision: 5, events: [] });
       },
     };
-    const ignore = () => undefined;
     const feed = new StoreFeed<string>(
       'test',
       source,
-      { onItem: ignore, onRemoved: ignore, onListed: ignore, onLost: ignore, onRecovered: ignore },
+      sinkOf(ignore),
       { watchWaitMs: 1_000, batchDelayMs: 0 },
       new FakeClock(),
       { log: ignore },
@@ -127,22 +137,15 @@
         return Ok({ revision: 3, events: [] });
       },
     };
-    const ignore = () => undefined;
     const feed = new StoreFeed<string>(
       'test',
       source,
-      {
-        onItem: (value) => {
-          applied.push(value);
-          if (applied.length === 1) {
-            throw new Error('cannot be applied');
-          }
-        },
-        onRemoved: ignore,
-        onListed: ignore,
-        onLost: ignore,
-        onRecovered: ignore,
-      },
+      sinkOf((value) => {
+        applied.push(value);
+        if (applied.length === 1) {
+          throw new Error('cannot be applied');
+        }
+      }),
       { watchWaitMs: 1_000, batchDelayMs: 0 },
       clock,
       { log: ignore },
@@ -173,22 +176,15 @@
         });
       },
     };
-    const ignore = () => undefined;
     const feed = new StoreFeed<string>(
       'test',
       source,
-      {
-        onItem: (value) => {
-          if (value.startsWith('odd')) {
-            throw new Error('cannot be applied');
-          }
-          copy.set(value.split('=')[0], value);
-        },
-        onRemoved: ignore,
-        onListed: ignore,
-        onLost: ignore,
-        onRecovered: ignore,
-      },
+      sinkOf((value) => {
+        if (value.startsWith('odd')) {
+          throw new Error('cannot be applied');
+        }
+        copy.set(value.split('=')[0], value);
+      }),
       { watchWaitMs: 1_000, batchDelayMs: 0 },
       clock,
       { log: ignore },
--- a/src/gateway/relay/node/streamRelay.ts
+++ b/src/gateway/relay/node/streamRelay.ts
@@ -20,6 +20,7 @@
 import { isAnswerTo, type AnswerMetadata } from '../common/dialect.js';
 import type { EventBatch } from '../common/eventSplitter.js';
 import { describePath, SendFailure, suspicionOf } from '../common/sendFailure.js';
+import { SendHistory } from '../common/sendHistory.js';
 import { PathAcquisition } from './pathAcquisition.js';
 import type { RelayContext } from './relayContext.js';
 import { RetryAllowance } from './retryAllowance.js';
@@ -99,24 +100,12 @@
 
   private sendCount = 0;
 
-  /**
-   * Addresses of the first endpoints of paths on which the request may have run; the route limits
-   * their number.
-   */
-  private readonly possibleRunAddresses = new Set<string>();
+  private readonly history: SendHistory;
 
   private readonly retry: RetryAllowance;
 
   private sentAtMs = 0;
 
-  private readonly excludedAddresses = new Set<string>();
-
-  /** Addresses of first endpoints whose connection broke. */
-  private readonly brokenAddresses = new Set<string>();
-
-  /** Addresses of the first endpoints to which the request was sent. */
-  private readonly sentAddresses = new Set<string>();
-
   private readonly cancelDeadline: CancelTimer;
 
   /**
@@ -136,6 +125,7 @@
     private readonly onDidFinish: (relay: StreamRelay) => void,
   ) {
     this.answer = new StreamAnswer(req, caller, context.dialect);
+    this.history = new SendHistory(req.route.maxAttempts);
     this.path = new RunPath(context.ledger);
     this.acquisition = new PathAcquisition(admission, context.ledger);
     this.retry = new RetryAllowance(req.service, context);
@@ -297,7 +287,7 @@
   /** Aborts the current send because an endpoint of its path is gone, and resumes elsewhere if possible. */
   private abandonSend(address: string): void {
     this.recordPossibleRun();
-    this.excludedAddresses.add(address);
+    this.history.exclude(address);
     this.exchange?.abort();
     this.handleFailedSend(SendFailure.EndpointSilent, `gone ${address}`);
   }
@@ -343,7 +333,7 @@
       return;
     }
     metrics.retries.inc({ reason: SendFailure.EndpointSilent });
-    this.excludedAddresses.add(address);
+    this.history.exclude(address);
     this.exchange?.abort();
     this.exchange = undefined;
     this.run.recordLoss(this.path.endpoints, false);
@@ -379,20 +369,14 @@
       promptTokens,
       reservedTokens: promptTokens + reservedAnswerShare * expected,
       excludedAddresses: new Set([
-        ...this.excludedAddresses,
-        ...this.avoidedBrokenAddresses,
+        ...this.history.avoidedAddresses,
         ...this.run.avoidedAddresses,
         ...(avoidedAddress === undefined ? [] : [avoidedAddress]),
       ]),
-      allowedFirstAddresses: this.mayRunElsewhere ? undefined : this.possibleRunAddresses,
+      allowedFirstAddresses: this.history.allowedAddresses,
     };
   }
 
-  /** Endpoints whose connection broke, unless the request may run nowhere else. */
-  private get avoidedBrokenAddresses(): Iterable<string> {
-    return this.hasOnlyEndpoint ? [] : this.brokenAddresses;
-  }
-
   /** Asks for a run; the request is sent once it is admitted and a path is reserved. */
   private requestRun(isResumed: boolean): void {
     this.phase = Phase.Waiting;
@@ -418,7 +402,7 @@
       objectiveMs: this.req.route.objectiveMs,
       maxWaitMs: Math.min(remainingMs, isResumed ? maxResumeWaitMs : maxWaitMs),
       isResumed,
-      waitsForPath: this.answer.hasBegun || this.hasOnlyEndpoint,
+      waitsForPath: this.answer.hasBegun || this.history.hasOnlyEndpoint,
     });
     if (outcome?.isOk()) {
       this.send(outcome.value);
@@ -462,8 +446,7 @@
     );
     const { address } = firstEndpoint;
     // A copy of an earlier answer to this request would bear its id.
-    const maxIdleMs = this.sentAddresses.has(address) ? undefined : maxReuseIdleMs;
-    this.sentAddresses.add(address);
+    const maxIdleMs = this.history.recordSend(address) ? maxReuseIdleMs : undefined;
     this.exchange = sender.send(address, { method, target, headers, body, maxIdleMs }, answerSink);
   }
 
@@ -509,7 +492,7 @@
   private rejectContinuation(reason: string): void {
     const { firstAddress } = this;
     if (firstAddress !== undefined) {
-      this.excludedAddresses.add(firstAddress);
+      this.history.exclude(firstAddress);
     }
     this.abandonAnswer(reason);
   }
@@ -590,7 +573,7 @@
       this.answer.hasBegun ||
       // The caller would take the status for a proof that the request was not run.
       notRunStatuses.has(head.status) ||
-      (head.status >= 500 && this.req.route.isResumable && this.mayRunElsewhere)
+      (head.status >= 500 && this.req.route.isResumable && this.history.mayRunElsewhere)
     ) {
       this.handleFailedSend(SendFailure.Interrupted, `status ${head.status}`);
       return;
@@ -622,7 +605,7 @@
       } else {
         this.context.directory.suspect(address, Suspicion.Silent, reason, startedMs);
       }
-      this.brokenAddresses.add(address);
+      this.history.recordBreak(address);
     }
     if (wasSent && this.phase === Phase.Sent) {
       this.recordPossibleRun();
@@ -637,7 +620,7 @@
     this.run.recordAnswer();
     const { firstAddress } = this;
     if (firstAddress !== undefined) {
-      this.excludedAddresses.add(firstAddress);
+      this.history.exclude(firstAddress);
     }
     this.handleFailedSend(SendFailure.Interrupted, reason);
   }
@@ -652,7 +635,7 @@
       if (!isPaused && kind === Suspicion.Silent) {
         this.run.recordLoss(endpoint ? [endpoint] : [], false);
       }
-      this.excludedAddresses.add(address);
+      this.history.exclude(address);
       this.path.release();
       const isWithinLimits =
         metadata.namedLimit !== undefined && metadata.faultAddress === undefined;
@@ -677,21 +660,11 @@
     }
   }
 
-  /** Whether the route allows the request to run at one more endpoint. */
-  private get mayRunElsewhere(): boolean {
-    return this.possibleRunAddresses.size < Math.max(1, this.req.route.maxAttempts);
-  }
-
-  /** Whether the request may run again, but only at the endpoint that may have run it already. */
-  private get hasOnlyEndpoint(): boolean {
-    return this.possibleRunAddresses.size === 1 && !this.mayRunElsewhere;
-  }
-
   /** Records that the request may have run at the first endpoint of the current path. */
   private recordPossibleRun(): void {
     const firstAddress = this.path.firstStage?.endpoint.address;
     if (firstAddress !== undefined) {
-      this.possibleRunAddresses.add(firstAddress);
+      this.history.recordPossibleRun(firstAddress);
     }
   }
 
@@ -735,7 +708,7 @@
 
   private retryRun(failure: SendFailure): void {
     this.context.metrics.retries.inc({ reason: failure });
-    this.requestRun(this.answer.hasBegun || this.possibleRunAddresses.size > 0);
+    this.requestRun(this.answer.hasBegun || this.history.mayHaveRun);
   }
 
   /** Resumes an answer that has begun once the budget has a retry; its caller waits for a while. */
@@ -769,7 +742,7 @@
       this.finish(`broken: ${reason}`, 0);
       return;
     }
-    const hasRun = this.possibleRunAddresses.size > 0;
+    const hasRun = this.history.mayHaveRun;
     const status = hasRun ? RefusalStatus.BadGateway : RefusalStatus.Unavailable;
     this.caller.refuse({ status, detail, ...(hasRun ? {} : { retryAfterMs }) });
     this.finish(`refused: ${reason}`, status);
@@ -785,7 +758,7 @@
     if (this.answer.hasBegun) {
       this.caller.abort();
     } else {
-      const isWaiting = this.phase === Phase.Waiting && this.possibleRunAddresses.size === 0;
+      const isWaiting = this.phase === Phase.Waiting && !this.history.mayHaveRun;
       this.caller.refuse({
         status: isWaiting ? RefusalStatus.Unavailable : RefusalStatus.Timeout,
         detail: 'no complete answer in time',
