Show what answers make a gateway hold, and how late its timers are

The hypotheses of the incident (cost per piece, no bound on the sum, readers without turns) could not be told apart: neither bytes and pieces of answers nor the delay of the event loop were visible. Gauges ibisspar_answer_use, histogram ibisspar_timer_delay_ms, log line event-loop-late.

--- a/src/agent/node/httpPlainService.ts
+++ b/src/agent/node/httpPlainService.ts
@@ -1,6 +1,7 @@
 import { Err, Ok, type Result } from 'ts-results-es';
 import type { IClock, ITimers } from '../../base/common/clock.js';
 import { Emitter } from '../../base/common/event.js';
+import { HeldAnswers } from '../../services/exchange/common/heldAnswers.js';
 import { BoundedBody } from '../../services/exchange/common/boundedBody.js';
 import type { HeaderMap } from '../../services/exchange/common/headerMap.js';
 import {
@@ -45,13 +46,15 @@
 
   /**
    * @param maxBytes - Maximum size of the body, in bytes.
+   * @param held - Counts what is kept.
    * @param onOversized - Called with an error message if the body is larger.
    */
   constructor(
     private readonly maxBytes: number,
+    held: HeldAnswers,
     private readonly onOversized: (reason: string) => void,
   ) {
-    this.body = new BoundedBody(maxBytes);
+    this.body = new BoundedBody(maxBytes, held);
   }
 
   onHead(head: AnswerHead): void {
@@ -69,11 +72,13 @@
     if (this.head) {
       const { status, headers } = this.head;
       const body = new Uint8Array(this.body.toBuffer());
+      this.body.close();
       this.settle(Ok({ status, headers: endToEndHeaders(headers), body }));
     }
   }
 
   onError(reason: string, wasSent: boolean): void {
+    this.body.close();
     const run = wasSent ? RunState.Unknown : RunState.NotRun;
     this.settle(Err(new ServiceCallError(reason, run)));
   }
@@ -87,6 +92,8 @@
 
   private readonly basePath: string;
 
+  private readonly held = new HeldAnswers();
+
   private readonly failedCalls = new Emitter<FailedCall>();
 
   /** Fires for each call without a whole answer, unless it was cancelled. */
@@ -118,7 +125,7 @@
     }
     const { method, path, remainingMs } = message;
     const body = message.body.length > 0 ? Buffer.from(message.body) : undefined;
-    const sink = new ServiceAnswerSink(this.maxAnswerBytes, (reason) => giveUp(reason));
+    const sink = new ServiceAnswerSink(this.maxAnswerBytes, this.held, (reason) => giveUp(reason));
     const exchange = this.send(method, path, message.headers.flat(), body, sink);
     function giveUp(reason: string): void {
       exchange.abort();
--- a/src/gateway/node/gatewayMetrics.ts
+++ b/src/gateway/node/gatewayMetrics.ts
@@ -1,4 +1,5 @@
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+import type { HeldAnswers } from '../../services/exchange/common/heldAnswers.js';
 import { IntakeCut } from '../../services/intake/common/intakeCut.js';
 import type { CallerIntake } from '../../services/intake/node/callerIntake.js';
 import type { DemandSummary } from '../scheduling/common/demandSummary.js';
@@ -100,6 +101,14 @@
     registers: [this.registry],
   });
 
+  /** Delay of a periodic timer, which shows for how long the event loop was held up. */
+  readonly timerDelay = new Histogram({
+    name: 'ibisspar_timer_delay_ms',
+    help: 'Delay of a periodic timer, in milliseconds',
+    buckets: latencyBuckets,
+    registers: [this.registry],
+  });
+
   /** Answers to callers that this gateway broke off, by reason and whether a status was sent. */
   readonly cutAnswers = new Counter({
     name: 'ibisspar_cut_answers_total',
@@ -288,6 +297,22 @@
     this.observe('ibisspar_requests_in_flight', 'Requests in flight', countInFlight);
   }
 
+  /**
+   * Registers a gauge of what the answers of endpoints make the process hold.
+   *
+   * @param held - Counts the answers that are being read.
+   */
+  observeHeldAnswers(held: Pick<HeldAnswers, 'use'>): void {
+    const gauge: Gauge = new Gauge({
+      name: 'ibisspar_answer_use',
+      help: 'Answers of endpoints that are being read: their number, their bytes and the buffers in which these are kept',
+      labelNames: ['kind'],
+      registers: [this.registry],
+      collect: () =>
+        Object.entries(held.use).forEach(([kind, value]) => gauge.set({ kind }, value)),
+    });
+  }
+
   /**
    * Registers gauges of what callers make the process hold, and of the bounds.
    *
--- a/src/gateway/node/gatewayProgram.ts
+++ b/src/gateway/node/gatewayProgram.ts
@@ -7,6 +7,7 @@
 import type { IRandom } from '../../base/common/random.js';
 import { LeaseCandidate } from '../../services/lease/common/lease.js';
 import type { SequentialTestOptions } from '../../services/ejection/common/failureDetector.js';
+import { HeldAnswers } from '../../services/exchange/common/heldAnswers.js';
 import { EndpointSender } from '../../services/exchange/node/endpointSender.js';
 import type { EraChange } from '../../services/objects/common/objects.js';
 import { deriveBounds } from '../../services/intake/common/intakeBounds.js';
@@ -77,6 +78,9 @@
  */
 const maxConnectionsPerEndpoint = 128;
 
+/** Delay of a timer from which it is logged, in milliseconds. */
+const loggedTimerDelayMs = 200;
+
 /** Longest time that a request waits for the first complete read of the store, in milliseconds. */
 const syncWaitMs = 400;
 
@@ -197,6 +201,8 @@
       clock,
       logger,
     });
+    const heldAnswers = new HeldAnswers();
+    metrics.observeHeldAnswers(heldAnswers);
     this.relayContext = {
       clock,
       logger,
@@ -212,6 +218,7 @@
       refusalStreaks: new RefusalStreaks(),
       answerOrder: new AnswerOrder(),
       maxAnswerBytes: settings.maxAnswerBytes,
+      heldAnswers,
       retryBudgetOf: (service) => this.retryBudgets.of(service),
     };
     const schedulingReporter = new SchedulingReporter(metrics, logger, clock);
@@ -359,7 +366,8 @@
     const peerPort = await this.peers.start();
     this.placement.start();
     this.prober.start();
-    this.scheduleRepeatedly(expiryIntervalMs, () => {
+    this.scheduleRepeatedly(expiryIntervalMs, (delayMs) => {
+      this.recordTimerDelay(delayMs);
       this.directory.removeExpired();
       this.plainEjections.endExpired();
       this.engineEjections.endExpired();
@@ -590,9 +598,28 @@
     }
   }
 
-  private scheduleRepeatedly(intervalMs: number, action: () => void): void {
-    this.cancelExpiryTimer = this.dependencies.clock.after(intervalMs, () => {
-      action();
+  /** Records how late a timer is: as late are deadlines, hedges and ejections. */
+  private recordTimerDelay(delayMs: number): void {
+    const { metrics, logger } = this.dependencies;
+    metrics.timerDelay.observe(delayMs);
+    if (delayMs >= loggedTimerDelayMs) {
+      const { answers, bytes, pieces } = this.relayContext.heldAnswers.use;
+      logger.log(LogLevel.Warn, 'event-loop-late', {
+        delayMs: Math.round(delayMs),
+        inFlight: this.ingress.inFlight,
+        heldAnswers: answers,
+        heldBytes: bytes,
+        heldPieces: pieces,
+      });
+    }
+  }
+
+  /** Repeats an action, which is told by how much it is late, in milliseconds. */
+  private scheduleRepeatedly(intervalMs: number, action: (delayMs: number) => void): void {
+    const { clock } = this.dependencies;
+    const dueMs = clock.monotonicMs() + intervalMs;
+    this.cancelExpiryTimer = clock.after(intervalMs, () => {
+      action(Math.max(0, clock.monotonicMs() - dueMs));
       this.scheduleRepeatedly(intervalMs, action);
     });
   }
--- a/src/gateway/relay/node/plainRelay.ts
+++ b/src/gateway/relay/node/plainRelay.ts
@@ -52,6 +52,7 @@
   readonly endpoint: Endpoint;
   readonly reservation: Reservation;
   readonly sentAtMs: number;
+  readonly body: BoundedBody;
   exchange: IExchange | undefined;
   isFinished: boolean;
 }
@@ -154,6 +155,7 @@
       endpoint,
       reservation,
       sentAtMs: clock.monotonicMs(),
+      body: new BoundedBody(this.context.maxAnswerBytes, this.context.heldAnswers),
       exchange: undefined,
       isFinished: false,
     };
@@ -168,7 +170,7 @@
       lastEventId: this.req.metadata.lastEventId,
     });
     const { method, target, body } = this.req;
-    const sink = new PlainAnswerSink(send, this, new BoundedBody(this.context.maxAnswerBytes));
+    const sink = new PlainAnswerSink(send, this);
     const mustBeCertain =
       !this.isIdempotent || this.context.supervisor.isWatchful(this.req.service);
     const maxIdleMs = mustBeCertain ? certainMaxReuseIdleMs : maxReuseIdleMs;
@@ -398,6 +400,7 @@
   private finishSend(send: Send): void {
     if (!send.isFinished) {
       send.isFinished = true;
+      send.body.close();
       this.context.ledger.release([send.reservation]);
     }
   }
@@ -436,7 +439,6 @@
   constructor(
     private readonly send: Send,
     private readonly relay: PlainRelay,
-    private readonly body: BoundedBody,
   ) {}
 
   onHead(head: AnswerHead): void {
@@ -445,7 +447,7 @@
   }
 
   onData(chunk: Buffer): boolean {
-    if (!this.body.append(chunk)) {
+    if (!this.send.body.append(chunk)) {
       this.relay.onOversizedAnswer(this.send);
     }
     return true;
@@ -453,7 +455,7 @@
 
   onEnd(): void {
     if (this.head) {
-      this.relay.onAnswer(this.send, this.head, this.body.toBuffer());
+      this.relay.onAnswer(this.send, this.head, this.send.body.toBuffer());
     }
   }
 
--- a/src/gateway/relay/node/streamRelay.ts
+++ b/src/gateway/relay/node/streamRelay.ts
@@ -90,6 +90,9 @@
 
   private exchange: IExchange | undefined;
 
+  /** Collects the answer to the current send if it is not an event stream. */
+  private wholeAnswer: BoundedBody | undefined;
+
   /** Whether the exchange is paused until the caller has taken what was written. */
   private isAwaitingDrain = false;
 
@@ -489,11 +492,9 @@
       requestPriority: this.urgency.headerValue,
     });
     const { method, target, body } = this.req;
-    const answerSink = new StreamAnswerSink(
-      this.sendCount,
-      this,
-      new BoundedBody(this.context.maxAnswerBytes),
-    );
+    this.wholeAnswer?.close();
+    this.wholeAnswer = new BoundedBody(this.context.maxAnswerBytes, this.context.heldAnswers);
+    const answerSink = new StreamAnswerSink(this.sendCount, this, this.wholeAnswer);
     const { address } = firstEndpoint;
     // A copy of an earlier answer to this request would bear its id.
     const maxIdleMs = this.history.recordSend(address) ? maxReuseIdleMs : undefined;
@@ -858,6 +859,7 @@
     }
     this.exchange?.abort();
     this.exchange = undefined;
+    this.wholeAnswer?.close();
     this.path.release();
     const { metrics, clock } = this.context;
     metrics.answers.inc({ kind: RouteKind.Stream, status, source: outcome.split(':')[0] });
