Make the reading of bodies usable for answers

The account of bodies depends on the bounds that it needs only (AccountBounds), the pauses after bursts of small pieces are a class of their own (PieceBursts), and ReadGate also stands before a parser that reads on 'readable' events, as the HTTP client does. Callers that read answers slowly give way when others need the memory that their unread answers hold.

--- a/src/services/intake/common/bodyAccount.ts
+++ b/src/services/intake/common/bodyAccount.ts
@@ -1,9 +1,6 @@
-import type { IntakeBounds } from './intakeBounds.js';
+import type { AccountBounds } from './intakeBounds.js';
 import { IntakeCut } from './intakeCut.js';
 
-/** Progress since the last mark that counts when others need the memory, in bytes. */
-const progressMarkBytes = 4_096;
-
 /**
  * Share of the account by which it may be exceeded: bytes that have arrived can't be refused any more, and the
  * rest of what was read with them follows.
@@ -16,9 +13,6 @@
  */
 const maxAnswerShare = 0.5;
 
-/** Bytes that a body which waits may leave unread in the kernel: the receive window of a new connection. */
-const unreadWindowBytes = 65_536;
-
 /** Smallest room that a body of unknown length gets once it is no longer small, in bytes. */
 const minCommittedBytes = 131_072;
 
@@ -109,8 +103,8 @@
 
   private largeCount = 0;
 
-  /** @param bounds - Bounds of the process. */
-  constructor(private readonly bounds: IntakeBounds) {}
+  /** @param bounds - Bounds of the account. */
+  constructor(private readonly bounds: AccountBounds) {}
 
   /** Bytes of small bodies. */
   get smallBytes(): number {
@@ -137,6 +131,15 @@
     return this.waiting.size;
   }
 
+  /** Bytes for which the bodies that wait need room. */
+  get wantedBytes(): number {
+    let bytes = 0;
+    this.waiting.forEach((entry) => {
+      bytes += entry.wantedBytes - entry.chargedBytes;
+    });
+    return bytes;
+  }
+
   /** Number of bodies of which bytes are missing. */
   get incompleteCount(): number {
     return this.smallReading.size + this.largeReading.size + this.waiting.size;
@@ -320,7 +323,7 @@
 
   private recordProgress(entry: Entry, nowMs: number): void {
     entry.lastByteMs = nowMs;
-    if (entry.receivedBytes - entry.markBytes < progressMarkBytes) {
+    if (entry.receivedBytes - entry.markBytes < this.bounds.progressMarkBytes) {
       return;
     }
     entry.markBytes = entry.receivedBytes;
@@ -357,7 +360,7 @@
       this.charge(entry, wantedBytes);
       return true;
     }
-    if (this.isOverfull || this.waiting.size >= this.overdraftBytes / unreadWindowBytes) {
+    if (this.isOverfull || this.waiting.size >= this.bounds.maxWaiting) {
       return false;
     }
     entry.state = BodyState.Waiting;
--- a/src/services/intake/common/bodyBuffer.ts
+++ b/src/services/intake/common/bodyBuffer.ts
@@ -109,7 +109,9 @@
   /** Returns the whole body in one buffer, and gives the blocks back. */
   take(): Buffer {
     if (this.singlePiece !== undefined) {
-      return this.singlePiece;
+      const whole = this.singlePiece;
+      this.clear();
+      return whole;
     }
     const whole = Buffer.allocUnsafeSlow(this.byteCount);
     let offset = 0;
--- a/src/services/intake/common/intakeBounds.ts
+++ b/src/services/intake/common/intakeBounds.ts
@@ -48,19 +48,37 @@
 /** Share of the account that connections which aren't read may use, for each reason. */
 const heldShare = 0.15;
 
+/** Share of the account that bodies which wait for room may leave unread in the kernel. */
+const waitingShare = 0.1;
+
+/** Bytes that a body which waits may leave unread in the kernel: the receive window of a new connection. */
+export const unreadWindowBytes = 65_536;
+
 /** Requests that the parser may find in the slice of a read before it can be held: 4 KiB of the shortest ones. */
 const maxRequestsPerSlice = 256;
 
-/** Bounds on what callers make a process hold. */
-export interface IntakeBounds {
-  /** Bytes of bodies and unread answers. */
+/** Bounds of an account of bodies that arrive. */
+export interface AccountBounds {
+  /** Bytes of bodies, and of whatever else is charged to the account. */
   readonly memoryBytes: number;
   /** Part of {@link memoryBytes} that only small bodies may use. */
   readonly smallBodyMemoryBytes: number;
-  /** Bytes that connections and requests without their bodies may use in the V8 heap. */
-  readonly heapBytes: number;
   /** Size up to which a body is small, in bytes. */
   readonly smallBodyBytes: number;
+  /** Bodies that wait for room; each leaves up to a receive window unread in the kernel. */
+  readonly maxWaiting: number;
+  /** Time without any progress after which a body is given up, in milliseconds. */
+  readonly stallMs: number;
+  /** Time without progress after which a body is given up if others need the memory, in milliseconds. */
+  readonly yieldMs: number;
+  /** Bytes since the last mark that count as progress when others need the memory. */
+  readonly progressMarkBytes: number;
+}
+
+/** Bounds on what callers make a process hold. */
+export interface IntakeBounds extends AccountBounds {
+  /** Bytes that connections and requests without their bodies may use in the V8 heap. */
+  readonly heapBytes: number;
   /** Connections to the address for callers. */
   readonly maxConnections: number;
   /** Connections to each of the status servers. */
@@ -73,10 +91,6 @@
   readonly maxPipelinedHard: number;
   /** Requests that waited for earlier ones on their connections and are started, per second. */
   readonly queuedStartsPerSecond: number;
-  /** Time without any progress after which a body or the reader of an answer is given up, in milliseconds. */
-  readonly stallMs: number;
-  /** Time without progress after which either is given up if others need the memory, in milliseconds. */
-  readonly yieldMs: number;
   /** Time for which a body waits for room in the account, in milliseconds. */
   readonly bodyWaitMs: number;
   /** Connections that aren't read, for each reason. */
@@ -119,6 +133,8 @@
     smallBodyMemoryBytes: memoryBytes * smallBodyShare,
     heapBytes: heapLimitBytes * heapAccountShare,
     smallBodyBytes: 65_536,
+    maxWaiting: (memoryBytes * waitingShare) / unreadWindowBytes,
+    progressMarkBytes: 4_096,
     maxConnections:
       settings.maxCallerConnections ??
       callerConnectionsOf(settings.maxDescriptors ?? defaultMaxDescriptors),
--- a/src/services/intake/node/callerConnection.ts
+++ b/src/services/intake/node/callerConnection.ts
@@ -6,7 +6,7 @@
   type ConnectionTable,
 } from '../common/connectionTable.js';
 import type { IntakeRequest } from './intakeRequest.js';
-import { ReadGate } from './readGate.js';
+import { ParserMode, ReadGate } from './readGate.js';
 
 /** Why a connection isn't read. */
 export enum HoldReason {
@@ -110,7 +110,7 @@
     readonly openedMs: number,
     private readonly holdCounts: HoldCounts,
   ) {
-    this.gate = new ReadGate(socket);
+    this.gate = new ReadGate(socket, ParserMode.Flowing);
   }
 
   /**
--- a/src/services/intake/node/callerIntake.ts
+++ b/src/services/intake/node/callerIntake.ts
@@ -99,6 +99,9 @@
 
   private openRequestCount = 0;
 
+  /** Returns the bytes that others need of what unread answers hold. */
+  private readWantedBytes: () => number = () => 0;
+
   /**
    * @param bounds - Bounds of the process.
    * @param countCut - Counts a cut or a refusal.
@@ -236,6 +239,15 @@
     }
   }
 
+  /**
+   * Lets the slowest readers of answers give way when others need the memory.
+   *
+   * @param readWantedBytes - Returns the bytes that are needed of what unread answers hold.
+   */
+  yieldAnswers(readWantedBytes: () => number): void {
+    this.readWantedBytes = readWantedBytes;
+  }
+
   /**
    * Ends the checks of a connection whose bytes are no requests any more, as after an upgrade. It counts as
    * one that is being served until it closes.
@@ -413,7 +425,8 @@
 
   /** Cuts readers that take too little, the slowest first, while others need the memory. */
   private cutSlowReaders(nowMs: number): void {
-    if (!this.account.isShort) {
+    let wantedBytes = this.readWantedBytes();
+    if (!this.account.isShort && wantedBytes <= 0) {
       return;
     }
     const slow = this.servers
@@ -424,10 +437,11 @@
       )
       .sort((a, b) => b.readerSlowMs(nowMs) - a.readerSlowMs(nowMs));
     for (const connection of slow) {
-      if (!this.account.isShort) {
+      if (!this.account.isShort && wantedBytes <= 0) {
         return;
       }
       const unreadBytes = connection.unreadBytes();
+      wantedBytes -= unreadBytes;
       this.chargeUnread(connection, 0, 0);
       this.cut(connection, IntakeCut.ReaderYielded, { unreadBytes });
       this.account.sweep(nowMs);
--- a/src/services/intake/node/intakeRequest.ts
+++ b/src/services/intake/node/intakeRequest.ts
@@ -3,9 +3,9 @@
 import { BodyBuffer } from '../common/bodyBuffer.js';
 import { requestHeapCost } from '../common/headAccount.js';
 import { IntakeCut } from '../common/intakeCut.js';
-import { piecesPerBurst, smallPieceBytes } from '../common/piecePacer.js';
 import { HoldReason, type CallerConnection } from './callerConnection.js';
 import type { IntakeContext } from './intakeContext.js';
+import { PieceBursts, type IBurstOwner } from './pieceBursts.js';
 
 /** How reading a body ended. */
 export enum BodyOutcome {
@@ -50,7 +50,7 @@
 const emptyBody = Buffer.alloc(0);
 
 /** Request of a caller whose answer hasn't ended. */
-export class IntakeRequest implements IBodyOwner {
+export class IntakeRequest implements IBodyOwner, IBurstOwner {
   /** Time at which the connection is closed if a refused body hasn't ended, in monotonic milliseconds. */
   discardUntilMs: number | undefined;
 
@@ -83,10 +83,7 @@
 
   private isListening = false;
 
-  /** Small pieces since the last burst was recorded. */
-  private smallPieces = 0;
-
-  private burstStartMs = 0;
+  private readonly bursts: PieceBursts;
 
   /**
    * @param req - The request.
@@ -105,6 +102,7 @@
     private readonly context: IntakeContext,
   ) {
     const { rawHeaders } = req;
+    this.bursts = new PieceBursts(this, context.pacer, context.clock);
     this.arrivedMs = context.clock.monotonicMs();
     this.headBytes = rawHeaders.reduce((total, each) => total + each.length + 2, 0);
     this.heapBytes = requestHeapCost(this.headBytes, rawHeaders.length / 2);
@@ -204,6 +202,22 @@
     this.resolve({ outcome: BodyOutcome.GivenUp, reason });
   }
 
+  get isOver(): boolean {
+    return this.req.complete;
+  }
+
+  onBurst(): void {
+    if (this.context.holdCounts.of(HoldReason.Paced) < this.context.maxHeld) {
+      this.setPaced(true);
+    } else {
+      this.context.cut(this.connection, IntakeCut.HeldBound);
+    }
+  }
+
+  onTurn(): void {
+    this.setPaced(false);
+  }
+
   private declaredBytes(): number | undefined {
     const { headers } = this.req;
     if (headers['transfer-encoding'] !== undefined) {
@@ -229,8 +243,8 @@
       this.recordedBytes = this.receivedBytes;
       this.context.recordProgress(this.connection);
     }
-    if (piece.length < smallPieceBytes) {
-      this.countSmallPiece();
+    if (this.bursts.count(piece.length)) {
+      this.connection.countPiece();
     }
     if (this.settle === undefined || this.entry === undefined || this.buffer === undefined) {
       this.discard(piece.length);
@@ -305,35 +319,6 @@
     };
   }
 
-  /** Pauses the connection after many small pieces, for as long as the pacer says. */
-  private countSmallPiece(): void {
-    this.connection.countPiece();
-    this.smallPieces += 1;
-    if (this.smallPieces === 2) {
-      this.burstStartMs = this.context.clock.monotonicMs();
-      setImmediate(() => this.endBurst());
-    } else if (this.smallPieces === piecesPerBurst) {
-      if (this.context.holdCounts.of(HoldReason.Paced) < this.context.maxHeld) {
-        this.setPaced(true);
-      } else {
-        this.context.cut(this.connection, IntakeCut.HeldBound);
-      }
-    }
-  }
-
-  private endBurst(): void {
-    const { clock, pacer } = this.context;
-    const pieces = this.smallPieces;
-    this.smallPieces = 0;
-    if (pieces >= piecesPerBurst) {
-      const nowMs = clock.monotonicMs();
-      const resumeMs = pacer.recordBurst(nowMs, nowMs - this.burstStartMs);
-      if (!this.req.complete) {
-        clock.after(resumeMs - nowMs, () => this.setPaced(false));
-      }
-    }
-  }
-
   private setPaced(isPaced: boolean): void {
     if (this.entry) {
       this.entry.isPaced = isPaced;
--- a/src/services/intake/node/readGate.ts
+++ b/src/services/intake/node/readGate.ts
@@ -15,6 +15,14 @@
 /** Bytes of one connection that are passed on before other connections have their turn. */
 const turnBytes = 131_072;
 
+/** How the HTTP parser takes what a connection has read. */
+export enum ParserMode {
+  /** It gets each read as an event at once, as the HTTP server does. */
+  Flowing,
+  /** It calls `read` on each `readable` event, as the HTTP client does. */
+  Readable,
+}
+
 /**
  * Stands between a connection and the HTTP parser. It can stop reading at any time, and passes on large reads
  * in slices: a read of 64 KiB may hold ten thousand pieces of a body or two thousand requests, and the parser
@@ -49,13 +57,23 @@
   /** Whether a request began in the slice that was passed on last. */
   private hasBegunRequest = false;
 
-  /** @param socket - Connection that the HTTP server has just accepted. */
-  constructor(socket: Socket) {
+  /**
+   * @param socket - Connection whose parser has not read anything yet.
+   * @param mode - How the parser takes what was read.
+   * @param onDidPassOn - Called after bytes were passed on and parsed, with their number.
+   */
+  constructor(
+    socket: Socket,
+    private readonly mode: ParserMode,
+    private readonly onDidPassOn?: (bytes: number) => void,
+  ) {
     this.socket = socket;
-    // The HTTP server reads from the connection past its stream until it gets a listener.
-    const ignore = (): void => undefined;
-    socket.on('data', ignore);
-    socket.off('data', ignore);
+    if (mode === ParserMode.Flowing) {
+      // The HTTP server reads from the connection past its stream until it gets a listener.
+      const ignore = (): void => undefined;
+      socket.on('data', ignore);
+      socket.off('data', ignore);
+    }
     this.push = socket.push.bind(socket);
     this.read = socket._read.bind(socket);
     socket.push = (chunk: Buffer | null) => this.receive(chunk);
@@ -80,6 +98,11 @@
     }
   }
 
+  /** Passes on less at once again, for bytes of which nothing is known yet. */
+  resetSlices(): void {
+    this.sliceBytes = initialSliceBytes;
+  }
+
   /** Counts a piece of a body; many of them in one slice make the next ones smaller. */
   countPiece(): void {
     this.pieceCount += 1;
@@ -171,8 +194,16 @@
     this.hasBegunRequest = false;
     this.bytesInTurn += chunk?.length ?? 0;
     this.isPassingOn = true;
-    const mayGoOn = this.push(chunk);
+    let mayGoOn = this.push(chunk);
+    if (this.mode === ParserMode.Readable && this.socket.readableLength > 0) {
+      // Otherwise the parser would get several slices at once, at the end of the turn.
+      this.socket.emit('readable');
+      mayGoOn = this.socket.readableLength === 0;
+    }
     this.isPassingOn = false;
+    if (chunk !== null) {
+      this.onDidPassOn?.(chunk.length);
+    }
     if (this.pieceCount >= manyPieces) {
       this.sliceBytes = minSliceBytes;
     } else if (chunk !== null && chunk.length >= this.sliceBytes) {
