Scan each byte of a stream's event once

Callers of other streams and lookups waited while an event arrived in small pieces: each piece copied and scanned all that had come of the event, so 256 KiB in chunks of one byte took 260,000 copies of up to 256 KiB. EventSplitter now keeps the partial event in blocks and scans a piece with the two bytes before it.

--- a/src/gateway/relay/common/eventSplitter.ts
+++ b/src/gateway/relay/common/eventSplitter.ts
@@ -1,3 +1,5 @@
+import type { IPartialBody } from '../../../services/exchange/common/partialBody.js';
+
 /** Complete events of a stream, as the bytes that the endpoint sent. */
 export interface EventBatch {
   /** Complete events and comments, including the blank lines that end them. */
@@ -57,18 +59,28 @@
   return event.toString('utf8', index + idField.length, end).trim();
 }
 
+/** Bytes at the end of what is kept that may begin the end of an event. */
+const maxTailBytes = 2;
+
+const noBytes: Buffer = Buffer.alloc(0);
+
 /**
  * Splits a byte stream of server-sent events into batches of complete events.
  *
  * A parser library is not used because it would decode the events, whereas a relay must forward their
- * bytes unchanged.
+ * bytes unchanged. An event that arrives in many pieces is scanned once: the work grows with its size, not
+ * with its size times the number of pieces.
  */
 export class EventSplitter {
-  private rest: Buffer = Buffer.alloc(0);
+  /** Last bytes of what is kept. */
+  private tail = noBytes;
 
-  /** Bytes of the last event, whose end hasn't arrived; empty if there are none. */
-  get partial(): Buffer {
-    return this.rest;
+  /** @param rest - Keeps the last event, whose end hasn't arrived. */
+  constructor(private readonly rest: IPartialBody) {}
+
+  /** Bytes of the last event, whose end hasn't arrived. */
+  get partialBytes(): number {
+    return this.rest.length;
   }
 
   /**
@@ -78,7 +90,13 @@
    * @returns The events and comments that these bytes complete, or undefined if there are none.
    */
   push(chunk: Buffer): EventBatch | undefined {
-    const bytes = this.rest.length > 0 ? Buffer.concat([this.rest, chunk]) : chunk;
+    const scanned = this.tail.length > 0 ? Buffer.concat([this.tail, chunk]) : chunk;
+    if (endOfEvent(scanned, 0) < 0) {
+      this.rest.append(chunk);
+      this.tail = Buffer.from(scanned.subarray(-maxTailBytes));
+      return undefined;
+    }
+    const bytes = this.rest.length > 0 ? Buffer.concat([this.rest.take(), chunk]) : chunk;
     let start = 0;
     let count = 0;
     let firstId: string | undefined;
@@ -93,7 +111,10 @@
       }
       start = end;
     }
-    this.rest = bytes.subarray(start);
-    return start > 0 ? { bytes: bytes.subarray(0, start), firstId, lastId, count } : undefined;
+    if (start < bytes.length) {
+      this.rest.append(bytes.subarray(start));
+    }
+    this.tail = Buffer.from(bytes.subarray(Math.max(start, bytes.length - maxTailBytes)));
+    return { bytes: bytes.subarray(0, start), firstId, lastId, count };
   }
 }
--- a/src/gateway/relay/test/common/eventSplitter.test.ts
+++ b/src/gateway/relay/test/common/eventSplitter.test.ts
@@ -1,7 +1,10 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
+import { BlockPool, BodyBuffer } from '../../../../services/intake/common/bodyBuffer.js';
 import { EventSplitter } from '../../common/eventSplitter.js';
 
+const pool = new BlockPool(1_000_000);
+
 describe('EventSplitter', () => {
   it('returns the same bytes in complete events, regardless of how the input is split', () => {
     const anyEvent = fc
@@ -16,7 +19,7 @@
         fc.array(fc.integer({ min: 1, max: 9 }), { minLength: 1 }),
         (events, sizes) => {
           const bytes = Buffer.from(events.join(''));
-          const splitter = new EventSplitter();
+          const splitter = new EventSplitter(new BodyBuffer(pool));
           let passed = '';
           let count = 0;
           for (let offset = 0, pushIndex = 0; offset < bytes.length; pushIndex += 1) {
@@ -28,7 +31,7 @@
           }
           expect(passed).to.equal(bytes.toString());
           expect(count).to.equal(events.length);
-          expect(splitter.partial).to.have.length(0);
+          expect(splitter.partialBytes).to.equal(0);
         },
       ),
       { seed: 3, numRuns: 300 },
@@ -36,10 +39,11 @@
   });
 
   it('holds back an incomplete event and returns the last id', () => {
-    const splitter = new EventSplitter();
+    const rest = new BodyBuffer(pool);
+    const splitter = new EventSplitter(rest);
     const batch = splitter.push(Buffer.from('id: 7\ndata: id: 9\n\nid: 8\nda'));
     expect(batch?.lastId).to.equal('7');
     expect(batch?.bytes.toString()).to.equal('id: 7\ndata: id: 9\n\n');
-    expect(splitter.partial.toString()).to.equal('id: 8\nda');
+    expect(rest.take().toString()).to.equal('id: 8\nda');
   });
 });
