--- a/src/agent/node/agentProgram.ts
+++ b/src/agent/node/agentProgram.ts
@@ -5,6 +5,8 @@
 import { InstanceRole } from '../../services/instances/common/instance.js';
 import { LinkServer } from '../../services/link/node/linkServer.js';
 import type { Link } from '../../services/link/node/link.js';
+import type { AnswerIntake } from '../../services/exchange/node/answerIntake.js';
+import { createProgramAnswerIntake } from '../../services/exchange/node/programAnswerIntake.js';
 import type { CallerIntake } from '../../services/intake/node/callerIntake.js';
 import { createProgramIntake, reportIntake } from '../../services/intake/node/programIntake.js';
 import {
@@ -102,6 +104,8 @@
 
   private readonly intake: CallerIntake;
 
+  private readonly answers: AnswerIntake;
+
   private readonly usageCounters = new UsageCounters();
 
   private readonly usageWriter: UsageWriter;
@@ -113,6 +117,12 @@
     const createHello = () => this.createHello();
     const createHeartbeat = () => this.createHeartbeat();
     this.intake = createProgramIntake(settings, dependencies.metrics, clock, dependencies.logger);
+    this.answers = createProgramAnswerIntake(
+      settings,
+      dependencies.metrics,
+      clock,
+      dependencies.logger,
+    );
     this.server = new LinkServer(timing, createHello, createHeartbeat, this.intake);
     this.links = new StageLinks({
       incarnation: this.incarnation,
@@ -134,6 +144,7 @@
       this.plainService = new HttpPlainService(
         settings.service.url,
         settings.maxAnswerBytes,
+        this.answers,
         clock,
       );
       this.plainService.onDidFailCall(({ attempt, reason }) =>
@@ -181,6 +192,7 @@
     this.links.close();
     this.server.close();
     this.intake.close();
+    this.answers.close();
     await this.usageWriter.close();
     await this.engine?.close();
     await this.plainService?.close();
--- a/src/agent/node/httpPlainService.ts
+++ b/src/agent/node/httpPlainService.ts
@@ -1,15 +1,13 @@
-import { Err, Ok, type Result } from 'ts-results-es';
+import { Err, type Result } from 'ts-results-es';
 import type { IClock, ITimers } from '../../base/common/clock.js';
 import { Emitter } from '../../base/common/event.js';
-import { HeldAnswers } from '../../services/exchange/common/heldAnswers.js';
-import { BoundedBody } from '../../services/exchange/common/boundedBody.js';
 import type { HeaderMap } from '../../services/exchange/common/headerMap.js';
+import type { AnswerIntake } from '../../services/exchange/node/answerIntake.js';
 import {
   EndpointSender,
-  type AnswerHead,
-  type IAnswerSink,
-  type IExchange,
+  type OutboundRequest,
 } from '../../services/exchange/node/endpointSender.js';
+import { receiveWhole } from '../../services/exchange/node/wholeAnswer.js';
 import type { CallMessage, Header, ServiceAnswer } from '../../services/link/common/messages.js';
 import { RunState } from '../../services/problem/common/problem.js';
 import { ServiceCallError, type IPlainService } from '../calls/common/callRunner.js';
@@ -31,59 +29,6 @@
   readonly reason: string;
 }
 
-/** Collects the answer to one call. */
-class ServiceAnswerSink implements IAnswerSink {
-  private readonly body: BoundedBody;
-
-  private head: AnswerHead | undefined;
-
-  private settle: (answer: Result<ServiceAnswer, ServiceCallError>) => void = () => undefined;
-
-  /** Resolves with the whole answer, or with the first error. */
-  readonly answer = new Promise<Result<ServiceAnswer, ServiceCallError>>((resolve) => {
-    this.settle = resolve;
-  });
-
-  /**
-   * @param maxBytes - Maximum size of the body, in bytes.
-   * @param held - Counts what is kept.
-   * @param onOversized - Called with an error message if the body is larger.
-   */
-  constructor(
-    private readonly maxBytes: number,
-    held: HeldAnswers,
-    private readonly onOversized: (reason: string) => void,
-  ) {
-    this.body = new BoundedBody(maxBytes, held);
-  }
-
-  onHead(head: AnswerHead): void {
-    this.head = head;
-  }
-
-  onData(chunk: Buffer): boolean {
-    if (!this.body.append(chunk)) {
-      this.onOversized(`answer exceeds ${this.maxBytes} bytes`);
-    }
-    return true;
-  }
-
-  onEnd(): void {
-    if (this.head) {
-      const { status, headers } = this.head;
-      const body = new Uint8Array(this.body.toBuffer());
-      this.body.close();
-      this.settle(Ok({ status, headers: endToEndHeaders(headers), body }));
-    }
-  }
-
-  onError(reason: string, wasSent: boolean): void {
-    this.body.close();
-    const run = wasSent ? RunState.Unknown : RunState.NotRun;
-    this.settle(Err(new ServiceCallError(reason, run)));
-  }
-}
-
 /** Plain service reached over HTTP. */
 export class HttpPlainService implements IPlainService {
   private readonly sender: EndpointSender;
@@ -92,8 +37,6 @@
 
   private readonly basePath: string;
 
-  private readonly held = new HeldAnswers();
-
   private readonly failedCalls = new Emitter<FailedCall>();
 
   /** Fires for each call without a whole answer, unless it was cancelled. */
@@ -102,18 +45,21 @@
   /**
    * @param baseUrl - Base URL of the service, for example `http://127.0.0.1:9000`.
    * @param maxAnswerBytes - Size past which an answer is broken off, in bytes.
+   * @param intake - Bounds what the answers make the process hold.
    * @param clock - Source of time and timers.
    */
   constructor(
     baseUrl: string,
     private readonly maxAnswerBytes: number,
+    intake: AnswerIntake,
     private readonly clock: IClock & ITimers,
   ) {
     const { host, pathname, protocol } = new URL(baseUrl);
     this.address = host;
     this.basePath = pathname.replace(/\/$/, '');
     // The number of calls in progress is bounded by those who make them.
-    this.sender = new EndpointSender(Number.POSITIVE_INFINITY, clock, protocol);
+    const maxConnections = Number.POSITIVE_INFINITY;
+    this.sender = new EndpointSender({ maxConnections, intake, protocol }, clock);
   }
 
   async call(
@@ -125,19 +71,20 @@
     }
     const { method, path, remainingMs } = message;
     const body = message.body.length > 0 ? Buffer.from(message.body) : undefined;
-    const sink = new ServiceAnswerSink(this.maxAnswerBytes, this.held, (reason) => giveUp(reason));
-    const exchange = this.send(method, path, message.headers.flat(), body, sink);
-    function giveUp(reason: string): void {
-      exchange.abort();
-      sink.onError(reason, true);
-    }
-    const handleAbort = () => giveUp('call was cancelled');
+    const req = this.createRequest(method, path, message.headers.flat(), body);
     const timeoutMs = Math.max(1, Math.ceil(remainingMs));
-    const cancelTimeout = this.clock.after(timeoutMs, () => giveUp('no answer in time'));
-    signal.addEventListener('abort', handleAbort);
-    const answer = await sink.answer;
-    signal.removeEventListener('abort', handleAbort);
-    cancelTimeout();
+    const bounds = { maxBytes: this.maxAnswerBytes, timeoutMs, signals: [signal] };
+    const received = await receiveWhole(this.sender, this.address, req, bounds, this.clock);
+    const answer = received
+      .map(({ head, body: bytes }) => ({
+        status: head.status,
+        headers: endToEndHeaders(head.headers),
+        body: new Uint8Array(bytes.buffer, bytes.byteOffset, bytes.length),
+      }))
+      .mapErr(
+        ({ message: reason, wasSent }) =>
+          new ServiceCallError(reason, wasSent ? RunState.Unknown : RunState.NotRun),
+      );
     if (answer.isErr() && !signal.aborted) {
       this.failedCalls.fire({ attempt: message.attempt, reason: answer.error.message });
     }
@@ -150,23 +97,11 @@
    * @param timeoutMs - Timeout of the check, in milliseconds.
    * @returns True if a response of any status arrived in time.
    */
-  isReachable(timeoutMs: number): Promise<boolean> {
-    return new Promise((resolve) => {
-      const exchange = this.send('HEAD', '/', [], undefined, {
-        onHead: () => finish(true),
-        onData: () => true,
-        onEnd: () => undefined,
-        onError: () => finish(false),
-      });
-      const cancelTimeout = this.clock.after(timeoutMs, () => {
-        exchange.abort();
-        resolve(false);
-      });
-      function finish(isReachable: boolean): void {
-        cancelTimeout();
-        resolve(isReachable);
-      }
-    });
+  async isReachable(timeoutMs: number): Promise<boolean> {
+    const req = this.createRequest('HEAD', '/', [], undefined);
+    const bounds = { maxBytes: this.maxAnswerBytes, timeoutMs };
+    const answer = await receiveWhole(this.sender, this.address, req, bounds, this.clock);
+    return answer.isOk();
   }
 
   /** Closes the connections and removes every listener. */
@@ -175,16 +110,14 @@
     await this.sender.close();
   }
 
-  private send(
+  private createRequest(
     method: string,
     path: string,
     headers: string[],
     body: Buffer | undefined,
-    sink: IAnswerSink,
-  ): IExchange {
+  ): OutboundRequest {
     const target = `${this.basePath}${path}`;
-    const req = { method, target, headers, body, maxIdleMs: maxReuseIdleMs };
-    return this.sender.send(this.address, req, sink);
+    return { method, target, headers, body, maxIdleMs: maxReuseIdleMs };
   }
 }
 
--- a/src/agent/test/node/brokenAnswers.test.ts
+++ b/src/agent/test/node/brokenAnswers.test.ts
@@ -2,6 +2,7 @@
 import { expect } from 'chai';
 import { SystemClock } from '../../../base/node/systemClock.js';
 import { HttpPlainService } from '../../node/httpPlainService.js';
+import { createTestIntake } from '../../../services/exchange/test/node/answerFixtures.js';
 
 const maxAnswerBytes = 1_000;
 
@@ -19,7 +20,12 @@
       server.listen(0, '127.0.0.1', resolve);
     });
     const { port } = server.address() as AddressInfo;
-    service = new HttpPlainService(`http://127.0.0.1:${port}`, maxAnswerBytes, new SystemClock());
+    service = new HttpPlainService(
+      `http://127.0.0.1:${port}`,
+      maxAnswerBytes,
+      createTestIntake(),
+      new SystemClock(),
+    );
   };
 
   const callService = () =>
--- a/src/agent/test/node/httpPlainService.test.ts
+++ b/src/agent/test/node/httpPlainService.test.ts
@@ -5,6 +5,7 @@
 import { MessageKind, type CallMessage } from '../../../services/link/common/messages.js';
 import { RunState } from '../../../services/problem/common/problem.js';
 import { HttpPlainService } from '../../node/httpPlainService.js';
+import { createTestIntake } from '../../../services/exchange/test/node/answerFixtures.js';
 
 const maxAnswerBytes = 100_000;
 
@@ -53,7 +54,12 @@
       server.listen(0, '127.0.0.1', () => resolve());
     });
     const { port } = server.address() as AddressInfo;
-    service = new HttpPlainService(`http://127.0.0.1:${port}`, maxAnswerBytes, new SystemClock());
+    service = new HttpPlainService(
+      `http://127.0.0.1:${port}`,
+      maxAnswerBytes,
+      createTestIntake(),
+      new SystemClock(),
+    );
   });
 
   afterEach(async () => {
@@ -137,7 +143,12 @@
 
   it('gets all headers of a name, below the path of its URL', async () => {
     const { port } = server.address() as AddressInfo;
-    const below = new HttpPlainService(`http://127.0.0.1:${port}/api/`, 100, new SystemClock());
+    const below = new HttpPlainService(
+      `http://127.0.0.1:${port}/api/`,
+      100,
+      createTestIntake(),
+      new SystemClock(),
+    );
     answer = (res) => {
       const { url, rawHeaders } = res.req;
       res.end(`${url} ${rawHeaders.filter((_text, index) => rawHeaders[index - 1] === 'x-a')}`);
--- a/src/gateway/http/node/callerResponse.ts
+++ b/src/gateway/http/node/callerResponse.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { IHeldBody } from '../../../services/exchange/common/partialBody.js';
 import type { ICallerSink, Refusal } from '../../relay/common/callerRequest.js';
 import { RefusalStatus } from '../../relay/common/callerRequest.js';
 
@@ -80,16 +81,19 @@
     return this.wasAborted;
   }
 
-  answer(status: number, rawHeaders: readonly string[], body: Buffer): void {
+  answer(status: number, rawHeaders: readonly string[], body: IHeldBody): void {
     if (this.isDisconnected || this.res.headersSent) {
+      body.close();
       return;
     }
+    const { bytes } = body;
     const headers = endToEndHeaders(rawHeaders);
     if (status !== 204 && status !== 304) {
-      headers.push('Content-Length', String(body.length));
+      headers.push('Content-Length', String(bytes.length));
     }
+    this.res.once('close', () => body.close());
     this.res.writeHead(status, this.withConnection(headers));
-    this.res.end(this.req.method === 'HEAD' ? undefined : body);
+    this.res.end(this.req.method === 'HEAD' ? undefined : bytes);
   }
 
   begin(status: number, rawHeaders: readonly string[]): void {
--- a/src/gateway/node/gatewayMetrics.ts
+++ b/src/gateway/node/gatewayMetrics.ts
@@ -1,5 +1,6 @@
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
-import type { HeldAnswers } from '../../services/exchange/common/heldAnswers.js';
+import { AnswerCut } from '../../services/exchange/common/answerCut.js';
+import type { AnswerIntake } from '../../services/exchange/node/answerIntake.js';
 import { IntakeCut } from '../../services/intake/common/intakeCut.js';
 import type { CallerIntake } from '../../services/intake/node/callerIntake.js';
 import type { DemandSummary } from '../scheduling/common/demandSummary.js';
@@ -298,19 +299,13 @@
   }
 
   /**
-   * Registers a gauge of what the answers of endpoints make the process hold.
+   * Registers gauges of what the answers of endpoints make the process hold, and of the bounds.
    *
-   * @param held - Counts the answers that are being read.
+   * @param answers - Bounds the answers.
    */
-  observeHeldAnswers(held: Pick<HeldAnswers, 'use'>): void {
-    const gauge: Gauge = new Gauge({
-      name: 'ibisspar_answer_use',
-      help: 'Answers of endpoints that are being read: their number, their bytes and the buffers in which these are kept',
-      labelNames: ['kind'],
-      registers: [this.registry],
-      collect: () =>
-        Object.entries(held.use).forEach(([kind, value]) => gauge.set({ kind }, value)),
-    });
+  observeAnswers(answers: Pick<AnswerIntake, 'bounds' | 'use'>): void {
+    this.observeUse('answer', 'answers of endpoints', answers);
+    Object.values(AnswerCut).forEach((reason) => this.brokenAnswers.inc({ reason }, 0));
   }
 
   /**
@@ -319,22 +314,31 @@
    * @param intake - Bounds the callers.
    */
   observeIntake(intake: Pick<CallerIntake, 'bounds' | 'use'>): void {
+    this.observeUse('caller', 'callers', intake);
+    Object.values(IntakeCut).forEach((reason) => this.callerCuts.inc({ reason }, 0));
+  }
+
+  /** Registers gauges of what a kind of peer makes the process hold, and of the bounds. */
+  private observeUse(
+    name: string,
+    subject: string,
+    intake: { readonly use: object; readonly bounds: object },
+  ): void {
     const use: Gauge = new Gauge({
-      name: 'ibisspar_caller_use',
-      help: 'What callers make the process hold, by kind and unit',
+      name: `ibisspar_${name}_use`,
+      help: `What ${subject} make the process hold, by kind and unit`,
       labelNames: ['kind'],
       registers: [this.registry],
       collect: () =>
         Object.entries(intake.use).forEach(([kind, value]) => use.set({ kind }, Number(value))),
     });
     const bounds = new Gauge({
-      name: 'ibisspar_caller_bound',
-      help: 'Bounds on what callers make the process hold, by name and unit',
+      name: `ibisspar_${name}_bound`,
+      help: `Bounds on what ${subject} make the process hold, by name and unit`,
       labelNames: ['bound'],
       registers: [this.registry],
     });
     Object.entries(intake.bounds).forEach(([bound, value]) => bounds.set({ bound }, Number(value)));
-    Object.values(IntakeCut).forEach((reason) => this.callerCuts.inc({ reason }, 0));
   }
 
   private observe(name: string, help: string, read: () => number): void {
--- a/src/gateway/node/gatewayProgram.ts
+++ b/src/gateway/node/gatewayProgram.ts
@@ -7,7 +7,7 @@
 import type { IRandom } from '../../base/common/random.js';
 import { LeaseCandidate } from '../../services/lease/common/lease.js';
 import type { SequentialTestOptions } from '../../services/ejection/common/failureDetector.js';
-import { HeldAnswers } from '../../services/exchange/common/heldAnswers.js';
+import { AnswerIntake, createAnswerIntake } from '../../services/exchange/node/answerIntake.js';
 import { EndpointSender } from '../../services/exchange/node/endpointSender.js';
 import type { EraChange } from '../../services/objects/common/objects.js';
 import { deriveBounds } from '../../services/intake/common/intakeBounds.js';
@@ -113,6 +113,8 @@
 
   private readonly signals: EndpointSignals;
 
+  private readonly answers: AnswerIntake;
+
   private readonly sender: EndpointSender;
 
   private readonly intake: CallerIntake;
@@ -188,7 +190,15 @@
       logger,
     });
     const isPaused = (endpoint: Endpoint) => this.signals.isPaused(endpoint);
-    this.sender = new EndpointSender(maxConnectionsPerEndpoint, clock);
+    this.answers = createAnswerIntake(
+      settings,
+      (reason) => metrics.brokenAnswers.inc({ reason }),
+      clock,
+      logger,
+    );
+    metrics.observeAnswers(this.answers);
+    const maxConnections = maxConnectionsPerEndpoint;
+    this.sender = new EndpointSender({ maxConnections, intake: this.answers }, clock);
     const gatewayIncarnation = `${settings.instance}@${clock.wallMs()}`;
     this.crashProtection = new CrashProtection({
       incarnation: gatewayIncarnation,
@@ -201,8 +211,6 @@
       clock,
       logger,
     });
-    const heldAnswers = new HeldAnswers();
-    metrics.observeHeldAnswers(heldAnswers);
     this.relayContext = {
       clock,
       logger,
@@ -218,7 +226,6 @@
       refusalStreaks: new RefusalStreaks(),
       answerOrder: new AnswerOrder(),
       maxAnswerBytes: settings.maxAnswerBytes,
-      heldAnswers,
       retryBudgetOf: (service) => this.retryBudgets.of(service),
     };
     const schedulingReporter = new SchedulingReporter(metrics, logger, clock);
@@ -306,6 +313,8 @@
       clock,
       logger,
     );
+    // Answers that callers don't read stay in the account of answers, where others wait for room.
+    this.intake.yieldAnswers(() => this.answers.account.wantedBytes);
     metrics.observeIntake(this.intake);
     this.status = new StatusServers(() => this.isReady, metrics.registry, this.intake);
     metrics.observeSuspects(() => this.crashProtection.suspectCount);
@@ -400,6 +409,7 @@
     this.ingress.close();
     this.status.close();
     this.intake.close();
+    this.answers.close();
     this.feeds.forEach((feed) => feed.close());
     this.feedGossip.close();
     this.peers.close();
@@ -603,13 +613,10 @@
     const { metrics, logger } = this.dependencies;
     metrics.timerDelay.observe(delayMs);
     if (delayMs >= loggedTimerDelayMs) {
-      const { answers, bytes, pieces } = this.relayContext.heldAnswers.use;
       logger.log(LogLevel.Warn, 'event-loop-late', {
         delayMs: Math.round(delayMs),
         inFlight: this.ingress.inFlight,
-        heldAnswers: answers,
-        heldBytes: bytes,
-        heldPieces: pieces,
+        ...this.answers.use,
       });
     }
   }
--- a/src/gateway/relay/common/callerRequest.ts
+++ b/src/gateway/relay/common/callerRequest.ts
@@ -1,3 +1,4 @@
+import type { IHeldBody } from '../../../services/exchange/common/partialBody.js';
 import type { Route } from '../../config/common/configSnapshot.js';
 import type { RequestMetadata } from './dialect.js';
 
@@ -31,8 +32,14 @@
 export interface ICallerSink {
   /** Whether the caller has closed the connection. */
   readonly isDisconnected: boolean;
-  /** Sends the complete answer of an endpoint. */
-  answer(status: number, rawHeaders: readonly string[], body: Buffer): void;
+  /**
+   * Sends the complete answer of an endpoint.
+   *
+   * @param status - Status of the answer.
+   * @param rawHeaders - Header names, each followed by its value.
+   * @param body - Body; closed once the caller has taken it.
+   */
+  answer(status: number, rawHeaders: readonly string[], body: IHeldBody): void;
   /** Sends the status and headers of an endpoint's answer whose body is then streamed. */
   begin(status: number, rawHeaders: readonly string[]): void;
   /** Sends the next bytes of a streamed body; returns false to apply backpressure. */
--- a/src/gateway/relay/node/plainRelay.ts
+++ b/src/gateway/relay/node/plainRelay.ts
@@ -1,11 +1,12 @@
 import type { CancelTimer } from '../../../base/common/clock.js';
 import { LogLevel } from '../../../base/common/logger.js';
 import type { EndpointHealth } from '../../../services/ejection/common/endpointHealth.js';
-import { BoundedBody } from '../../../services/exchange/common/boundedBody.js';
-import type {
-  AnswerHead,
-  IAnswerSink,
-  IExchange,
+import type { AnswerBody } from '../../../services/exchange/node/answerBody.js';
+import {
+  ExchangeFault,
+  type AnswerHead,
+  type IAnswerSink,
+  type IExchange,
 } from '../../../services/exchange/node/endpointSender.js';
 import { RouteKind } from '../../config/common/configSnapshot.js';
 import { incarnationOf, type Endpoint } from '../../directory/common/endpoint.js';
@@ -52,7 +53,6 @@
   readonly endpoint: Endpoint;
   readonly reservation: Reservation;
   readonly sentAtMs: number;
-  readonly body: BoundedBody;
   exchange: IExchange | undefined;
   isFinished: boolean;
 }
@@ -155,7 +155,6 @@
       endpoint,
       reservation,
       sentAtMs: clock.monotonicMs(),
-      body: new BoundedBody(this.context.maxAnswerBytes, this.context.heldAnswers),
       exchange: undefined,
       isFinished: false,
     };
@@ -170,7 +169,7 @@
       lastEventId: this.req.metadata.lastEventId,
     });
     const { method, target, body } = this.req;
-    const sink = new PlainAnswerSink(send, this);
+    const sink = new PlainAnswerSink(send, this, this.context.maxAnswerBytes);
     const mustBeCertain =
       !this.isIdempotent || this.context.supervisor.isWatchful(this.req.service);
     const maxIdleMs = mustBeCertain ? certainMaxReuseIdleMs : maxReuseIdleMs;
@@ -222,7 +221,7 @@
   }
 
   /** @internal Called when a send was answered completely. */
-  onAnswer(send: Send, head: AnswerHead, body: Buffer): void {
+  onAnswer(send: Send, head: AnswerHead, body: AnswerBody): void {
     if (this.isFinished || send.isFinished) {
       return;
     }
@@ -265,18 +264,25 @@
       }
       return;
     }
-    this.caller.answer(head.status, dialect.callerHeaders(head.rawHeaders), body);
+    this.caller.answer(head.status, dialect.callerHeaders(head.rawHeaders), body.handOver());
     this.finish(isFailure ? 'endpoint-failure' : 'complete', head.status);
   }
 
   /** @internal Called when the exchange of a send failed. */
-  onFailure(send: Send, reason: string, wasSent: boolean): void {
+  onFailure(send: Send, reason: string, wasSent: boolean, fault: ExchangeFault): void {
     if (this.isFinished || send.isFinished) {
       return;
     }
     this.finishSend(send);
+    if (fault === ExchangeFault.NoRoom) {
+      this.handlePossibleRun(send, reason);
+      return;
+    }
     this.health.record(incarnationOf(send.endpoint), true);
-    if (wasSent) {
+    if (fault === ExchangeFault.Answer) {
+      // The endpoint lives; its connection was ended here.
+      this.handlePossibleRun(send, reason);
+    } else if (wasSent) {
       this.run.recordLoss([send.endpoint], true);
       this.handlePossibleRun(send, reason);
     } else {
@@ -286,18 +292,6 @@
     }
   }
 
-  /** @internal Called when the body of a send's answer exceeds the maximum size. */
-  onOversizedAnswer(send: Send): void {
-    if (this.isFinished || send.isFinished) {
-      return;
-    }
-    send.exchange?.abort();
-    this.finishSend(send);
-    this.health.record(incarnationOf(send.endpoint), true);
-    this.context.metrics.brokenAnswers.inc({ reason: 'too-large' });
-    this.handlePossibleRun(send, `answer exceeds ${this.context.maxAnswerBytes} bytes`);
-  }
-
   private handlePossibleRun(send: Send, reason: string): void {
     this.possibleRunCount += 1;
     this.log('run-broken', { endpoint: send.endpoint.id, reason });
@@ -400,7 +394,6 @@
   private finishSend(send: Send): void {
     if (!send.isFinished) {
       send.isFinished = true;
-      send.body.close();
       this.context.ledger.release([send.reservation]);
     }
   }
@@ -436,30 +429,32 @@
 class PlainAnswerSink implements IAnswerSink {
   private head: AnswerHead | undefined;
 
+  private body: AnswerBody | undefined;
+
   constructor(
     private readonly send: Send,
     private readonly relay: PlainRelay,
+    private readonly maxBytes: number,
   ) {}
 
-  onHead(head: AnswerHead): void {
+  onHead(head: AnswerHead, exchange: IExchange): void {
     this.head = head;
+    this.body = exchange.collect(this.maxBytes, true);
     this.relay.onHead(this.send, head);
   }
 
   onData(chunk: Buffer): boolean {
-    if (!this.send.body.append(chunk)) {
-      this.relay.onOversizedAnswer(this.send);
-    }
+    this.body?.append(chunk);
     return true;
   }
 
   onEnd(): void {
-    if (this.head) {
-      this.relay.onAnswer(this.send, this.head, this.send.body.toBuffer());
+    if (this.head && this.body) {
+      this.relay.onAnswer(this.send, this.head, this.body);
     }
   }
 
-  onError(reason: string, wasSent: boolean): void {
-    this.relay.onFailure(this.send, reason, wasSent);
+  onError(reason: string, wasSent: boolean, fault: ExchangeFault): void {
+    this.relay.onFailure(this.send, reason, wasSent, fault);
   }
 }
--- a/src/gateway/relay/node/relayContext.ts
+++ b/src/gateway/relay/node/relayContext.ts
@@ -1,7 +1,6 @@
 import type { IClock, ITimers } from '../../../base/common/clock.js';
 import type { ILogger } from '../../../base/common/logger.js';
 import type { EndpointHealth } from '../../../services/ejection/common/endpointHealth.js';
-import type { HeldAnswers } from '../../../services/exchange/common/heldAnswers.js';
 import type { EndpointSender } from '../../../services/exchange/node/endpointSender.js';
 import type { RefusalStreaks } from '../../directory/common/refusalStreaks.js';
 import type { EndpointDirectory } from '../../directory/common/endpointDirectory.js';
@@ -35,8 +34,6 @@
   readonly answerOrder: AnswerOrder;
   /** Maximum size of an answer that is not an event stream, in bytes. */
   readonly maxAnswerBytes: number;
-  /** Counts what the answers that are being read make the gateway hold. */
-  readonly heldAnswers: HeldAnswers;
   /** Returns the retry budget of a service. */
   readonly retryBudgetOf: (service: string) => RetryBudget;
 }
--- a/src/gateway/relay/node/streamAnswer.ts
+++ b/src/gateway/relay/node/streamAnswer.ts
@@ -3,6 +3,7 @@
 import { EventSplitter, type EventBatch } from '../common/eventSplitter.js';
 import { StreamProgress } from '../common/streamProgress.js';
 import type { HeaderMap } from '../../../services/exchange/common/headerMap.js';
+import type { IPartialBody } from '../../../services/exchange/common/partialBody.js';
 import type { AnswerHead } from '../../../services/exchange/node/endpointSender.js';
 
 /** Answer to the caller of a stream: the events of its runs, one run after the other. */
@@ -10,7 +11,8 @@
   /** What has arrived of the stream. */
   readonly progress: StreamProgress;
 
-  private splitter = new EventSplitter();
+  /** Splits the current run's answer; undefined until it has begun. */
+  private splitter: EventSplitter | undefined;
 
   private wasBegun = false;
 
@@ -26,7 +28,10 @@
   private isAtSeam = false;
 
   /** Comments of the current run before its first event. */
-  private heldComments: Buffer[] = [];
+  private heldComments: IPartialBody | undefined;
+
+  /** Bytes of comments of the current run since its last event. */
+  private commentBytes = 0;
 
   /**
    * @param req - Request of the caller.
@@ -54,20 +59,21 @@
 
   /** Bytes that have arrived of an event whose end has not. */
   get partialBytes(): number {
-    return this.splitter.partial.length;
+    return this.splitter?.partialBytes ?? 0;
   }
 
-  /** Bytes that are kept until the first event of the current run, or until the end of the next one. */
-  get heldBytes(): number {
-    return this.heldComments.reduce((total, { length }) => total + length, this.partialBytes);
+  /** Bytes that have arrived of the current run since its last complete event. */
+  get bytesSinceEvent(): number {
+    return this.commentBytes + this.partialBytes;
   }
 
   /** Called when a run starts. */
   beginRun(): void {
     this.progress.beginRun();
     this.isAtSeam = this.wasBegun;
-    this.splitter = new EventSplitter();
-    this.heldComments = [];
+    this.splitter = undefined;
+    this.heldComments = undefined;
+    this.commentBytes = 0;
   }
 
   /**
@@ -102,9 +108,12 @@
    * Keeps the head of the current run's answer until its first event.
    *
    * @param head - Status and headers.
+   * @param createBody - Returns a place for bytes of the answer that can't be passed on yet.
    * @param nowMs - Monotonic time, in milliseconds.
    */
-  keepHead(head: AnswerHead, nowMs: number): void {
+  keepHead(head: AnswerHead, createBody: () => IPartialBody, nowMs: number): void {
+    this.splitter = new EventSplitter(createBody());
+    this.heldComments = createBody();
     this.head = this.wasBegun ? this.head : head;
     this.progress.recordSign(nowMs);
   }
@@ -116,7 +125,7 @@
    * @returns The events and comments that these bytes complete, or undefined if there are none.
    */
   push(chunk: Buffer): EventBatch | undefined {
-    return this.splitter.push(chunk);
+    return this.splitter?.push(chunk);
   }
 
   /**
@@ -128,6 +137,7 @@
    */
   write(batch: EventBatch, nowMs: number): boolean {
     this.progress.recordEvents(batch.count, nowMs);
+    this.commentBytes = 0;
     this.lastId = batch.lastId ?? this.lastId;
     this.isAtSeam = false;
     this.begin();
@@ -141,10 +151,11 @@
    * @returns False if the caller reads too slowly, so that the run has to be paused.
    */
   writeComments(bytes: Buffer): boolean {
+    this.commentBytes += bytes.length;
     if (this.wasBegun) {
       return this.caller.write(bytes);
     }
-    this.heldComments.push(bytes);
+    this.heldComments?.append(bytes);
     return true;
   }
 
@@ -159,8 +170,9 @@
       this.wasBegun = true;
       const { status, rawHeaders } = this.head;
       this.caller.begin(status, this.dialect.callerHeaders(rawHeaders));
-      this.heldComments.forEach((bytes) => this.caller.write(bytes));
-      this.heldComments = [];
+      if (this.heldComments !== undefined && this.heldComments.length > 0) {
+        this.caller.write(this.heldComments.take());
+      }
     }
   }
 }
--- a/src/gateway/relay/node/streamRelay.ts
+++ b/src/gateway/relay/node/streamRelay.ts
@@ -1,8 +1,11 @@
 import { toErrorMessage } from '../../../base/common/errors.js';
 import { LogLevel } from '../../../base/common/logger.js';
 import type { CancelTimer } from '../../../base/common/clock.js';
-import { BoundedBody } from '../../../services/exchange/common/boundedBody.js';
-import type { AnswerHead, IExchange } from '../../../services/exchange/node/endpointSender.js';
+import {
+  ExchangeFault,
+  type AnswerHead,
+  type IExchange,
+} from '../../../services/exchange/node/endpointSender.js';
 import { RefusalReason, type ModelAdmission } from '../../admission/common/modelAdmission.js';
 import type { PacedAdmission } from '../../admission/common/pacedAdmission.js';
 import { RouteKind } from '../../config/common/configSnapshot.js';
@@ -19,6 +22,8 @@
   type ICallerSink,
   type IRelay,
 } from '../common/callerRequest.js';
+import type { AnswerBody } from '../../../services/exchange/node/answerBody.js';
+import { AnswerCut } from '../../../services/exchange/common/answerCut.js';
 import { isAnswerTo, type AnswerMetadata } from '../common/dialect.js';
 import type { EventBatch } from '../common/eventSplitter.js';
 import { describePath, SendFailure, suspicionOf } from '../common/sendFailure.js';
@@ -90,9 +95,6 @@
 
   private exchange: IExchange | undefined;
 
-  /** Collects the answer to the current send if it is not an event stream. */
-  private wholeAnswer: BoundedBody | undefined;
-
   /** Whether the exchange is paused until the caller has taken what was written. */
   private isAwaitingDrain = false;
 
@@ -492,16 +494,14 @@
       requestPriority: this.urgency.headerValue,
     });
     const { method, target, body } = this.req;
-    this.wholeAnswer?.close();
-    this.wholeAnswer = new BoundedBody(this.context.maxAnswerBytes, this.context.heldAnswers);
-    const answerSink = new StreamAnswerSink(this.sendCount, this, this.wholeAnswer);
+    const answerSink = new StreamAnswerSink(this.sendCount, this, this.context.maxAnswerBytes);
     const { address } = firstEndpoint;
     // A copy of an earlier answer to this request would bear its id.
     const maxIdleMs = this.history.recordSend(address) ? maxReuseIdleMs : undefined;
     this.exchange = sender.send(address, { method, target, headers, body, maxIdleMs }, answerSink);
   }
 
-  onHead(sendNumber: number, head: AnswerHead): AnswerKind {
+  onHead(sendNumber: number, head: AnswerHead, exchange: IExchange): AnswerKind {
     if (sendNumber !== this.sendCount || this.phase !== Phase.Sent) {
       return AnswerKind.Ignored;
     }
@@ -527,7 +527,8 @@
     }
     this.recordPossibleRun();
     this.phase = Phase.Streaming;
-    this.answer.keepHead(head, this.context.clock.monotonicMs());
+    const createBody = () => exchange.collect(maxEventBytes, false);
+    this.answer.keepHead(head, createBody, this.context.clock.monotonicMs());
     return AnswerKind.Events;
   }
 
@@ -553,11 +554,7 @@
       return true;
     }
     const batch = this.answer.push(chunk);
-    if (this.answer.heldBytes > maxEventBytes) {
-      this.abortOversizedAnswer(`event exceeds ${maxEventBytes} bytes`);
-      return true;
-    }
-    if (batch === undefined) {
+    if (batch === undefined || this.phase !== Phase.Streaming) {
       return true;
     }
     if (!this.answer.isContinuedBy(batch)) {
@@ -566,6 +563,10 @@
     }
     const isCallerReady =
       batch.count > 0 ? this.passEvents(batch) : this.answer.writeComments(batch.bytes);
+    if (this.phase === Phase.Streaming && this.answer.bytesSinceEvent > maxEventBytes) {
+      this.exchange?.giveUp(AnswerCut.TooLarge, `no event in ${maxEventBytes} bytes`);
+      return true;
+    }
     if (!isCallerReady && !this.isAwaitingDrain) {
       this.isAwaitingDrain = true;
       this.caller.whenDrained(() => {
@@ -615,7 +616,7 @@
     this.finish('complete', 200);
   }
 
-  onWholeAnswer(kind: AnswerKind, head: AnswerHead, body: Buffer): void {
+  onWholeAnswer(kind: AnswerKind, head: AnswerHead, body: AnswerBody): void {
     if (this.phase !== Phase.Sent) {
       return;
     }
@@ -636,18 +637,12 @@
       this.handleFailedSend(SendFailure.Interrupted, `status ${head.status}`);
       return;
     }
-    this.caller.answer(head.status, this.context.dialect.callerHeaders(head.rawHeaders), body);
+    const headers = this.context.dialect.callerHeaders(head.rawHeaders);
+    this.caller.answer(head.status, headers, body.handOver());
     this.finish('endpoint-failure', head.status);
   }
 
-  onOversizedAnswer(sendNumber: number): void {
-    if (sendNumber === this.sendCount && this.phase === Phase.Sent) {
-      this.recordPossibleRun();
-      this.abortOversizedAnswer(`answer exceeds ${this.context.maxAnswerBytes} bytes`);
-    }
-  }
-
-  onFailure(sendNumber: number, reason: string, wasSent: boolean): void {
+  onFailure(sendNumber: number, reason: string, wasSent: boolean, fault: ExchangeFault): void {
     if (
       sendNumber !== this.sendCount ||
       this.phase === Phase.Finished ||
@@ -655,6 +650,10 @@
     ) {
       return;
     }
+    if (fault !== ExchangeFault.Connection) {
+      this.handleGivenUpAnswer(reason, fault);
+      return;
+    }
     const firstEndpoint = this.path.firstStage?.endpoint;
     if (firstEndpoint) {
       const { address, startedMs } = firstEndpoint;
@@ -671,10 +670,10 @@
     this.handleFailedSend(wasSent ? SendFailure.Interrupted : SendFailure.NotSent, reason);
   }
 
-  private abortOversizedAnswer(reason: string): void {
-    this.context.metrics.brokenAnswers.inc({ reason: 'too-large' });
-    this.exchange?.abort();
-    // The endpoint lives; its connection was ended here.
+  /** Ends a send whose answer was given up here. The endpoint lives; its connection was ended here. */
+  private handleGivenUpAnswer(reason: string, fault: ExchangeFault): void {
+    this.recordPossibleRun();
+    this.recordOutcome(fault === ExchangeFault.Answer);
     this.run.recordAnswer();
     const { firstAddress } = this;
     if (firstAddress !== undefined) {
@@ -859,7 +858,6 @@
     }
     this.exchange?.abort();
     this.exchange = undefined;
-    this.wholeAnswer?.close();
     this.path.release();
     const { metrics, clock } = this.context;
     metrics.answers.inc({ kind: RouteKind.Stream, status, source: outcome.split(':')[0] });
--- a/src/services/exchange/node/endpointSender.ts
+++ b/src/services/exchange/node/endpointSender.ts
@@ -2,8 +2,12 @@
 import { buildConnector, Client, type Dispatcher } from 'undici';
 import { toErrorMessage } from '../../../base/common/errors.js';
 import type { IClock } from '../../../base/common/clock.js';
+import { requestHeapCost } from '../../intake/common/headAccount.js';
+import { AnswerCut, isFault } from '../common/answerCut.js';
 import type { HeaderMap } from '../common/headerMap.js';
-import { ReadGate } from './readGate.js';
+import { AnswerBody } from './answerBody.js';
+import { AnswerConnection, AnswerGivenUpError, HoldReason } from './answerConnection.js';
+import type { AnswerIntake, IHeapUser } from './answerIntake.js';
 
 /** HTTP request to an endpoint. */
 export interface OutboundRequest {
@@ -31,7 +35,13 @@
 
 /** Receives the answer to a request, or the error that ended the exchange. */
 export interface IAnswerSink {
-  onHead(head: AnswerHead): void;
+  /**
+   * Called with the head of the answer.
+   *
+   * @param head - Status and headers.
+   * @param exchange - The exchange, which keeps what the receiver can't pass on yet.
+   */
+  onHead(head: AnswerHead, exchange: IExchange): void;
   /**
    * Called with the next bytes of the body; returns false to pause until the exchange is resumed. Bytes
    * that were read before the pause still follow.
@@ -43,12 +53,38 @@
    *
    * @param reason - Error message.
    * @param wasSent - Whether any byte of the request may have reached the endpoint.
+   * @param fault - What failed.
    */
-  onError(reason: string, wasSent: boolean): void;
+  onError(reason: string, wasSent: boolean, fault: ExchangeFault): void;
+}
+
+/** What failed if an exchange has no whole answer. */
+export enum ExchangeFault {
+  /** The connection couldn't be opened, or ended. */
+  Connection = 'connection',
+  /** The endpoint sent what is no answer, or more than an answer may hold. */
+  Answer = 'answer',
+  /** This process had no room for the answer. */
+  NoRoom = 'no-room',
 }
 
 /** A request that was sent to an endpoint, with its answer. */
 export interface IExchange {
+  /**
+   * Returns a place for what can't be passed on yet, which is charged to the account of all answers. If it
+   * gets too large or the account gives it up, the exchange ends with `onError`.
+   *
+   * @param maxBytes - Largest size, in bytes.
+   * @param isWholeBody - Whether it is to hold all of the body, whose length the head may name.
+   */
+  collect(maxBytes: number, isWholeBody: boolean): AnswerBody;
+  /**
+   * Ends the exchange with `onError`, because its answer can't be read on.
+   *
+   * @param cut - Why.
+   * @param reason - Error message.
+   */
+  giveUp(cut: AnswerCut, reason?: string): void;
   resume(): void;
   /** Aborts the exchange; the sink is not called any more. */
   abort(): void;
@@ -58,15 +94,20 @@
  * Timeout for opening a connection, in milliseconds. Allows for a few round trips and the retransmission
  * of one lost packet.
  */
-const connectTimeoutMs = 600;
+const defaultConnectTimeoutMs = 600;
 
 /** Idle time in milliseconds after which a connection is closed, unless the endpoint asks for less. */
-const idleTimeoutMs = 4_000;
+const defaultIdleTimeoutMs = 4_000;
 
-/** Maximum size of the head of an answer, in bytes. */
-const maxHeadBytes = 16_384;
+/** Number of fields, and size in bytes, up to which a head isn't charged. */
+const usualFieldCount = 64;
+const usualHeadBytes = 4_096;
 
-const openSocket = buildConnector({ timeout: connectTimeoutMs });
+/** Codes of errors of the client about bytes that are no answer in the protocol; it asserts some of its rules. */
+const malformedCodes: ReadonlySet<unknown> = new Set(['UND_ERR_HEADERS_OVERFLOW', 'ERR_ASSERTION']);
+
+/** Message of the parser about a connection that ended within an answer. */
+const brokenOffPattern = /Invalid EOF state/;
 
 /** Connection to an endpoint that carries one exchange at a time. */
 class Connection {
@@ -85,25 +126,30 @@
   /** Error with which the connection ended; undefined if it is open or was closed normally. */
   failureReason: string | undefined;
 
-  private gate: ReadGate | undefined;
+  private answers: AnswerConnection | undefined;
 
   /**
    * @param origin - Scheme, host and port of the endpoint.
+   * @param options - How connections are opened.
+   * @param openSocket - Opens the socket.
    * @param onHeard - Called when the endpoint has accepted the connection or sent part of an answer.
    */
   constructor(
-    origin: string,
+    readonly origin: string,
+    private readonly options: EndpointSenderOptions,
+    openSocket: buildConnector.connector,
     readonly onHeard: () => void,
   ) {
+    const keepAliveMs = options.idleTimeoutMs ?? defaultIdleTimeoutMs;
     this.client = new Client(origin, {
       pipelining: 1,
-      keepAliveTimeout: idleTimeoutMs,
-      keepAliveMaxTimeout: idleTimeoutMs,
-      maxHeaderSize: maxHeadBytes,
+      keepAliveTimeout: keepAliveMs,
+      keepAliveMaxTimeout: keepAliveMs,
+      maxHeaderSize: options.intake.bounds.maxHeadBytes,
       headersTimeout: 0,
       bodyTimeout: 0,
-      connect: (options, callback) =>
-        openSocket(options, (err, socket) => {
+      connect: (target, callback) =>
+        openSocket(target, (err, socket) => {
           if (err) {
             callback(err, null);
             return;
@@ -115,18 +161,18 @@
     });
   }
 
-  /** Stops reading from the connection until `resume` is called. */
-  pause(): void {
-    this.gate?.shut();
+  /** Bounds what arrives; undefined before the connection is open. */
+  get reader(): AnswerConnection | undefined {
+    return this.answers;
   }
 
-  resume(): void {
-    this.gate?.open();
+  get intake(): AnswerIntake {
+    return this.options.intake;
   }
 
   /** Adds listeners before the client adds its own, so that `hasEnded` is set when an answer ends. */
   private watch(socket: Socket): void {
-    this.gate = new ReadGate(socket);
+    this.answers = new AnswerConnection(socket, this.options.intake);
     this.requestCount = 0;
     this.hasEnded = false;
     this.failureReason = undefined;
@@ -150,8 +196,19 @@
   return headers['content-length'] !== undefined || encodings.trimEnd().endsWith('chunked');
 }
 
+/** Returns the length of a body that its head names, in bytes; undefined if it names none. */
+function declaredBytesOf(method: string, headers: HeaderMap): number | undefined {
+  if (method === 'HEAD') {
+    return 0;
+  }
+  const length = headers['content-length'];
+  return headers['transfer-encoding'] === undefined && typeof length === 'string'
+    ? Number(length)
+    : undefined;
+}
+
 /** Passes the client's events of one request on to the sink, until the exchange ends or is aborted. */
-class Exchange implements IExchange, Dispatcher.DispatchHandler {
+class Exchange implements IExchange, IHeapUser, Dispatcher.DispatchHandler {
   private controller: Dispatcher.DispatchController | undefined;
 
   private isFinished = false;
@@ -159,7 +216,17 @@
   /** Whether the answer's headers delimit its body by a length or a transfer encoding. */
   private isFramed = false;
 
+  private interimHeadCount = 0;
+
+  /** Bytes of the answer's body that have arrived. */
+  private receivedBytes = 0;
+
+  private declaredBytes: number | undefined;
+
+  private readonly bodies: AnswerBody[] = [];
+
   constructor(
+    private readonly method: string,
     private readonly sink: IAnswerSink,
     private readonly connection: Connection,
     /** Called when the client has ended the request, also after an abort. */
@@ -171,6 +238,7 @@
   onRequestStart(controller: Dispatcher.DispatchController): void {
     this.controller = controller;
     this.connection.requestCount += 1;
+    this.connection.reader?.beginAnswer();
     if (this.isFinished) {
       controller.abort(new Error('aborted'));
     }
@@ -182,22 +250,37 @@
     headers: HeaderMap,
   ): void {
     this.connection.onHeard();
-    if (!this.isFinished && status >= 200) {
-      this.isFramed = hasFraming(headers);
-      const raw = (controller.rawHeaders ?? []) as readonly (Buffer | string)[];
-      this.sink.onHead({
-        status,
-        headers,
-        rawHeaders: raw.map((each) => each.toString('latin1')),
-        isFirstOnConnection: this.connection.requestCount === 1,
-      });
+    if (this.isFinished) {
+      return;
     }
+    const { maxHeadFields, maxInterimHeads } = this.connection.intake.bounds;
+    const raw = (controller.rawHeaders ?? []) as readonly (Buffer | string)[];
+    if (raw.length > 2 * maxHeadFields) {
+      this.giveUp(AnswerCut.ManyFields);
+      return;
+    }
+    if (status < 200) {
+      this.interimHeadCount += 1;
+      if (this.interimHeadCount > maxInterimHeads) {
+        this.giveUp(AnswerCut.InterimHeads);
+      }
+      return;
+    }
+    this.connection.reader?.recordHead();
+    this.isFramed = hasFraming(headers);
+    this.declaredBytes = declaredBytesOf(this.method, headers);
+    const rawHeaders = raw.map((each) => each.toString('latin1'));
+    this.chargeHead(rawHeaders);
+    const isFirstOnConnection = this.connection.requestCount === 1;
+    this.sink.onHead({ status, headers, rawHeaders, isFirstOnConnection }, this);
   }
 
   onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
     this.connection.onHeard();
+    this.receivedBytes += chunk.length;
+    this.connection.reader?.recordPiece(chunk.length);
     if (!this.isFinished && !this.sink.onData(chunk)) {
-      this.connection.pause();
+      this.connection.reader?.hold(HoldReason.Receiver);
     }
   }
 
@@ -210,36 +293,128 @@
     this.isFinished = true;
     // The client treats the end of a connection as the end of its last answer, regardless of framing.
     if (failureReason !== undefined || (this.isFramed && hasEnded)) {
-      this.sink.onError(failureReason ?? 'connection ended within the answer', true);
+      const reason = failureReason ?? 'connection ended within the answer';
+      this.sink.onError(reason, true, ExchangeFault.Connection);
     } else {
       this.sink.onEnd();
     }
+    this.closeBodies();
   }
 
   onResponseError(_controller: Dispatcher.DispatchController | undefined, err: Error): void {
     this.onFinished();
-    if (!this.isFinished) {
-      this.isFinished = true;
-      this.sink.onError(toErrorMessage(err), this.controller !== undefined);
+    this.closeBodies();
+    if (this.isFinished) {
+      return;
     }
+    this.isFinished = true;
+    const cut = cutOf(err);
+    if (cut !== undefined) {
+      this.connection.intake.recordCut(cut, this.connection.origin, this.receivedBytes);
+    }
+    this.sink.onError(toErrorMessage(err), this.controller !== undefined, faultOf(cut));
+  }
+
+  collect(maxBytes: number, isWholeBody: boolean): AnswerBody {
+    const { intake, reader } = this.connection;
+    if (reader === undefined) {
+      throw new Error('an answer can be collected only once its head has arrived');
+    }
+    const body = new AnswerBody(
+      intake,
+      reader,
+      isWholeBody ? this.declaredBytes : undefined,
+      maxBytes,
+      (cut) => {
+        const size = `answer exceeds ${maxBytes} bytes`;
+        this.giveUp(cut, cut === AnswerCut.TooLarge ? size : undefined);
+      },
+    );
+    this.bodies.push(body);
+    return body;
+  }
+
+  giveUp(cut: AnswerCut, reason = `answer was given up: ${cut}`): void {
+    if (this.isFinished) {
+      return;
+    }
+    this.connection.intake.recordCut(cut, this.connection.origin, this.receivedBytes);
+    this.abort();
+    this.sink.onError(reason, true, faultOf(cut));
   }
 
   resume(): void {
     if (!this.isFinished) {
-      this.connection.resume();
+      this.connection.reader?.release(HoldReason.Receiver);
     }
   }
 
   abort(): void {
     this.isFinished = true;
+    this.closeBodies();
     if (this.controller) {
       this.controller.abort(new Error('aborted'));
     } else {
       this.onUnused();
     }
   }
+
+  /** Charges a head that is larger than usual. */
+  private chargeHead(rawHeaders: readonly string[]): void {
+    const fieldCount = rawHeaders.length / 2;
+    const headBytes = rawHeaders.reduce((total, each) => total + each.length, 0);
+    if (fieldCount > usualFieldCount || headBytes > usualHeadBytes) {
+      this.connection.intake.chargeHeap(this, requestHeapCost(headBytes, fieldCount));
+    }
+  }
+
+  private closeBodies(): void {
+    this.bodies.forEach((body) => body.close());
+    this.connection.intake.chargeHeap(this, 0);
+  }
+}
+
+/** Returns why an answer was given up; undefined if its connection failed. */
+function cutOf(err: Error): AnswerCut | undefined {
+  if (err instanceof AnswerGivenUpError) {
+    return err.cut;
+  }
+  const isParserError = err.name === 'HTTPParserError' && !brokenOffPattern.test(err.message);
+  const { code } = err as { readonly code?: unknown };
+  return isParserError || malformedCodes.has(code) ? AnswerCut.Malformed : undefined;
+}
+
+function faultOf(cut: AnswerCut | undefined): ExchangeFault {
+  if (cut === undefined) {
+    return ExchangeFault.Connection;
+  }
+  return isFault(cut) ? ExchangeFault.Answer : ExchangeFault.NoRoom;
 }
 
+/** How an {@link EndpointSender} opens connections. */
+export interface EndpointSenderOptions {
+  /** Maximum number of connections to one endpoint. */
+  readonly maxConnections: number;
+  /** Bounds what the answers make the process hold. */
+  readonly intake: AnswerIntake;
+  /** `http:` or `https:`; the former if undefined. */
+  readonly protocol?: string;
+  /** Timeout for opening a connection, in milliseconds. */
+  readonly connectTimeoutMs?: number;
+  /** Idle time after which a connection is closed, in milliseconds. */
+  readonly idleTimeoutMs?: number;
+}
+
+/** Exchange of a request that couldn't be sent. */
+const noExchange: IExchange = {
+  collect: () => {
+    throw new Error('the request was not sent');
+  },
+  giveUp: () => undefined,
+  resume: () => undefined,
+  abort: () => undefined,
+};
+
 /**
  * Sends requests over kept-alive connections to endpoints, or to the service behind one.
  *
@@ -251,16 +426,19 @@
 
   private readonly heardMs = new Map<string, number>();
 
+  private readonly openSocket: buildConnector.connector;
+
   /**
-   * @param maxConnections - Maximum number of connections to one endpoint.
+   * @param options - How connections are opened.
    * @param clock - Source of time.
-   * @param protocol - `http:` or `https:`.
    */
   constructor(
-    private readonly maxConnections: number,
+    private readonly options: EndpointSenderOptions,
     private readonly clock: IClock,
-    private readonly protocol = 'http:',
-  ) {}
+  ) {
+    const timeout = options.connectTimeoutMs ?? defaultConnectTimeoutMs;
+    this.openSocket = buildConnector({ timeout });
+  }
 
   /**
    * Sends a request.
@@ -276,14 +454,14 @@
       req.maxIdleMs === undefined
         ? undefined
         : this.lastUsedIdleConnection(openConnections, req.maxIdleMs);
-    if (idleConnection === undefined && openConnections.size >= this.maxConnections) {
-      queueMicrotask(() => sink.onError('too many connections', false));
-      return { resume: () => undefined, abort: () => undefined };
+    if (idleConnection === undefined && openConnections.size >= this.options.maxConnections) {
+      queueMicrotask(() => sink.onError('too many connections', false, ExchangeFault.Connection));
+      return noExchange;
     }
     const connection = idleConnection ?? this.openConnection(address, openConnections);
     connection.isBusy = true;
     const onFinished = () => {
-      connection.resume();
+      connection.reader?.release(HoldReason.Receiver);
       connection.isBusy = false;
       connection.idleSinceMs = this.clock.monotonicMs();
     };
@@ -292,7 +470,7 @@
       openConnections.delete(connection);
       void connection.client.destroy();
     };
-    const exchange = new Exchange(sink, connection, onFinished, onUnused);
+    const exchange = new Exchange(req.method, sink, connection, onFinished, onUnused);
     connection.client.dispatch(
       {
         method: req.method,
@@ -362,7 +540,8 @@
   }
 
   private openConnection(address: string, openConnections: Set<Connection>): Connection {
-    const connection = new Connection(`${this.protocol}//${address}`, () => {
+    const origin = `${this.options.protocol ?? 'http:'}//${address}`;
+    const connection = new Connection(origin, this.options, this.openSocket, () => {
       this.heardMs.set(address, this.clock.monotonicMs());
     });
     openConnections.add(connection);
--- a/src/services/exchange/test/node/answerFraming.test.ts
+++ b/src/services/exchange/test/node/answerFraming.test.ts
@@ -3,6 +3,7 @@
 import { expect } from 'chai';
 import { SystemClock } from '../../../../base/node/systemClock.js';
 import { EndpointSender, type IAnswerSink, type IExchange } from '../../node/endpointSender.js';
+import { createTestIntake } from './answerFixtures.js';
 
 const request = { method: 'GET', target: '/', headers: [], body: undefined, maxIdleMs: 1_000 };
 
@@ -58,7 +59,10 @@
   beforeEach(async () => {
     scripts = [];
     connectionCount = 0;
-    sender = new EndpointSender(4, new SystemClock());
+    sender = new EndpointSender(
+      { maxConnections: 4, intake: createTestIntake() },
+      new SystemClock(),
+    );
     server = createServer((socket) => {
       connectionCount += 1;
       socket.on('error', () => undefined);
--- a/src/services/exchange/test/node/endpointSender.test.ts
+++ b/src/services/exchange/test/node/endpointSender.test.ts
@@ -3,6 +3,7 @@
 import { expect } from 'chai';
 import { SystemClock } from '../../../../base/node/systemClock.js';
 import { EndpointSender, type IAnswerSink } from '../../node/endpointSender.js';
+import { createTestIntake } from './answerFixtures.js';
 
 const request = { method: 'GET', target: '/', headers: [], body: undefined, maxIdleMs: 1_000 };
 
@@ -34,7 +35,10 @@
   });
 
   it('does not count connections whose exchange was aborted before they were open', async () => {
-    const sender = new EndpointSender(2, new SystemClock());
+    const sender = new EndpointSender(
+      { maxConnections: 2, intake: createTestIntake() },
+      new SystemClock(),
+    );
     for (let count = 0; count < 3; count += 1) {
       sender
         .send(
@@ -56,7 +60,10 @@
     const rejections: unknown[] = [];
     const recordRejection = (reason: unknown) => rejections.push(reason);
     process.on('unhandledRejection', recordRejection);
-    const sender = new EndpointSender(2, new SystemClock());
+    const sender = new EndpointSender(
+      { maxConnections: 2, intake: createTestIntake() },
+      new SystemClock(),
+    );
     const beforeClose = sender.send(
       address,
       request,
--- a/src/services/settings/common/settings.ts
+++ b/src/services/settings/common/settings.ts
@@ -93,6 +93,8 @@
   callerYieldMs: v.nullish(milliseconds),
   /** Longest time for which a body waits for memory, in milliseconds. */
   bodyWaitMs: v.nullish(milliseconds),
+  /** Memory that answers of endpoints may use before they are complete, in megabytes; derived if left out. */
+  answerMemoryMb: v.nullish(positiveInteger),
   /** Share of the processor time that bodies in many small pieces may use. */
   bodyPieceShare: v.nullish(v.pipe(v.number(), v.gtValue(0), v.maxValue(1))),
 };
