Let a stream resume at an endpoint that spoiled one answer

Since answers that break the protocol no longer count as lost connections, such an endpoint was excluded from all further paths of the request, also if no other may run it. It is now avoided only while others may be used, as after a break; answers that exceed a bound still exclude it.

--- a/src/gateway/relay/node/plainRelay.ts
+++ b/src/gateway/relay/node/plainRelay.ts
@@ -279,7 +279,7 @@
       return;
     }
     this.health.record(incarnationOf(send.endpoint), true);
-    if (fault === ExchangeFault.Answer) {
+    if (fault !== ExchangeFault.Connection) {
       // The endpoint lives; its connection was ended here.
       this.handlePossibleRun(send, reason);
     } else if (wasSent) {
--- a/src/gateway/relay/node/streamRelay.ts
+++ b/src/gateway/relay/node/streamRelay.ts
@@ -673,10 +673,13 @@
   /** Ends a send whose answer was given up here. The endpoint lives; its connection was ended here. */
   private handleGivenUpAnswer(reason: string, fault: ExchangeFault): void {
     this.recordPossibleRun();
-    this.recordOutcome(fault === ExchangeFault.Answer);
+    this.recordOutcome(fault !== ExchangeFault.NoRoom);
     this.run.recordAnswer();
     const { firstAddress } = this;
-    if (firstAddress !== undefined) {
+    if (firstAddress !== undefined && fault === ExchangeFault.Malformed) {
+      // A sound endpoint may spoil a single answer.
+      this.history.recordBreak(firstAddress);
+    } else if (firstAddress !== undefined) {
       this.history.exclude(firstAddress);
     }
     this.handleFailedSend(SendFailure.Interrupted, reason);
--- a/src/services/exchange/node/endpointSender.ts
+++ b/src/services/exchange/node/endpointSender.ts
@@ -62,7 +62,9 @@
 export enum ExchangeFault {
   /** The connection couldn't be opened, or ended. */
   Connection = 'connection',
-  /** The endpoint sent what is no answer, or more than an answer may hold. */
+  /** The endpoint sent what is no answer in the protocol. */
+  Malformed = 'malformed',
+  /** The endpoint sent more than an answer may hold, or held the answer back. */
   Answer = 'answer',
   /** This process had no room for the answer. */
   NoRoom = 'no-room',
@@ -388,6 +390,9 @@
   if (cut === undefined) {
     return ExchangeFault.Connection;
   }
+  if (cut === AnswerCut.Malformed) {
+    return ExchangeFault.Malformed;
+  }
   return isFault(cut) ? ExchangeFault.Answer : ExchangeFault.NoRoom;
 }
 
