Release answers that waited for earlier ones on a closed connection

Callers of large answers got 504 until the gateway was restarted, after a few pipelining callers had closed their connections early.

An answer stays charged to the account of answers until its response closes. A response that waits for an earlier one on its connection has no socket yet, and Node.js emits no `close` on it when the connection closes, so its body stayed charged for good.

Evidence: 6 connections with a request that is not answered and two for 1.6 MB, closed after 0.7 s, left 14,400,210 bytes of largeBodyBytes; 4 of 4 later calls for 1.6 MB were answered 504 after 3.0 s, also 11 s later. The ingress learns of both kinds of closing already, so it closes the body there.

With the change the same run leaves 0 bytes, and 4 of 4 calls are answered 200 within 29 ms. The new test fails without it.

--- a/src/gateway/http/node/callerResponse.ts
+++ b/src/gateway/http/node/callerResponse.ts
@@ -51,6 +51,9 @@
 
   private hasEndedConnection = false;
 
+  /** Whole body that the caller hasn't taken. */
+  private body: IHeldBody | undefined;
+
   /**
    * @param req - Request of the caller.
    * @param res - Response to write to.
@@ -91,7 +94,7 @@
     if (status !== 204 && status !== 304) {
       headers.push('Content-Length', String(bytes.length));
     }
-    this.res.once('close', () => body.close());
+    this.body = body;
     this.res.writeHead(status, this.withConnection(headers));
     this.res.end(this.req.method === 'HEAD' ? undefined : bytes);
   }
@@ -123,6 +126,12 @@
     this.res.destroy();
   }
 
+  /** Releases the body, once the response or its connection has closed. */
+  close(): void {
+    this.body?.close();
+    this.body = undefined;
+  }
+
   refuse({ status, detail, retryAfterMs }: Refusal): void {
     if (this.isDisconnected || this.res.headersSent) {
       return;
--- a/src/gateway/http/node/ingress.ts
+++ b/src/gateway/http/node/ingress.ts
@@ -285,6 +285,7 @@
       return;
     }
     open.connection.open.delete(open);
+    open.caller.close();
     if (!open.res.writableFinished && (open.caller.isAborted || this.isClosed)) {
       this.recordCut(open);
     }
--- a/src/gateway/http/test/node/ingress.test.ts
+++ b/src/gateway/http/test/node/ingress.test.ts
@@ -78,6 +78,29 @@
     expect(answer.toString()).to.match(/^HTTP\/1\.1 404 [^]*Connection: close/);
   });
 
+  it('releases the body of an answer that waited for an earlier one when its connection closed', async () => {
+    let isHeld = false;
+    let requestCount = 0;
+    const url = await listen((_req, caller) => {
+      requestCount += 1;
+      if (requestCount === 2) {
+        isHeld = true;
+        const close = () => {
+          isHeld = false;
+        };
+        caller.answer(200, [], { bytes: Buffer.from('second'), close });
+      }
+      return undefined;
+    });
+    const socket = connect(Number(new URL(url).port), '127.0.0.1');
+    socket.write('GET /a/x HTTP/1.1\r\nHost: a.example\r\n\r\n'.repeat(2));
+    await sleep(100);
+    expect(isHeld).to.equal(true);
+    socket.destroy();
+    await sleep(100);
+    expect(isHeld).to.equal(false);
+  });
+
   it('decides again which route a request takes if the configuration changes during its body', async () => {
     let routeName: string | undefined;
     const url = await listen((req, caller) => {
