Give up the answer that uses most when heads use too much of the heap

Answers of sound endpoints with heads over 4 KiB were given up because others sent heads without end.

The answer that had been charged for longest was given up first, whatever its size. An answer with a large head is charged until it is complete, so that long answers and streams went first and the incomplete heads stayed.

An incomplete head is charged far more than a whole one, so now the largest one is given up first. The new test fails without the change.

--- a/src/services/exchange/node/answerIntake.ts
+++ b/src/services/exchange/node/answerIntake.ts
@@ -94,8 +94,8 @@
   }
 
   /**
-   * Sets what heads and framing of a connection use. While all use too much, the connections that have been
-   * charged for longest are closed.
+   * Sets what heads and framing of a connection use. While all use too much, the connection that uses most is
+   * closed, and of several such connections the one that has been charged for longest.
    *
    * @param user - The connection.
    * @param bytes - Bytes of the heap; 0 if the connection uses none any more.
@@ -108,12 +108,10 @@
     } else {
       this.heapUsers.set(user, bytes);
     }
-    for (const [longest] of this.heapUsers) {
-      if (!this.heads.isFull) {
-        return;
-      }
-      this.chargeHeap(longest, 0);
-      longest.giveUp(AnswerCut.Heap);
+    while (this.heads.isFull) {
+      const [largest] = [...this.heapUsers].reduce((a, b) => (b[1] > a[1] ? b : a));
+      this.chargeHeap(largest, 0);
+      largest.giveUp(AnswerCut.Heap);
     }
   }
 
--- a/src/services/exchange/test/node/answerIntake.test.ts
+++ b/src/services/exchange/test/node/answerIntake.test.ts
@@ -123,6 +123,26 @@
     expect((third as WholeAnswer).body).to.have.length(maxBytes);
   });
 
+  it('spares an answer with a head of moderate size when later heads use too much of the heap', async () => {
+    const large = `X-Large: ${'x'.repeat(5_000)}`;
+    const sound = (socket: Socket) => {
+      socket.write(`HTTP/1.1 200 OK\r\n${large}\r\nContent-Length: 2\r\n\r\no`);
+      setTimeout(() => socket.write('k'), 500);
+    };
+    const partial = (socket: Socket) =>
+      socket.write(`HTTP/1.1 200 OK\r\n${'a:\r\n'.repeat(1_000)}`);
+    answers = [sound, partial];
+    await start({ heapBytes: 400_000 });
+    const first = receive();
+    await new Promise((resolve) => {
+      setTimeout(resolve, 100);
+    });
+    const others = [receive(), receive()];
+    expect(((await first) as WholeAnswer).body?.toString()).to.equal('ok');
+    await sender.close();
+    await Promise.all(others);
+  });
+
   it('closes the connections that hold heads for longest when all heads use too much', async () => {
     const partial = (socket: Socket) =>
       socket.write(`HTTP/1.1 200 OK\r\n${'a:\r\n'.repeat(1_000)}`);
