Bound what an agent holds of its engine's answers

An agent read the answers of its engine with a buffer for each piece and without a bound on their size. An engine whose answers to the reads of its state had no end made the agent grow by hundreds of megabytes within seconds, or ended it at its heap limit; with the agent, all attempts on the endpoint were lost.

The engine is now called through the sender that plain services have: bodies are kept in blocks up to `maxAnswerBytes` and charged to the account of all answers, and heads and framing have their bounds. Orders have no timeout, as before, but the bound in bytes. The undici agent let further requests wait while its 16 connections were busy; QueuedSender does so, with a bound on those that wait. It counts exchanges and not connections, since the connection of an aborted exchange takes a moment to close. A connection that breaks while a request is sent still counts as a crash, now by the fault that the sender gives instead of by the codes of undici.

--- a/src/agent/node/agentProgram.ts
+++ b/src/agent/node/agentProgram.ts
@@ -6,7 +6,10 @@
 import { LinkServer } from '../../services/link/node/linkServer.js';
 import type { Link } from '../../services/link/node/link.js';
 import type { AnswerIntake } from '../../services/exchange/node/answerIntake.js';
-import { createProgramAnswerIntake } from '../../services/exchange/node/programAnswerIntake.js';
+import {
+  createProgramAnswerIntake,
+  reportAnswers,
+} from '../../services/exchange/node/programAnswerIntake.js';
 import type { CallerIntake } from '../../services/intake/node/callerIntake.js';
 import { createProgramIntake, reportIntake } from '../../services/intake/node/programIntake.js';
 import {
@@ -137,7 +140,14 @@
     this.orderFence = new OrderFence(new LeaseTokenSource(store, settings.region));
     if (settings.engineUrl !== undefined) {
       const timeouts = { stepMs: settings.engineStepMs, stateMs: settings.engineStateMs };
-      this.engine = new HttpStageEngine(this.incarnation, settings.engineUrl, timeouts);
+      this.engine = new HttpStageEngine(
+        this.incarnation,
+        settings.engineUrl,
+        timeouts,
+        settings.maxAnswerBytes,
+        this.answers,
+        clock,
+      );
       this.stageRunner = this.createStageRunner(this.engine);
     }
     if (settings.service !== undefined) {
@@ -440,6 +450,7 @@
     this.callRunner?.dropAnswers(expiredAnswers);
     this.stageRunner?.removeExpired();
     reportIntake(this.intake, this.dependencies.metrics);
+    reportAnswers(this.answers, this.dependencies.metrics);
     this.dependencies.metrics.gauge('agent.active', this.activeCount);
     this.dependencies.metrics.gauge('agent.gate', this.gate.size);
   }
--- a/src/agent/node/httpPlainService.ts
+++ b/src/agent/node/httpPlainService.ts
@@ -3,6 +3,7 @@
 import { Emitter } from '../../base/common/event.js';
 import type { HeaderMap } from '../../services/exchange/common/headerMap.js';
 import type { AnswerIntake } from '../../services/exchange/node/answerIntake.js';
+import { splitBaseUrl } from '../../services/exchange/node/baseUrl.js';
 import {
   EndpointSender,
   type OutboundRequest,
@@ -54,9 +55,9 @@
     intake: AnswerIntake,
     private readonly clock: IClock & ITimers,
   ) {
-    const { host, pathname, protocol } = new URL(baseUrl);
-    this.address = host;
-    this.basePath = pathname.replace(/\/$/, '');
+    const { address, path, protocol } = splitBaseUrl(baseUrl);
+    this.address = address;
+    this.basePath = path;
     // The number of calls in progress is bounded by those who make them.
     const maxConnections = Number.POSITIVE_INFINITY;
     this.sender = new EndpointSender({ maxConnections, intake, protocol }, clock);
--- a/src/agent/node/httpStageEngine.ts
+++ b/src/agent/node/httpStageEngine.ts
@@ -1,7 +1,12 @@
 import { Err, Ok, type Result } from 'ts-results-es';
-import { Agent, request } from 'undici';
+import type { IClock, ITimers } from '../../base/common/clock.js';
 import { toErrorMessage } from '../../base/common/errors.js';
 import { Emitter } from '../../base/common/event.js';
+import type { AnswerIntake } from '../../services/exchange/node/answerIntake.js';
+import { splitBaseUrl, type BaseUrl } from '../../services/exchange/node/baseUrl.js';
+import { ExchangeFault } from '../../services/exchange/node/endpointSender.js';
+import { QueuedSender } from '../../services/exchange/node/queuedSender.js';
+import { CallEnd, ExchangeError, receiveWhole } from '../../services/exchange/node/wholeAnswer.js';
 import type { OrderMessage } from '../../services/link/common/messages.js';
 import type { AcceleratorKind, LayerRange } from '../../services/model/common/model.js';
 import {
@@ -34,8 +39,11 @@
   readonly resolve: (result: Result<EngineOutput, EngineError>) => void;
 }
 
-/** Error codes which show that the engine ended while it held the request. */
-const brokenConnectionCodes = new Set(['UND_ERR_SOCKET', 'ECONNRESET', 'EPIPE']);
+/** Bounds on the connections to an engine. */
+const connectionBounds = { maxExchanges: 16, maxWaiting: 1_024, connectTimeoutMs: 1_000 } as const;
+
+/** Longest idle time after which a connection is used again, in milliseconds. */
+const maxReuseIdleMs = 3_000;
 
 /** Timeouts of requests to an engine, in milliseconds. */
 export interface EngineTimeouts {
@@ -47,7 +55,9 @@
 
 /** Model engine reached over HTTP; sends the steps queued in one event-loop turn as a batch. */
 export class HttpStageEngine implements IStageEngine {
-  private readonly httpAgent = new Agent({ connections: 16, connect: { timeout: 1_000 } });
+  private readonly sender: QueuedSender;
+
+  private readonly baseUrl: BaseUrl;
 
   private readonly failureEmitter = new Emitter<string>();
 
@@ -66,12 +76,22 @@
    * @param incarnation - Incarnation of the agent; prefix of the crash ids.
    * @param baseUrl - Base URL of the engine, for example `http://127.0.0.1:9000`.
    * @param timeouts - Timeouts of the requests.
+   * @param maxAnswerBytes - Size past which an answer is broken off, in bytes.
+   * @param intake - Bounds what the answers make the process hold.
+   * @param clock - Source of time and timers.
    */
   constructor(
     private readonly incarnation: string,
-    private readonly baseUrl: string,
+    baseUrl: string,
     private readonly timeouts: EngineTimeouts,
-  ) {}
+    private readonly maxAnswerBytes: number,
+    intake: AnswerIntake,
+    private readonly clock: IClock & ITimers,
+  ) {
+    this.baseUrl = splitBaseUrl(baseUrl);
+    const { protocol } = this.baseUrl;
+    this.sender = new QueuedSender({ ...connectionBounds, intake, protocol }, clock);
+  }
 
   run(step: EngineStep): Promise<Result<EngineOutput, EngineError>> {
     return new Promise((resolve) => {
@@ -128,7 +148,7 @@
   /** Closes the connections. */
   async close(): Promise<void> {
     this.failureEmitter.close();
-    await this.httpAgent.destroy();
+    await this.sender.close();
   }
 
   private recordCrash(): string {
@@ -150,8 +170,7 @@
       batch.forEach((queued, index) => queued.resolve(toResult(replies[index])));
     } catch (err) {
       // Steps sent to an engine that was already silent did not run during its crash, unless it took them.
-      const hasTakenSteps = brokenConnectionCodes.has((err as { code?: string }).code ?? '');
-      const crash = wasAnswering || hasTakenSteps ? this.recordCrash() : undefined;
+      const crash = wasAnswering || hasEndedWithRequest(err) ? this.recordCrash() : undefined;
       const error = new EngineError(toErrorMessage(err), crash);
       this.failureEmitter.fire(error.message);
       batch.forEach((queued) => queued.resolve(Err(error)));
@@ -164,22 +183,38 @@
     body: string | undefined,
     timeoutMs: number | undefined,
   ): Promise<{ readonly status: number; readonly body: unknown }> {
-    const res = await request(`${this.baseUrl}${path}`, {
+    const { address, path: basePath } = this.baseUrl;
+    const req = {
       method,
-      headers: body === undefined ? {} : { 'content-type': 'application/json' },
-      body,
-      dispatcher: this.httpAgent,
-      signal: timeoutMs === undefined ? undefined : AbortSignal.timeout(timeoutMs),
-      headersTimeout: timeoutMs ?? 0,
-    });
-    const decoded: unknown = await res.body.json();
-    if (res.statusCode >= 500) {
-      throw new EngineError(`engine answered ${method} ${path} with status ${res.statusCode}`);
+      target: `${basePath}${path}`,
+      headers: body === undefined ? [] : ['content-type', 'application/json'],
+      body: body === undefined ? undefined : Buffer.from(body),
+      maxIdleMs: maxReuseIdleMs,
+    };
+    const bounds = { maxBytes: this.maxAnswerBytes, timeoutMs };
+    const received = await receiveWhole(this.sender, address, req, bounds, this.clock);
+    if (received.isErr()) {
+      throw received.error;
     }
-    return { status: res.statusCode, body: decoded };
+    const { head, body: bytes } = received.value;
+    const decoded: unknown = JSON.parse(bytes.toString());
+    if (head.status >= 500) {
+      throw new EngineError(`engine answered ${method} ${path} with status ${head.status}`);
+    }
+    return { status: head.status, body: decoded };
   }
 }
 
+/** Returns whether an error shows that the engine ended while it held the request. */
+function hasEndedWithRequest(err: unknown): boolean {
+  return (
+    err instanceof ExchangeError &&
+    err.end === CallEnd.Failed &&
+    err.wasSent &&
+    err.fault === ExchangeFault.Connection
+  );
+}
+
 function toResult(reply: StepReply | undefined): Result<EngineOutput, EngineError> {
   if (reply === undefined || reply.error !== undefined) {
     return Err(new EngineError(reply?.error ?? 'engine reply has no result for the step'));
--- a/src/services/exchange/node/endpointSender.ts
+++ b/src/services/exchange/node/endpointSender.ts
@@ -54,8 +54,9 @@
    * @param reason - Error message.
    * @param wasSent - Whether any byte of the request may have reached the endpoint.
    * @param fault - What failed.
+   * @param cause - Error of the connection; undefined if the exchange was given up.
    */
-  onError(reason: string, wasSent: boolean, fault: ExchangeFault): void;
+  onError(reason: string, wasSent: boolean, fault: ExchangeFault, cause?: Error): void;
 }
 
 /** What failed if an exchange has no whole answer. */
@@ -314,7 +315,7 @@
     if (cut !== undefined) {
       this.connection.intake.recordCut(cut, this.connection.origin, this.receivedBytes);
     }
-    this.sink.onError(toErrorMessage(err), this.controller !== undefined, faultOf(cut));
+    this.sink.onError(toErrorMessage(err), this.controller !== undefined, faultOf(cut), err);
   }
 
   collect(maxBytes: number, isWholeBody: boolean): AnswerBody {
@@ -396,6 +397,19 @@
   return isFault(cut) ? ExchangeFault.Answer : ExchangeFault.NoRoom;
 }
 
+/** Sends requests of which each is answered on a connection of its own. */
+export interface IRequestSender {
+  /**
+   * Sends a request.
+   *
+   * @param address - `ip:port` of the receiver.
+   * @param req - Request to send.
+   * @param sink - Receives the answer.
+   * @returns The exchange, which can be resumed or aborted.
+   */
+  send(address: string, req: OutboundRequest, sink: IAnswerSink): IExchange;
+}
+
 /** How an {@link EndpointSender} opens connections. */
 export interface EndpointSenderOptions {
   /** Maximum number of connections to one endpoint. */
@@ -411,7 +425,7 @@
 }
 
 /** Exchange of a request that couldn't be sent. */
-const noExchange: IExchange = {
+export const noExchange: IExchange = {
   collect: () => {
     throw new Error('the request was not sent');
   },
@@ -426,7 +440,7 @@
  * Each connection has its own client. A shared client wouldn't tell how the connection of an answer
  * ended, and a reset must not be taken for the end of an answer without a length.
  */
-export class EndpointSender {
+export class EndpointSender implements IRequestSender {
   private readonly connections = new Map<string, Set<Connection>>();
 
   private readonly heardMs = new Map<string, number>();
@@ -445,14 +459,6 @@
     this.openSocket = buildConnector({ timeout });
   }
 
-  /**
-   * Sends a request.
-   *
-   * @param address - `ip:port` of the endpoint.
-   * @param req - Request to send.
-   * @param sink - Receives the answer.
-   * @returns The exchange, which can be resumed or aborted.
-   */
   send(address: string, req: OutboundRequest, sink: IAnswerSink): IExchange {
     const openConnections = this.connectionsTo(address);
     const idleConnection =
--- a/src/services/exchange/node/wholeAnswer.ts
+++ b/src/services/exchange/node/wholeAnswer.ts
@@ -5,9 +5,9 @@
 import {
   ExchangeFault,
   type AnswerHead,
-  type EndpointSender,
   type IAnswerSink,
   type IExchange,
+  type IRequestSender,
   type OutboundRequest,
 } from './endpointSender.js';
 
@@ -36,14 +36,16 @@
    * @param end - How the call ended.
    * @param wasSent - Whether any byte of the request may have reached its receiver.
    * @param fault - What failed; undefined unless the exchange did.
+   * @param cause - Error of the connection, if there was one.
    */
   constructor(
     message: string,
     readonly end: CallEnd,
     readonly wasSent: boolean,
     readonly fault?: ExchangeFault,
+    cause?: Error,
   ) {
-    super(message);
+    super(message, { cause });
   }
 }
 
@@ -86,8 +88,8 @@
     }
   }
 
-  onError(reason: string, wasSent: boolean, fault: ExchangeFault): void {
-    this.settle(Err(new ExchangeError(reason, CallEnd.Failed, wasSent, fault)));
+  onError(reason: string, wasSent: boolean, fault: ExchangeFault, cause?: Error): void {
+    this.settle(Err(new ExchangeError(reason, CallEnd.Failed, wasSent, fault, cause)));
   }
 }
 
@@ -102,7 +104,7 @@
  * @returns The whole answer, of any status, or why there is none.
  */
 export function receiveWhole(
-  sender: EndpointSender,
+  sender: IRequestSender,
   address: string,
   req: OutboundRequest,
   { maxBytes, timeoutMs, signals = [] }: CallBounds,
--- a/src/services/settings/common/settings.ts
+++ b/src/services/settings/common/settings.ts
@@ -144,7 +144,7 @@
     engineStepMs: v.optional(milliseconds, 20_000),
     engineStateMs: v.optional(milliseconds, 1_000),
     enginePollMs: v.optional(milliseconds, 250),
-    /** Maximum size of an answer of the plain service, in bytes. */
+    /** Maximum size of an answer of the engine or the plain service, in bytes. */
     maxAnswerBytes: v.optional(positiveInteger, defaultMaxAnswerBytes),
     /**
      * Time that an entry has to reopen a lost link before its lookups are cancelled, in
