Bound what a gateway holds of reports and answers to orders

A gateway read reports and answers to orders with a buffer for each piece, up to 256 KiB of each answer and without a bound over all. Endpoints whose reports came in chunks of one byte ended the process at its heap limit while it probed them.

ReplicaControl now reads them through QueuedSender: two reports and two orders at the same time for each endpoint, as before, and a bound on those that wait. They have an account of their own of 4 MB, so that held answers to requests can't keep reports from being read, and a quarter of the shares of heap and processor time that a process's account has. Orders say `Connection: close`, as they did before, and use no connection twice.

--- a/src/bin/ibisspar-gateway.ts
+++ b/src/bin/ibisspar-gateway.ts
@@ -18,6 +18,7 @@
 import { SystemClock } from '../base/node/systemClock.js';
 import { GatewayMetrics } from '../gateway/node/gatewayMetrics.js';
 import { GatewayProgram } from '../gateway/node/gatewayProgram.js';
+import { createSeparateIntake } from '../services/exchange/node/answerIntake.js';
 import { ObjectKind } from '../services/objects/common/objects.js';
 import { NoAnswer } from '../services/objects/node/storeConnections.js';
 import { gatewaySchema, type GatewaySettings } from '../services/settings/common/settings.js';
@@ -35,6 +36,9 @@
 /** Timeout of the answer to an order, in milliseconds. */
 const orderTimeoutMs = 1_000;
 
+/** Memory for reports and answers to orders, in megabytes; some kilobytes each, at most 256 KiB. */
+const controlMemoryMb = 4;
+
 const usageErrorStatus = 2;
 const failureStatus = 1;
 
@@ -66,7 +70,13 @@
       logger.log(LogLevel.Warn, 'store-call-unanswered');
     }
   });
-  const control = new ReplicaControl(reportTimeoutMs, orderTimeoutMs);
+  const controlAnswers = createSeparateIntake(
+    controlMemoryMb,
+    (reason) => metrics.brokenAnswers.inc({ reason }),
+    clock,
+    logger,
+  );
+  const control = new ReplicaControl(reportTimeoutMs, orderTimeoutMs, controlAnswers, clock);
   const program = new GatewayProgram({
     settings,
     clock,
@@ -92,6 +102,7 @@
     await program.drain();
     await program.close();
     await control.close();
+    controlAnswers.close();
     await store.close();
     logger.log(LogLevel.Info, 'stopped');
     lineWriter.close();
--- a/src/services/exchange/common/answerBounds.ts
+++ b/src/services/exchange/common/answerBounds.ts
@@ -74,3 +74,22 @@
     pieceShare: 0.3,
   };
 }
+
+/** Share of a whole process's bounds on heap and processor time for answers that are few and small. */
+const separateShare = 0.25;
+
+/**
+ * Derives the bounds for answers that have an account of their own, so that others can't keep them waiting.
+ *
+ * @param accountMb - Memory that they may use, in megabytes.
+ * @param heapLimitBytes - Limit of the V8 heap, in bytes.
+ * @returns The bounds.
+ */
+export function deriveSeparateBounds(accountMb: number, heapLimitBytes: number): AnswerBounds {
+  const bounds = deriveAnswerBounds({ answerMemoryMb: accountMb }, heapLimitBytes);
+  return {
+    ...bounds,
+    heapBytes: bounds.heapBytes * separateShare,
+    pieceShare: bounds.pieceShare * separateShare,
+  };
+}
--- a/src/services/exchange/node/answerIntake.ts
+++ b/src/services/exchange/node/answerIntake.ts
@@ -8,6 +8,7 @@
 import { PiecePacer } from '../../intake/common/piecePacer.js';
 import {
   deriveAnswerBounds,
+  deriveSeparateBounds,
   type AnswerBounds,
   type AnswerSettings,
 } from '../common/answerBounds.js';
@@ -177,3 +178,22 @@
   const bounds = deriveAnswerBounds(settings, getHeapStatistics().heap_size_limit);
   return new AnswerIntake(bounds, countCut, clock, logger);
 }
+
+/**
+ * Creates an intake for answers that have an account of their own.
+ *
+ * @param accountMb - Memory that they may use, in megabytes.
+ * @param countCut - Counts an answer that was given up.
+ * @param clock - Source of time and of timers.
+ * @param logger - Receives a line for each answer that was given up, limited in number.
+ * @returns The intake; to be closed by its owner.
+ */
+export function createSeparateIntake(
+  accountMb: number,
+  countCut: (cut: AnswerCut) => void,
+  clock: IClock & ITimers,
+  logger: ILogger,
+): AnswerIntake {
+  const bounds = deriveSeparateBounds(accountMb, getHeapStatistics().heap_size_limit);
+  return new AnswerIntake(bounds, countCut, clock, logger);
+}
