Bound what a process holds of a store's answers

The store's answers were read with a buffer for each piece, up to 8 MiB for each of 16 calls and without a bound over all. A store, or what stands in its place, that answers in chunks of one byte ended a gateway at its heap limit; large pieces without end used more memory than the smallest machine has.

StoreConnections now sends its calls through QueuedSender, a generation of connections each. Its answers have an account of 12 MB, in which one of the largest size has room, and which answers of others can't fill. Further calls still wait while all connections are in use, with a bound on those that wait, and still end by their own timeout or signals meanwhile. What counts as silent is unchanged: calls that end by their timeout or with the generation, and not by their caller.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -37,7 +37,7 @@
 const lostTimeouts = {
   object: 'AbortSignal',
   property: 'any',
-  message: 'Node.js 20 collects the timeout signals in it as garbage; use CallSignal',
+  message: 'Node.js 20 collects the timeout signals in it as garbage; use receiveWhole',
 };
 
 const inputOutputModules = ['fs', 'net', 'http', 'https', 'dgram', 'dns', 'timers', 'process'].map(
--- a/src/bench/node/fleet.ts
+++ b/src/bench/node/fleet.ts
@@ -2,7 +2,7 @@
 import { join } from 'node:path';
 import { request } from 'undici';
 import { sha256Hex } from '../../base/common/digest.js';
-import { sleep } from '../../base/node/systemClock.js';
+import { sleep, SystemClock } from '../../base/node/systemClock.js';
 import { hashKey } from '../../entry/http/common/callerDirectory.js';
 import {
   InstanceRole,
@@ -12,6 +12,7 @@
 import type { AcceleratorKind } from '../../services/model/common/model.js';
 import { absentVersion, ObjectKind } from '../../services/objects/common/objects.js';
 import { HttpObjectStore } from '../../services/objects/node/httpObjectStore.js';
+import { createStoreIntake } from '../../services/objects/node/storeConnections.js';
 import type { RuleManifest } from '../../services/rules/common/ruleStore.js';
 import type { HistoryEvent } from '../../standin/common/historyEvent.js';
 import { ProcessGroup, ProcessRestarts, type RunningProcess } from './processes.js';
@@ -120,7 +121,11 @@
 
   platformUrl = '';
 
-  private store = new HttpObjectStore('', 1);
+  private readonly storeAnswers = createStoreIntake(() => undefined, new SystemClock(), {
+    log: () => undefined,
+  });
+
+  private store = new HttpObjectStore('http://127.0.0.1', 1, this.storeAnswers);
 
   /** @param spec - Configuration of the fleet. */
   constructor(readonly spec: FleetSpec) {}
@@ -334,6 +339,7 @@
   async close(): Promise<void> {
     this.endpoints.forEach((endpoint) => endpoint.proxy?.close());
     await this.store.close();
+    this.storeAnswers.close();
     await this.group.close();
   }
 
@@ -390,7 +396,7 @@
       readyPattern,
     );
     this.platformUrl = this.platformProcess.listenAddress;
-    this.store = new HttpObjectStore(this.platformUrl, 2_000);
+    this.store = new HttpObjectStore(this.platformUrl, 2_000, this.storeAnswers);
   }
 
   private async writeConfiguration(): Promise<void> {
--- a/src/bench/test/node/orderDrill.test.ts
+++ b/src/bench/test/node/orderDrill.test.ts
@@ -11,6 +11,7 @@
 import type { Link } from '../../../services/link/node/link.js';
 import { AcceleratorKind } from '../../../services/model/common/model.js';
 import { ObjectKind } from '../../../services/objects/common/objects.js';
+import { createTestIntake } from '../../../services/exchange/test/node/answerFixtures.js';
 import { HttpObjectStore } from '../../../services/objects/node/httpObjectStore.js';
 import { agentSchema, checkSettings } from '../../../services/settings/common/settings.js';
 import { EngineServer } from '../../../standin/node/engineServer.js';
@@ -58,7 +59,7 @@
       platformUrl,
       engineUrl,
     }).unwrap();
-    const store = new HttpObjectStore(platformUrl, 1_000);
+    const store = new HttpObjectStore(platformUrl, 1_000, createTestIntake());
     let port = 0;
     const log = (_level: unknown, event: string, fields: LogFields = {}) => {
       port = event === 'agent-started' ? Number(fields.port) : port;
@@ -118,7 +119,7 @@
   beforeEach(async () => {
     platform = new PlatformServer(1, 0, 100_000);
     platformUrl = await platform.listen('127.0.0.1', 0);
-    operator = new HttpObjectStore(platformUrl, 1_000);
+    operator = new HttpObjectStore(platformUrl, 1_000, createTestIntake());
     const options = {
       accelerator: AcceleratorKind.Medium,
       memoryMiB: 100,
--- a/src/bin/ibisspar-gateway.ts
+++ b/src/bin/ibisspar-gateway.ts
@@ -20,7 +20,11 @@
 import { GatewayProgram } from '../gateway/node/gatewayProgram.js';
 import { createSeparateIntake } from '../services/exchange/node/answerIntake.js';
 import { ObjectKind } from '../services/objects/common/objects.js';
-import { NoAnswer } from '../services/objects/node/storeConnections.js';
+import {
+  createStoreIntake,
+  NoAnswer,
+  type CallOutcome,
+} from '../services/objects/node/storeConnections.js';
 import { gatewaySchema, type GatewaySettings } from '../services/settings/common/settings.js';
 import { loadSettings } from '../services/settings/node/loadSettings.js';
 
@@ -64,12 +68,16 @@
     lineWriter.write(line),
   );
   const logger = new SampledLogger(consola, maxLinesPerSecond, clock);
-  const store = new StoreClient(settings.storeAddress, settings.storeCallMs, (outcome) => {
+  // Answers of the store that were given up count as failed calls.
+  const storeAnswers = createStoreIntake(() => undefined, clock, logger);
+  const onStoreCall = (outcome: CallOutcome) => {
     metrics.storeCalls.inc({ outcome: String(outcome) });
     if (outcome === NoAnswer.Silent) {
       logger.log(LogLevel.Warn, 'store-call-unanswered');
     }
-  });
+  };
+  const { storeAddress, storeCallMs } = settings;
+  const store = new StoreClient(storeAddress, storeCallMs, onStoreCall, storeAnswers);
   const controlAnswers = createSeparateIntake(
     controlMemoryMb,
     (reason) => metrics.brokenAnswers.inc({ reason }),
@@ -104,6 +112,7 @@
     await control.close();
     controlAnswers.close();
     await store.close();
+    storeAnswers.close();
     logger.log(LogLevel.Info, 'stopped');
     lineWriter.close();
     process.exit(exitStatus);
--- a/src/services/objects/node/httpObjectStore.ts
+++ b/src/services/objects/node/httpObjectStore.ts
@@ -1,5 +1,6 @@
 import { Err, Ok, type Result } from 'ts-results-es';
 import type { Event } from '../../../base/common/event.js';
+import type { AnswerIntake } from '../../exchange/node/answerIntake.js';
 import { eraOf, revisionOf, toVersion } from '../common/eraTracker.js';
 import {
   absentVersion,
@@ -50,13 +51,15 @@
   /**
    * @param baseUrl - URL of the platform, for example `http://127.0.0.1:8000`.
    * @param callTimeoutMs - Timeout of every call except a watch, in milliseconds.
+   * @param intake - Bounds what the answers make the process hold.
    */
   constructor(
     baseUrl: string,
     private readonly callTimeoutMs: number,
+    intake: AnswerIntake,
   ) {
     this.connections = new StoreConnections(
-      { origin: baseUrl, eraHeader, maxConnections, connectTimeoutMs },
+      { origin: baseUrl, eraHeader, maxConnections, connectTimeoutMs, intake },
       () => undefined,
     );
   }
--- a/src/services/objects/node/storeConnections.ts
+++ b/src/services/objects/node/storeConnections.ts
@@ -1,7 +1,12 @@
 import { Err, Ok, type Result } from 'ts-results-es';
-import { Agent, request } from 'undici';
+import type { IClock, ITimers } from '../../../base/common/clock.js';
 import { toErrorMessage } from '../../../base/common/errors.js';
-import { CallSignal } from '../../../base/node/callSignal.js';
+import type { ILogger } from '../../../base/common/logger.js';
+import type { AnswerCut } from '../../exchange/common/answerCut.js';
+import { createSeparateIntake, type AnswerIntake } from '../../exchange/node/answerIntake.js';
+import { splitBaseUrl, type BaseUrl } from '../../exchange/node/baseUrl.js';
+import { QueuedSender } from '../../exchange/node/queuedSender.js';
+import { CallEnd, receiveWhole } from '../../exchange/node/wholeAnswer.js';
 import { EraTracker } from '../common/eraTracker.js';
 import { PlatformUnavailableError } from '../common/objects.js';
 
@@ -50,7 +55,10 @@
   readonly origin: string;
   /** Header in which all answers give the era of the store. */
   readonly eraHeader: string;
+  /** Maximum number of calls in progress; further ones wait. */
   readonly maxConnections: number;
+  /** Bounds what the answers make the process hold, see {@link createStoreIntake}. */
+  readonly intake: AnswerIntake;
   /** Timeout for opening a connection, in milliseconds. */
   readonly connectTimeoutMs: number;
 }
@@ -64,27 +72,36 @@
 /** Maximum size of an answer, in bytes; a page of a list holds about one megabyte. */
 const maxAnswerBytes = 8_388_608;
 
+/** Memory for the answers of a store, in megabytes; an answer of the largest size has room beside small ones. */
+const storeMemoryMb = 12;
+
+/** Maximum number of calls that wait for others to end. */
+const maxWaitingCalls = 1_024;
+
 type CallResult = Result<StoreReply, PlatformUnavailableError>;
 
 /** Connections that were opened since others were found silent. */
 class ConnectionGeneration {
-  readonly agent: Agent;
+  readonly sender: QueuedSender;
 
   /** Whether the store has answered on one of the connections. */
   hasAnswered = false;
 
   private readonly silence = new AbortController();
 
-  constructor({ maxConnections, connectTimeoutMs }: StoreConnectionOptions) {
-    this.agent = new Agent({
-      connections: maxConnections,
-      connect: { timeout: connectTimeoutMs },
-      keepAliveTimeout: maxIdleMs,
-      keepAliveMaxTimeout: maxIdleMs,
-      headersTimeout: 0,
-      bodyTimeout: 0,
-      maxResponseSize: maxAnswerBytes,
-    });
+  constructor(
+    { maxConnections, connectTimeoutMs, intake }: StoreConnectionOptions,
+    protocol: string,
+  ) {
+    const options = {
+      maxExchanges: maxConnections,
+      maxWaiting: maxWaitingCalls,
+      intake,
+      protocol,
+      connectTimeoutMs,
+      idleTimeoutMs: maxIdleMs,
+    };
+    this.sender = new QueuedSender(options, intake.clock);
   }
 
   /** Aborted once the store answers on newer connections but not on these. */
@@ -109,6 +126,8 @@
   /** Follows the era that the answers give. */
   readonly eraTracker = new EraTracker();
 
+  private readonly baseUrl: BaseUrl;
+
   private generation: ConnectionGeneration;
 
   /** Generations whose connections are not all closed. */
@@ -122,6 +141,7 @@
     private readonly options: StoreConnectionOptions,
     private readonly onCall: (outcome: CallOutcome) => void,
   ) {
+    this.baseUrl = splitBaseUrl(options.origin);
     this.generation = this.openGeneration();
   }
 
@@ -152,11 +172,11 @@
   /** Closes all connections, aborts the calls in progress and removes every listener. */
   async close(): Promise<void> {
     this.eraTracker.close();
-    await Promise.all([...this.openGenerations].map(({ agent }) => agent.destroy()));
+    await Promise.all([...this.openGenerations].map(({ sender }) => sender.close()));
   }
 
   private openGeneration(): ConnectionGeneration {
-    const generation = new ConnectionGeneration(this.options);
+    const generation = new ConnectionGeneration(this.options, this.baseUrl.protocol);
     this.openGenerations.add(generation);
     return generation;
   }
@@ -165,7 +185,7 @@
   private replace(generation: ConnectionGeneration): void {
     if (generation === this.generation) {
       this.generation = this.openGeneration();
-      void generation.agent.close().then(() => this.openGenerations.delete(generation));
+      void generation.sender.closeWhenIdle().then(() => this.openGenerations.delete(generation));
     }
   }
 
@@ -174,33 +194,40 @@
     generation: ConnectionGeneration,
   ): Promise<{ readonly result: CallResult; readonly isSilent: boolean }> {
     const { signals = [], fallback, body } = call;
-    const endingSignals = fallback ? [...signals, generation.silenced] : signals;
-    const callSignal = new CallSignal(call.timeoutMs, endingSignals);
-    try {
-      const res = await request(`${this.options.origin}${call.path}`, {
+    const { address, path } = this.baseUrl;
+    const headers = {
+      ...(body === undefined ? {} : { 'content-type': 'application/json' }),
+      ...call.headers,
+    };
+    const received = await receiveWhole(
+      generation.sender,
+      address,
+      {
         method: call.method,
-        headers: {
-          ...(body === undefined ? {} : { 'content-type': 'application/json' }),
-          ...call.headers,
-        },
-        body: body === undefined ? undefined : JSON.stringify(body),
-        dispatcher: generation.agent,
-        signal: callSignal.signal,
-      });
-      const text = await res.body.text();
-      generation.hasAnswered = true;
-      this.onCall(res.statusCode);
-      const era = this.eraTracker.read(res.headers[this.options.eraHeader]);
-      return { result: this.toReply(res.statusCode, text, era), isSilent: false };
-    } catch (err) {
-      const isAborted = signals.some(({ aborted }) => aborted);
-      const isSilent = callSignal.signal.aborted && !isAborted;
+        target: `${path}${call.path}`,
+        headers: Object.entries(headers).flat(),
+        body: body === undefined ? undefined : Buffer.from(JSON.stringify(body)),
+        maxIdleMs,
+      },
+      {
+        maxBytes: maxAnswerBytes,
+        timeoutMs: call.timeoutMs,
+        signals: fallback ? [...signals, generation.silenced] : signals,
+      },
+      this.options.intake.clock,
+    );
+    if (received.isErr()) {
+      const { message, end } = received.error;
+      const isSilent = end !== CallEnd.Failed && !signals.some(({ aborted }) => aborted);
       this.onCall(isSilent ? NoAnswer.Silent : NoAnswer.Failed);
-      const result = Err(new PlatformUnavailableError(toErrorMessage(err), { cause: err }));
-      return { result, isSilent };
-    } finally {
-      callSignal.close();
+      const error = new PlatformUnavailableError(message, { cause: received.error });
+      return { result: Err(error), isSilent };
     }
+    const { head, body: bytes } = received.value;
+    generation.hasAnswered = true;
+    this.onCall(head.status);
+    const era = this.eraTracker.read(head.headers[this.options.eraHeader]);
+    return { result: this.toReply(head.status, bytes.toString(), era), isSilent: false };
   }
 
   private toReply(status: number, text: string, era: number): CallResult {
@@ -224,3 +251,20 @@
     }
   }
 }
+
+/**
+ * Creates the intake of a store's answers. It is their own, so that a flood of answers of others can't keep the
+ * configuration from being read.
+ *
+ * @param countCut - Counts an answer that was given up.
+ * @param clock - Source of time and of timers.
+ * @param logger - Receives a line for each answer that was given up, limited in number.
+ * @returns The intake; to be closed by the program.
+ */
+export function createStoreIntake(
+  countCut: (cut: AnswerCut) => void,
+  clock: IClock & ITimers,
+  logger: ILogger,
+): AnswerIntake {
+  return createSeparateIntake(storeMemoryMb, countCut, clock, logger);
+}
--- a/src/services/objects/test/node/storeConnections.test.ts
+++ b/src/services/objects/test/node/storeConnections.test.ts
@@ -1,6 +1,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
 import { expect } from 'chai';
+import { createTestIntake } from '../../../exchange/test/node/answerFixtures.js';
 import { NoAnswer, StoreConnections, type CallOutcome } from '../../node/storeConnections.js';
 
 /** Time after which a call counts as unanswered, in milliseconds. */
@@ -75,8 +76,9 @@
     });
     const { port } = server.address() as AddressInfo;
     const origin = `http://127.0.0.1:${port}`;
+    const intake = createTestIntake();
     connections = new StoreConnections(
-      { origin, eraHeader: 'era', maxConnections, connectTimeoutMs: 500 },
+      { origin, eraHeader: 'era', maxConnections, connectTimeoutMs: 500, intake },
       (outcome) => outcomes.push(outcome),
     );
   });
@@ -151,6 +153,17 @@
     expect((await read('/d')).unwrap().body).to.equal('/d');
   });
 
+  // Guards against calls that are refused while all connections are in use.
+  it('lets calls wait while others use all connections', async () => {
+    const held = Array.from({ length: maxConnections }, () => read('/held', longTimeoutMs));
+    await waitUntil(() => answerWaits.length === maxConnections);
+    const waiting = Array.from({ length: 3 }, () => read('/a', longTimeoutMs));
+    answerWaits.forEach((answer) => answer());
+    const results = await Promise.all([...held, ...waiting]);
+    expect(results.every((each) => each.isOk())).to.equal(true);
+    expect(openSockets.size).to.equal(maxConnections);
+  });
+
   it('closes connections that are idle', async () => {
     await warmUp();
     await waitUntil(() => openSockets.size === 0);
--- a/src/services/objects/test/node/unansweredCall.ts
+++ b/src/services/objects/test/node/unansweredCall.ts
@@ -5,6 +5,7 @@
 import { createServer } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { setTimeout as delay } from 'node:timers/promises';
+import { createTestIntake } from '../../../exchange/test/node/answerFixtures.js';
 import { StoreConnections } from '../../node/storeConnections.js';
 
 /** Number of calls after which the code has been optimised. */
@@ -26,7 +27,13 @@
 });
 const origin = `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
 const connections = new StoreConnections(
-  { origin, eraHeader: 'era', maxConnections: 4, connectTimeoutMs: 500 },
+  {
+    origin,
+    eraHeader: 'era',
+    maxConnections: 4,
+    connectTimeoutMs: 500,
+    intake: createTestIntake(),
+  },
   () => undefined,
 );
 const { signal } = new AbortController();
--- a/src/services/program/node/runProgram.ts
+++ b/src/services/program/node/runProgram.ts
@@ -6,6 +6,7 @@
 import { StatsdMetrics, type IMetrics, type StatsdTarget } from '../../../base/node/metrics.js';
 import { SystemClock } from '../../../base/node/systemClock.js';
 import { HttpObjectStore } from '../../objects/node/httpObjectStore.js';
+import { createStoreIntake } from '../../objects/node/storeConnections.js';
 import type { SettingsError } from '../../settings/common/settings.js';
 
 /** Settings that every long-running program has in common. */
@@ -47,12 +48,15 @@
   const { instance, logLevel, statsd, platformUrl, platformCallMs } = settings;
   const logger = new ConsolaLogger(logLevel, { instance });
   const metrics = new StatsdMetrics(statsd, { instance });
-  const store = new HttpObjectStore(platformUrl, platformCallMs);
+  const clock = new SystemClock();
+  const countCut = (reason: string) => metrics.increment('answer-cuts', { reason });
+  const storeAnswers = createStoreIntake(countCut, clock, logger);
+  const store = new HttpObjectStore(platformUrl, platformCallMs, storeAnswers);
   store.onDidChangeEra(({ previousEra, era }) => {
     logger.log(LogLevel.Warn, 'store-era-changed', { previousEra, era });
     metrics.increment('store.era-changes');
   });
-  const program = createProgram({ settings, clock: new SystemClock(), logger, metrics, store });
+  const program = createProgram({ settings, clock, logger, metrics, store });
   let isStopping = false;
   const stop = async () => {
     if (isStopping) {
@@ -62,6 +66,7 @@
     await program.drain();
     await program.close();
     await store.close();
+    storeAnswers.close();
     await metrics.close();
     process.exit(0);
   };
--- a/src/standin/test/node/platformDrill.test.ts
+++ b/src/standin/test/node/platformDrill.test.ts
@@ -4,6 +4,7 @@
   VersionConflictError,
   type EraChange,
 } from '../../../services/objects/common/objects.js';
+import { createTestIntake } from '../../../services/exchange/test/node/answerFixtures.js';
 import { HttpObjectStore } from '../../../services/objects/node/httpObjectStore.js';
 import {
   UsageCounters,
@@ -21,7 +22,7 @@
   beforeEach(async () => {
     server = new PlatformServer(1, 0, 1);
     address = await server.listen('127.0.0.1', 0);
-    store = new HttpObjectStore(address, 2_000);
+    store = new HttpObjectStore(address, 2_000, createTestIntake());
   });
 
   afterEach(async () => {
@@ -36,7 +37,7 @@
     await control('copy');
     const second = (await store.put(ObjectKind.Claims, '0', 'second', first)).unwrap();
     await control('come-back');
-    const other = new HttpObjectStore(address, 2_000);
+    const other = new HttpObjectStore(address, 2_000, createTestIntake());
     const read = (await other.get<string>(ObjectKind.Claims, '0')).unwrap();
     expect(read?.value).to.equal('first');
     (await other.put(ObjectKind.Claims, '0', 'of another process', read?.version ?? 0)).unwrap();
