Hold back a sender that is faster than its reader in the fault proxy

Seen: a proxy between a gateway and an endpoint that writes without end reads all of it and keeps what the gateway doesn't read, in the process that also runs the store and the endpoints of a soak.

Cause: data was written to the other side without a look at what it had taken.

Evidence: of 64 MiB that a side sends to one that doesn't read, the proxy had read everything (writableLength 0 at the sender); the new test fails so on the code before.

The proxy stops to read a side while 1 MiB waits for the delay or for the other side, and goes on as soon as less does, unless the direction is paused. Now over half of the 64 MiB stays at the sender, and all of it arrives once the reader goes on.

--- a/src/bench/node/faultProxy.ts
+++ b/src/bench/node/faultProxy.ts
@@ -6,6 +6,9 @@
   ToClient = 'to-client',
 }
 
+/** Data of one direction of a connection that the proxy holds before it stops reading, in bytes. */
+const maxBufferedBytes = 1_048_576;
+
 /** Loopback TCP proxy that delays, discards or pauses data and resets connections. */
 export class FaultProxy {
   private readonly server: Server;
@@ -106,8 +109,8 @@
     const pair = [client, target] as const;
     this.connections.add(pair);
     const afterDelay = new Map([
-      [client, this.pipe(client, target)],
-      [target, this.pipe(target, client)],
+      [client, this.pipe(client, target, PauseDirection.ToTarget)],
+      [target, this.pipe(target, client, PauseDirection.ToClient)],
     ]);
     const endPair = (endSocket: (socket: Socket) => void) => {
       if (!this.discardingSockets.has(client)) {
@@ -133,11 +136,19 @@
   }
 
   /**
-   * Forwards data after the current delay, in the order of arrival.
+   * Forwards data after the current delay, in the order of arrival. It reads no faster than the other side
+   * does, so that a sender without end is held back as by a direct connection.
    *
    * @returns A function that runs an action after all data that has arrived so far.
    */
-  private pipe(from: Socket, to: Socket): (action: () => void) => void {
+  private pipe(from: Socket, to: Socket, direction: PauseDirection): (action: () => void) => void {
+    let delayedBytes = 0;
+    const isFull = () => delayedBytes + to.writableLength > maxBufferedBytes;
+    const readOn = () => {
+      if (!isFull() && !this.pausedDirections.has(direction)) {
+        from.resume();
+      }
+    };
     const waiting: { readonly dueMs: number; readonly action: () => void }[] = [];
     const runDue = () => {
       while (waiting.length > 0 && waiting[0].dueMs <= Date.now()) {
@@ -157,13 +168,20 @@
         setTimeout(runDue, this.delayMs);
       }
     };
-    from.on('data', (data) =>
+    from.on('data', (data) => {
+      delayedBytes += data.length;
       inOrder(() => {
+        delayedBytes -= data.length;
         if (!this.discardingSockets.has(from)) {
           to.write(data);
         }
-      }),
-    );
+        readOn();
+      });
+      if (isFull()) {
+        from.pause();
+      }
+    });
+    to.on('drain', readOn);
     return inOrder;
   }
 }
--- a/src/bench/test/node/faultProxy.test.ts
+++ b/src/bench/test/node/faultProxy.test.ts
@@ -97,4 +97,34 @@
     expect(await ended).to.equal('ended');
     expect(text).to.equal('first last');
   });
+
+  it('reads no more than it can pass on from a side that sends without end', async () => {
+    const { socket } = open();
+    socket.pause();
+    socket.write('x');
+    while (accepted.length === 0) {
+      await new Promise((resolve) => {
+        setTimeout(resolve, 1);
+      });
+    }
+    const [sender] = accepted;
+    const piece = Buffer.alloc(1_048_576);
+    const pieceCount = 64;
+    for (let count = 0; count < pieceCount; count += 1) {
+      sender.write(piece);
+    }
+    await new Promise((resolve) => {
+      setTimeout(resolve, 200);
+    });
+    expect(sender.writableLength).to.be.greaterThan((pieceCount / 2) * piece.length);
+    let received = 0;
+    socket.on('data', (data) => {
+      received += data.length;
+    });
+    socket.resume();
+    while (received <= pieceCount * piece.length) {
+      await once(socket, 'data');
+    }
+    expect(received).to.equal(pieceCount * piece.length + 1);
+  });
 });
