Soak gateways beside endpoints that write bytes that are no answer

Seen: operators lost processes and accepted requests to endpoints whose answers are none; no kind of the soak brought this about beside signals, silences, reloads and changes.

The memory of all gateways is checked after it, and of each before a restart.

`servesBesideFaultyAnswers`: 0.95 of the otherwise undisturbed calls to other services are served, from the start of the fault to 4 s after its end, judged over all gateways from 40 calls on. A planted history shows the check failing for 94 of 100 calls, also 3.9 s after the fault, and not for 95, the service itself or a frozen gateway.

The report gives the number of faulty answers, the calls beside them and the highest memory read.

--- a/soak/common/checkers.ts
+++ b/soak/common/checkers.ts
@@ -16,6 +16,7 @@
   overlaps,
   wasOutOfTouch,
 } from './faultTimes.js';
+import { checkServedBesideFaultyAnswers } from './bystanderCheckers.js';
 import { checkCrashingParts, checkSoundParts } from './partCheckers.js';
 import { checkCrowdRefusals, checkServedBesideCrowds } from './crowdCheckers.js';
 import { checkLeaving, checkPauses } from './signalCheckers.js';
@@ -383,5 +384,6 @@
     retriesStayWithinBudget: checkRetries(history),
     crowdRefusalsAreTrue: checkCrowdRefusals(history),
     servesBesideCrowds: checkServedBesideCrowds(history),
+    servesBesideFaultyAnswers: checkServedBesideFaultyAnswers(history),
   };
 }
--- a/soak/common/records.ts
+++ b/soak/common/records.ts
@@ -9,6 +9,14 @@
   LongStream = 'long',
 }
 
+/** Services to which the route of each kind of request goes, one at a time. */
+export const servicesByKind: Readonly<Record<RequestKind, readonly string[]>> = {
+  [RequestKind.Stream]: ['model'],
+  [RequestKind.Lookup]: ['app'],
+  [RequestKind.Submission]: ['app'],
+  [RequestKind.LongStream]: ['long', 'spare'],
+};
+
 /** Kinds of requests whose answers are streams. */
 export const streamKinds: ReadonlySet<RequestKind> = new Set([
   RequestKind.Stream,
@@ -137,6 +145,8 @@
   /** An endpoint answers so, and resets the connection after a whole body or event. */
   EndpointResetsUnframed = 'resetting-unframed-answers',
   EndpointAnswersWithoutEnd = 'answering-without-end',
+  /** Some or all endpoints of a service write bytes that are no answer to a part of their requests. */
+  FaultyAnswers = 'faulty-answers',
   EndpointAnswersWrongRequest = 'misanswering',
   /** An endpoint refuses some requests, and writes its refusals once more before later answers. */
   EndpointRepeatsRefusals = 'repeating-refusals',
@@ -164,6 +174,8 @@
 export interface FaultRecord {
   readonly kind: FaultKind;
   readonly target: string;
+  /** Service of the target if endpoints of one service are chosen together. */
+  readonly service?: string;
   readonly startMs: number;
   endMs: number;
 }
--- a/soak/node/faultInjector.ts
+++ b/soak/node/faultInjector.ts
@@ -3,6 +3,7 @@
 import { deployedLimits } from '../../platform/test/gatewayProcess.js';
 import { call, modelHeaders } from '../../platform/test/gatewayFleet.js';
 import { Behaviour } from '../../platform/test/fakeReplica.js';
+import { FaultyAnswer } from '../../platform/test/faultyAnswers.js';
 import { StoreMode } from '../../platform/test/fakeStore.js';
 import { PauseDirection } from '../../src/bench/node/faultProxy.js';
 import { firstParts, type Callers } from './callers.js';
@@ -13,6 +14,7 @@
 import {
   FaultKind,
   RequestKind,
+  servicesByKind,
   streamKinds,
   type CrowdRecord,
   type FaultRecord,
@@ -67,6 +69,22 @@
 
 const crowdsAtOnce = 2;
 
+/**
+ * Time for which endpoints write faulty answers beyond the duration of the fault, in milliseconds, so that
+ * deadlines pass meanwhile.
+ */
+const faultyAnswersExtraMs = 2_000;
+
+/** Calls of each gateway to a service whose endpoints write them, and the pause between two bursts, in ms. */
+const faultyBurstSize = 8;
+const faultyBurstPauseMs = 500;
+
+/** Largest seed of the choices of one endpoint. */
+const maxSeed = 1_000_000;
+
+/** Shares of the requests that get a faulty answer, of the endpoints that write some. */
+const faultyShares = [0.1, 0.5, 1];
+
 /** Number of callers of each kind of crowd that comes to a gateway. */
 const crowdSizes: Partial<Record<CrowdKind, number>> = {
   [CrowdKind.HeldBodies]: 60,
@@ -193,6 +211,8 @@
       await this.runExclusively(kind, crashingPartOf(fault), 'crashing part', () =>
         this.sendCrashingPart(fault),
       );
+    } else if (kind === FaultKind.FaultyAnswers) {
+      await this.sendFaultyAnswers(fault);
     } else if (kind === FaultKind.EndpointsFallSilentInSeries) {
       await this.runExclusively(kind, 'endpoints', 'silent series', () =>
         this.silenceEndpoints(fault),
@@ -243,12 +263,13 @@
     target: string,
     aspect: string,
     action: () => Promise<void>,
+    service?: string,
   ): Promise<void> {
     if (this.busyAspects.has(aspect)) {
       return;
     }
     this.busyAspects.add(aspect);
-    const record: FaultRecord = { kind, target, startMs: Date.now(), endMs: Infinity };
+    const record: FaultRecord = { kind, target, service, startMs: Date.now(), endMs: Infinity };
     this.faults.push(record);
     try {
       await action();
@@ -376,6 +397,70 @@
     );
   }
 
+  /**
+   * Lets one, some or all endpoints of a service write bytes that are no answer to a part of their requests,
+   * each of another kind, and checks the memory of the gateways after it.
+   */
+  private async sendFaultyAnswers({
+    kind,
+    startOffsetMs,
+    durationMs,
+  }: PlannedFault): Promise<void> {
+    const random = new SeededRandom(startOffsetMs);
+    const service = random.pick(Object.values(servicesByKind).flat());
+    const endpoints = this.fleet.endpoints.filter(
+      ({ replica }) => replica.options.service === service,
+    );
+    const count = random.pick([1, random.integer(1, endpoints.length), endpoints.length]);
+    const firstIndex = random.integer(0, endpoints.length - 1);
+    const chosen = Array.from(
+      { length: count },
+      (_unused, index) => endpoints[(firstIndex + index) % endpoints.length],
+    );
+    const answerFaultily = async ({ name, replica }: SoakEndpoint) => {
+      const answer = random.pick(Object.values(FaultyAnswer));
+      const share = random.pick(faultyShares);
+      const requestRandom = new SeededRandom(random.integer(0, maxSeed));
+      await this.runExclusively(
+        kind,
+        replica.options.id,
+        `${name} replica`,
+        async () => {
+          replica.faultyAnswerTo = () => (requestRandom.float() < share ? answer : undefined);
+          await sleep(durationMs + faultyAnswersExtraMs);
+          replica.faultyAnswerTo = () => undefined;
+        },
+        service,
+      );
+    };
+    await Promise.all([
+      ...chosen.map(answerFaultily),
+      this.callInBursts(service, durationMs + faultyAnswersExtraMs),
+    ]);
+    this.fleet.gateways.forEach((gateway) => this.fleet.checkMemory(gateway));
+  }
+
+  /** Sends bursts of calls to a service through all gateways; only one of long streams, whose places are few. */
+  private async callInBursts(service: string, durationMs: number): Promise<void> {
+    const untilMs = Date.now() + durationMs;
+    const kinds = Object.values(RequestKind).filter((kind) =>
+      servicesByKind[kind].includes(service),
+    );
+    const pending: Promise<void>[] = [];
+    do {
+      const kind = kinds[pending.length % kinds.length];
+      const sharedParts = streamKinds.has(kind) ? [firstParts[0]] : [];
+      const calls = this.fleet.gateways.flatMap((gateway) =>
+        Array.from({ length: faultyBurstSize }, () =>
+          this.callers.send(gateway, { kind, key: permanentKey, sharedParts }),
+        ),
+      );
+      pending.push(Promise.all(calls).then(() => undefined));
+      await sleep(faultyBurstPauseMs);
+    } while (Date.now() < untilMs && kinds[0] !== RequestKind.LongStream);
+    await Promise.all(pending);
+  }
+
   private async injectStoreFault(kind: FaultKind, durationMs: number): Promise<void> {
     const { store } = this.fleet;
     if (kind === FaultKind.StoreCompactsHistory) {
--- a/soak/node/soakFleet.ts
+++ b/soak/node/soakFleet.ts
@@ -27,6 +27,7 @@
 import { crashingPrefix, retryBudget } from '../common/checkers.js';
 import {
   RequestKind,
+  servicesByKind,
   type CrashRecord,
   type KeyRecord,
   type OrderRecord,
@@ -37,7 +38,7 @@
 const dataCentres = ['a', 'b', 'c'];
 
 /** Services of which the route of long streams uses one at a time. */
-const longServices = ['long', 'spare'];
+const longServices = servicesByKind[RequestKind.LongStream];
 
 /** Number of endpoints of each of them. */
 const longEndpointCount = 6;
@@ -158,6 +159,9 @@
   /** Descriptions of gateway failures, such as a process that exited unexpectedly. */
   readonly incidents: string[] = [];
 
+  /** Highest resident memory of a gateway that {@link checkMemory} has read, in megabytes. */
+  peakMemoryMb = 0;
+
   private readonly group = new ProcessGroup(
     fileURLToPath(new URL('../../../build/', import.meta.url)),
     deployedFlags,
@@ -269,6 +273,7 @@
   /** Kills or gracefully stops a gateway and starts it again. */
   async restartGateway(gateway: SoakGateway, signal: 'SIGKILL' | 'SIGTERM'): Promise<void> {
     const { process } = gateway;
+    this.checkMemory(gateway);
     this.expectedExits.add(process);
     process.signal(signal);
     const killTimer = setTimeout(() => {
@@ -400,11 +405,17 @@
     }
   }
 
+  /** Returns the number of requests to which endpoints wrote bytes that are no answer. */
+  countFaultyAnswers(): number {
+    return this.replicas.reduce((sum, { faultyAnswerCount }) => sum + faultyAnswerCount, 0);
+  }
+
   /** Records an incident if a gateway has used more memory than the smallest machine has. */
   checkMemory({ name, process }: SoakGateway): void {
     const peakMb = readPeakMemoryMb(process.pid);
+    this.peakMemoryMb = Math.max(this.peakMemoryMb, peakMb);
     if (peakMb >= smallestMachine.memoryMb) {
-      this.incidents.push(`${name} used ${Math.round(peakMb)} MB beside a crowd`);
+      this.incidents.push(`${name} used ${Math.round(peakMb)} MB`);
     }
   }
 
--- a/soak/node/soakRun.ts
+++ b/soak/node/soakRun.ts
@@ -1,6 +1,7 @@
 import { writeFileSync } from 'node:fs';
 import { join } from 'node:path';
 import { checkGuarantees, isRecoveryObserved, maxRecoveryMs } from '../common/checkers.js';
+import { countServedBesideFaultyAnswers, type ServedCounts } from '../common/bystanderCheckers.js';
 import { planFaults } from '../common/faultPlan.js';
 import { CallOutcome, type FaultKind, type SoakHistory } from '../common/records.js';
 import { countCuts, type CutCounts } from '../common/wholeRequestCheckers.js';
@@ -50,6 +51,11 @@
   readonly faults: number;
   /** Undisturbed calls, and cuts among them, by the planned work beside which they ended. */
   readonly undisturbed: Readonly<Record<string, CutCounts>>;
+  /** Number of faulty answers that endpoints wrote, and calls to other services beside them. */
+  readonly faultyAnswers: number;
+  readonly besideFaultyAnswers: ServedCounts;
+  /** Highest resident memory of a gateway after crowds or faulty answers, and before a restart, in megabytes. */
+  readonly peakMemoryMb: number;
   /** Number of spans in which the harness stood still, and the longest of them in milliseconds. */
   readonly standstills: number;
   readonly longestStandstillMs: number;
@@ -127,6 +133,9 @@
       runs: runs.length,
       faults: faults.length,
       undisturbed: countCuts(history()),
+      faultyAnswers: fleet.countFaultyAnswers(),
+      besideFaultyAnswers: countServedBesideFaultyAnswers(history()),
+      peakMemoryMb: Math.round(fleet.peakMemoryMb),
       standstills: standstills.length,
       longestStandstillMs: Math.max(0, ...standstills.map(({ startMs, endMs }) => endMs - startMs)),
       violations,
--- a/soak/test/checkers.test.ts
+++ b/soak/test/checkers.test.ts
@@ -88,6 +88,34 @@
     ]);
   });
 
+  it('fail when a gateway serves too few requests to other services beside faulty answers', () => {
+    const makeCalls = (refused: number, atMs: number) =>
+      Array.from({ length: 100 }, (_unused, index) =>
+        makeCall({
+          id: `call-${index}`,
+          startMs: atMs,
+          endMs: atMs + 100,
+          ...(index < refused ? { status: 502, outcome: CallOutcome.ErrorStatus } : {}),
+        }),
+      );
+    const faulty = (service: string) => ({
+      ...makeFault(FaultKind.FaultyAnswers, `${service}-0`, 100_000, 105_000),
+      service,
+    });
+    const violated = (refused: number, atMs: number, faults: readonly FaultRecord[]) =>
+      violatedGuarantees({ calls: makeCalls(refused, atMs), runs: [], faults });
+    const expected = ['servesBesideFaultyAnswers'];
+    expect(violated(6, 100_000, [faulty('model')])).to.deep.equal(expected);
+    expect(violated(6, 108_900, [faulty('model')])).to.deep.equal(expected);
+    expect(violated(5, 100_000, [faulty('model')])).to.deep.equal([]);
+    expect(violated(6, 100_000, [faulty('app')])).to.deep.equal([]);
+    expect(violated(6, 109_001, [faulty('model')])).to.deep.equal([]);
+    const freeze = (gateway: string) =>
+      makeFault(FaultKind.FreezeGateway, gateway, 99_000, 101_000);
+    expect(violated(6, 100_000, [faulty('model'), freeze('g')])).to.deep.equal([]);
+    expect(violated(6, 100_000, [faulty('model'), freeze('h')])).to.deep.equal(expected);
+  });
+
   it('fail when a path skips layers, or an endpoint is ordered to hold too many layers', () => {
     const expected = ['layersRunOnceInOrder'];
     const ranges = [
--- a/soak/test/soak.test.ts
+++ b/soak/test/soak.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai';
 import { FaultKind } from '../common/records.js';
-import { runSoak, type SoakOptions } from '../node/soakRun.js';
+import { runSoak, type SoakOptions, type SoakReport } from '../node/soakRun.js';
 
 /** Planned work, and faults beside it that must cut nothing else. */
 const kinds = [
@@ -45,11 +45,22 @@
   FaultKind.GrowConfig,
 ];
 
-async function expectNoViolation(options: SoakOptions): Promise<void> {
+/** Endpoints that write bytes that are no answer, beside planned work and faults that they might make worse. */
+const faultyAnswerKinds = [
+  FaultKind.FaultyAnswers,
+  FaultKind.FaultyAnswers,
+  FaultKind.StopGateway,
+  FaultKind.ReloadGateway,
+  FaultKind.EndpointFallsSilent,
+  FaultKind.MoveRoute,
+];
+
+async function expectNoViolation(options: SoakOptions): Promise<SoakReport> {
   const report = await runSoak(options);
   const violated = Object.entries(report.violations).filter(([, { length }]) => length > 0);
   expect(violated, report.directory).to.deep.equal([]);
   expect(report.whole).to.be.greaterThan(100);
+  return report;
 }
 
 describe('Soak test', () => {
@@ -79,4 +90,15 @@
 
   it('finds no violated guarantee beside crowds of callers that misbehave', () =>
     expectNoViolation({ seed: 61204, seconds: 7, gateways: 2, callers: 4, kinds: crowdKinds }));
+
+  it('finds no violated guarantee beside endpoints that write bytes that are no answer', async () => {
+    const report = await expectNoViolation({
+      seed: 53001,
+      seconds: 7,
+      gateways: 2,
+      callers: 4,
+      kinds: faultyAnswerKinds,
+    });
+    expect(report.faultyAnswers).to.be.greaterThan(0);
+  });
 });
