Count all requests of a service for its retry budget in the soak

Cause: the check compared the repeats of a kind of request with the calls of that kind.

The check now groups kinds by the services to which they go. It finds one repeat above the allowance with bookings and without them, and doesn't count requests to other services; the planted history shows each.

--- a/soak/common/checkers.ts
+++ b/soak/common/checkers.ts
@@ -4,6 +4,7 @@
   CallOutcome,
   FaultKind,
   RequestKind,
+  servicesByKind,
   type CallRecord,
   type SoakHistory,
 } from './records.js';
@@ -277,20 +278,32 @@
   });
 }
 
-/** Returns the number of services that requests of a kind may go to; each has a budget of its own. */
-function serviceCountOf(kind: RequestKind): number {
-  return kind === RequestKind.LongStream ? 2 : 1;
+/** Returns the kinds of requests that go to the same services, by the names of these. */
+function kindsByServices(): ReadonlyMap<string, readonly RequestKind[]> {
+  const kinds = new Map<string, readonly RequestKind[]>();
+  Object.values(RequestKind).forEach((kind) => {
+    const services = servicesByKind[kind].join();
+    kinds.set(services, [...(kinds.get(services) ?? []), kind]);
+  });
+  return kinds;
 }
 
-/** Checks that all gateways together run the requests of a service again no more often than allowed. */
+/**
+ * Checks that all gateways together run the requests of a service again no more often than allowed. Requests of
+ * any kind count for the budget of the service to which they go.
+ */
 function checkRetries(history: SoakHistory): readonly string[] {
-  return Object.values(RequestKind).flatMap((kind) => {
-    const runs = history.runs.filter(({ target }) => target.startsWith(`/${kind}/`));
+  return [...kindsByServices()].flatMap(([services, kinds]) => {
+    const runs = history.runs.filter(({ target }) =>
+      kinds.some((kind) => target.startsWith(`/${kind}/`)),
+    );
     const seen = new Set<string>();
     const repeats = [...runs]
       .sort((a, b) => a.atMs - b.atMs)
       .filter(({ id }) => seen.size === seen.add(id).size);
-    const callsMs = history.calls.filter((call) => call.kind === kind).map((call) => call.startMs);
+    const callsMs = history.calls
+      .filter(({ kind }) => kinds.includes(kind))
+      .map((call) => call.startMs);
     // The calls of a crowd aren't recorded, but those that ran count as requests, too.
     const crowdIds = new Set<string>();
     const crowdMs = [...runs]
@@ -303,8 +316,8 @@
       const repeated = repeats.filter(({ atMs }) => isInWindow(atMs)).length;
       const allowed =
         retryBudget.ratio * startsMs.filter(isInWindow).length +
-        serviceCountOf(kind) * retryBudget.slack;
-      return repeated > allowed ? [`${kind} was run again ${repeated} times until ${endMs}`] : [];
+        servicesByKind[kinds[0]].length * retryBudget.slack;
+      return repeated > allowed ? [`${services} ran ${repeated} repeats until ${endMs}`] : [];
     });
   });
 }
--- a/soak/test/checkers.test.ts
+++ b/soak/test/checkers.test.ts
@@ -254,6 +254,18 @@
     expect(violatedGuarantees({ runs: repeated(retryBudget.slack + 1) })).to.deep.equal([
       'retriesStayWithinBudget',
     ]);
+    const bookings = Array.from({ length: 100 }, (_unused, index) => makeCall({ id: `b${index}` }));
+    const violatedBeside = (kind: RequestKind, count: number) =>
+      violatedGuarantees({
+        calls: bookings.map((booking) => ({ ...booking, kind })),
+        runs: repeated(count),
+      });
+    const allowed = retryBudget.slack + retryBudget.ratio * bookings.length;
+    expect(violatedBeside(RequestKind.Submission, allowed)).to.deep.equal([]);
+    expect(violatedBeside(RequestKind.Submission, allowed + 1)).to.deep.equal([
+      'retriesStayWithinBudget',
+    ]);
+    expect(violatedBeside(RequestKind.Stream, allowed)).to.deep.equal(['retriesStayWithinBudget']);
   });
 
   it('fail when planned work interrupts a request whose gateway, link and endpoints are sound', () => {
