Give every request to an entry that drains a final answer before the end

What callers saw: of two requests sent at once on one connection to an entry that drains, the second one was run and its connection closed without an answer. Calls and streams that last longer than the drain time kept the process alive for as long as their own timeout (59.8 s with a drain time of 3 s), so that whoever stops it by force at the end of the drain time cuts them without an answer. A stream without progress was never ended, since the timer that checks deadlines was stopped first.

Cause: each answer during the drain carried `Connection: close`, not only the last one of its connection. The drain time began after the second for the load balancer, counted only calls and streams (no bodies that arrive, no answers that are being sent), and nothing ended what was left.

Fix: CallerConnections knows the latest request of each connection. Only its answer closes the connection, and a request that follows the head of that answer isn't served. EntryDrain, like the gateway's DrainSequence, counts the drain time from SIGTERM, waits for every open answer, reads what has arrived before it stops listening, and half a second before the end refuses incomplete bodies as not run, ends streams with an error event and answers the rest with 502 outcome-unknown. The process then closes its connections and doesn't wait for callers.

--- a/src/entry/chat/common/chatRunner.ts
+++ b/src/entry/chat/common/chatRunner.ts
@@ -184,6 +184,19 @@
     this.admission.refuseTimedOut();
   }
 
+  /** Ends all answers in progress, because the entry stops. */
+  stop(): void {
+    const detail = 'this instance is stopping';
+    const options = { retryAfterSeconds: 1 };
+    for (const [, session] of this.sessions.entries()) {
+      const hasStarted = session.mayHaveRun || session.route !== undefined;
+      const failure = hasStarted
+        ? problem(ProblemKind.OutcomeUnknown, RunState.Unknown, detail, options)
+        : problem(ProblemKind.Draining, RunState.NotRun, detail, options);
+      this.fail(session, failure);
+    }
+  }
+
   private readonly refusalHandlers = new Map<string, AttemptRefusedHandler>();
 
   private createSession(
--- a/src/entry/http/node/entryServer.ts
+++ b/src/entry/http/node/entryServer.ts
@@ -14,6 +14,7 @@
   RunState,
   type Problem,
 } from '../../../services/problem/common/problem.js';
+import type { CallerConnections } from './callerConnections.js';
 import { handleError, sendProblem } from './problemReply.js';
 
 /** Limits of the HTTP server of an entry. */
@@ -31,6 +32,9 @@
 /** Time after which a request that found no memory may be repeated, in seconds. */
 const noMemoryRetryAfterSeconds = 1;
 
+/** Time after which a request whose body came too late for an entry that stops may be repeated, in seconds. */
+const drainingRetryAfterSeconds = 1;
+
 const notFoundStatus = 404;
 const timeoutStatus = 408;
 const tooLargeStatus = 413;
@@ -51,11 +55,13 @@
  *
  * @param options - Limits of the server.
  * @param intake - Bounds what callers make the process hold.
+ * @param connections - Connections of callers, for a planned stop.
  * @returns The server, without routes.
  */
 export function createEntryServer(
   { bodyBytes, requestMs, headMs, idleMs }: EntryServerOptions,
   intake: CallerIntake,
+  connections: CallerConnections,
 ): FastifyInstance {
   const requests = new WeakMap<IncomingMessage, IntakeRequest>();
   const app = Fastify({
@@ -65,7 +71,7 @@
     ajv: { customOptions: { allErrors: true, coerceTypes: false } },
     serverFactory: (handle) => {
       const server = createServer({ keepAliveTimeout: idleMs, requestTimeout: 0 });
-      attachIntake(server, intake, { headMs, idleMs }, (request) => {
+      attachIntake(server, intake, connections, { headMs, idleMs }, (request) => {
         requests.set(request.req, request);
         handle(request.req, request.res);
       });
@@ -111,6 +117,7 @@
 function attachIntake(
   server: Server,
   intake: CallerIntake,
+  connections: CallerConnections,
   { headMs, idleMs }: Pick<EntryServerOptions, 'headMs' | 'idleMs'>,
   onStart: (request: IntakeRequest) => void,
 ): void {
@@ -119,8 +126,18 @@
     headTimeoutMs: () => headMs,
     idleTimeoutMs: () => idleMs,
   });
-  const receive = (req: IncomingMessage, res: ServerResponse, expectsContinue: boolean) =>
-    intake.begin(req, res, expectsContinue, { onBegin: (request) => request, onStart });
+  const receive = (req: IncomingMessage, res: ServerResponse, expectsContinue: boolean) => {
+    if (!connections.accept(req, res)) {
+      return;
+    }
+    intake.begin(req, res, expectsContinue, {
+      onBegin: (request) => {
+        connections.open(request);
+        return request;
+      },
+      onStart: (request) => connections.start(() => onStart(request)),
+    });
+  };
   server.on('request', (req, res) => receive(req, res, false));
   server.on('checkContinue', (req: IncomingMessage, res: ServerResponse) =>
     receive(req, res, true),
@@ -152,6 +169,11 @@
     const details = problem(ProblemKind.InvalidRequest, RunState.NotRun, detail);
     return { ...details, status: tooLargeStatus };
   }
+  if (result.outcome === BodyOutcome.GivenUp && result.reason === IntakeCut.Draining) {
+    const detail = 'this instance is stopping';
+    const options = { retryAfterSeconds: drainingRetryAfterSeconds };
+    return problem(ProblemKind.Draining, RunState.NotRun, detail, options);
+  }
   const isCallersFault =
     result.outcome !== BodyOutcome.GivenUp ||
     result.reason === IntakeCut.BodyStalled ||
--- a/src/entry/http/test/node/entryServer.test.ts
+++ b/src/entry/http/test/node/entryServer.test.ts
@@ -5,6 +5,7 @@
 import { SystemClock } from '../../../../base/node/systemClock.js';
 import { deriveBounds } from '../../../../services/intake/common/intakeBounds.js';
 import { CallerIntake } from '../../../../services/intake/node/callerIntake.js';
+import { CallerConnections } from '../../node/callerConnections.js';
 import { createEntryServer } from '../../node/entryServer.js';
 
 const bodyBytes = 1_048_576;
@@ -67,7 +68,11 @@
     intake = new CallerIntake(bounds, () => undefined, new SystemClock(), {
       log: () => undefined,
     });
-    app = createEntryServer({ bodyBytes, requestMs, headMs, idleMs }, intake);
+    app = createEntryServer(
+      { bodyBytes, requestMs, headMs, idleMs },
+      intake,
+      new CallerConnections(),
+    );
     app.post<{ Body: { text: string } }>('/run', (req, reply) => {
       ran.push(req.body.text);
       return reply.send({ length: req.body.text.length });
--- a/src/entry/node/entryProgram.ts
+++ b/src/entry/node/entryProgram.ts
@@ -4,7 +4,7 @@
 import { LogLevel, type ILogger } from '../../base/common/logger.js';
 import { SeededRandom, type IRandom } from '../../base/common/random.js';
 import type { IMetrics } from '../../base/node/metrics.js';
-import { sleep, type SystemClock } from '../../base/node/systemClock.js';
+import type { SystemClock } from '../../base/node/systemClock.js';
 import { ClaimLedger } from '../../services/claims/common/claimLedger.js';
 import { InstanceRole } from '../../services/instances/common/instance.js';
 import type { CallerIntake } from '../../services/intake/node/callerIntake.js';
@@ -40,6 +40,7 @@
 import { AgentPool } from '../fleet/node/agentPool.js';
 import { CallerDirectory, type OrganisationRecord } from '../http/common/callerDirectory.js';
 import { DecisionLog } from '../http/common/decisionLog.js';
+import { CallerConnections } from '../http/node/callerConnections.js';
 import { addAdminRoutes, type EntryStatus } from '../http/node/adminRoutes.js';
 import { addChatRoutes } from '../http/node/chatRoutes.js';
 import { createEntryServer } from '../http/node/entryServer.js';
@@ -65,11 +66,10 @@
   type PreparedRun,
   type SubmissionIdentity,
 } from '../submission/common/submissionFlow.js';
+import { EntryDrain } from './entryDrain.js';
 import { EraReport } from './eraReport.js';
 import {
-  loadBalancerGraceMs,
   claimTimeoutMs,
-  drainPollIntervalMs,
   ejectionLimits,
   ejectionTestOptions,
   healthReportIntervalMs,
@@ -164,11 +164,9 @@
 
   private activeSubmissions = 0;
 
-  /** True once the health check fails, so that the load balancer sends no more callers. */
-  private isLeaving = false;
+  private readonly connections = new CallerConnections();
 
-  /** True once new requests are refused. */
-  private isDraining = false;
+  private readonly entryDrain: EntryDrain;
 
   /** @param dependencies - Settings and shared services; owned by the caller. */
   constructor(private readonly dependencies: EntryDependencies) {
@@ -234,6 +232,7 @@
     const { metrics, logger } = dependencies;
     this.intake = createProgramIntake(settings, metrics, clock, logger);
     this.app = this.createApp();
+    this.entryDrain = this.createDrain();
   }
 
   /** Starts all components; resolves once HTTP requests are accepted. */
@@ -255,19 +254,10 @@
 
   /**
    * Fails the health check, then refuses new requests and waits for active ones to end, at most for
-   * the configured drain time.
+   * the configured drain time. Those that haven't ended by then get a final answer.
    */
-  async drain(): Promise<void> {
-    const { settings, clock } = this.dependencies;
-    this.isLeaving = true;
-    this.logger.log(LogLevel.Info, 'drain-started', { active: this.activeCount });
-    await sleep(loadBalancerGraceMs); // requests are still served, on connections that close afterwards
-    this.isDraining = true;
-    const deadlineMs = clock.monotonicMs() + settings.drainMs;
-    while (this.activeCount > 0 && clock.monotonicMs() < deadlineMs) {
-      await sleep(drainPollIntervalMs);
-    }
-    this.logger.log(LogLevel.Info, 'drain-ended', { active: this.activeCount });
+  drain(): Promise<void> {
+    return this.entryDrain.run();
   }
 
   /**
@@ -276,7 +266,7 @@
    */
   async close(): Promise<void> {
     this.intervals.forEach((interval) => clearInterval(interval));
-    await this.app.close();
+    await this.entryDrain.close();
     this.intake.close();
     await this.usageWriter.close();
     await this.lease.release();
@@ -294,6 +284,18 @@
     return this.runner.active + this.serviceCaller.active + this.activeSubmissions;
   }
 
+  private createDrain(): EntryDrain {
+    const { settings, clock } = this.dependencies;
+    const activeCount = () => this.activeCount;
+    const work = {
+      get active() {
+        return activeCount();
+      },
+      stop: () => this.runner.stop(),
+    };
+    return new EntryDrain(settings.drainMs, this.app, this.connections, work, clock, this.logger);
+  }
+
   private get isReady(): boolean {
     return (
       this.rules.isReady &&
@@ -435,22 +437,17 @@
 
   private createApp(): FastifyInstance {
     const { settings, clock, store } = this.dependencies;
-    const app = createEntryServer(settings, this.intake);
-    app.addHook('onRequest', (_req, reply, done) => {
-      if (this.isLeaving) {
-        reply.raw.setHeader('connection', 'close');
-      }
-      done();
-    });
+    const app = createEntryServer(settings, this.intake, this.connections);
     app.get('/healthz', (_req, reply) => {
-      const healthy = this.isReady && !this.isLeaving;
-      return reply.code(healthy ? 200 : 503).send({ ready: this.isReady, leaving: this.isLeaving });
+      const leaving = this.entryDrain.isLeaving;
+      const healthy = this.isReady && !leaving;
+      return reply.code(healthy ? 200 : 503).send({ ready: this.isReady, leaving });
     });
     const guard = new RequestGuard({
       callers: this.callers,
       rules: () => this.rules.current,
       isReady: () => this.isReady,
-      isDraining: () => this.isDraining,
+      isDraining: () => this.entryDrain.isRefusing,
       dataCentre: settings.place,
       requestMs: settings.requestMs,
       clock,
@@ -558,7 +555,7 @@
       instance,
       incarnation: this.incarnation,
       place,
-      draining: this.isDraining,
+      draining: this.entryDrain.isRefusing,
       ready: this.isReady,
       revision: this.rules.current.revision,
       lowestRevision: this.pool.lowestEntryRevision,
--- a/src/services/intake/common/intakeCut.ts
+++ b/src/services/intake/common/intakeCut.ts
@@ -24,6 +24,8 @@
   BodyNoRoom = 'body-no-room',
   /** A body wasn't complete by the deadline of its request. */
   BodyLate = 'body-late',
+  /** A body wasn't complete when the process stopped. */
+  Draining = 'draining',
   /** The reader of an answer made no progress for the stall timeout. */
   ReaderStalled = 'reader-stalled',
   /** The reader of an answer made no progress and others needed the memory. */
