Answer the calls that an agent took before it ends, and wait until the answers have arrived

What callers saw: an agent that was stopped closed its links while calls still ran at the end of its drain time, and their entries got no answer; submissions then failed as unknown only after their entry had found the agent gone. Answers that were larger than the buffers of a connection were lost with the process if the entry read late: 0 of 3 answers of 2 MB of finished submissions arrived. Chats over a stopped agent became crash suspects, all six of six, since the loss of its link looked like its death.

Cause: the drain ended without a word to those that waited; an agent without work closed its links right after it had announced that it leaves, before work that was on its way could be refused; the process exited as soon as the links had been told to close.

Fix: the drain keeps the links open for a notice of half a second. Half a second before its end it aborts calls, which are answered as ones that may have run, and aborts chains as an endpoint that leaves, so that their entries continue them elsewhere. LinkServer.close resolves when the connections are closed, or after the time after which a silent peer is lost.

Evidence: agentDrain.test.ts with the agent as a process (the chats with programs in one process).

--- a/src/agent/calls/common/callRunner.ts
+++ b/src/agent/calls/common/callRunner.ts
@@ -95,6 +95,11 @@
     this.isDraining = true;
   }
 
+  /** Gives up the calls in progress; each is answered as one that may have run. */
+  stop(): void {
+    this.runningCalls.forEach(({ abortController }) => abortController.abort());
+  }
+
   /**
    * Runs a call, or refuses it. A submission that was admitted before does not run again; its
    * answer is sent once it is known.
--- a/src/agent/node/agentProgram.ts
+++ b/src/agent/node/agentProgram.ts
@@ -59,6 +59,15 @@
 /** Interval at which a drain checks whether work is still in progress, in milliseconds. */
 const drainPollIntervalMs = 20;
 
+/**
+ * Time for which a drain keeps links open at least, in milliseconds. Entries may have sent work before they
+ * learn that the agent leaves; it is refused as not run.
+ */
+const leavingNoticeMs = 500;
+
+/** Time before the end of a drain at which work in progress is stopped, in milliseconds. */
+const stopMarginMs = 500;
+
 /** Settings and shared services of an agent, created when the program starts. */
 export interface AgentDependencies {
   readonly settings: AgentSettings;
@@ -184,23 +193,33 @@
     logger.log(LogLevel.Info, 'agent-started', { port, incarnation: this.incarnation });
   }
 
-  /** Refuses new work and waits until no work is in progress or the drain time is over. */
+  /**
+   * Refuses new work and waits until no work is in progress. Work that is in progress shortly before the end of
+   * the drain time is stopped, and its entries are told.
+   */
   async drain(): Promise<void> {
-    const { settings, logger } = this.dependencies;
+    const { settings, clock, logger } = this.dependencies;
+    const endMs = clock.monotonicMs() + settings.drainMs;
     this.isDraining = true;
     this.stageRunner?.drain();
     this.callRunner?.drain();
     this.server.links.forEach((link) => link.send({ kind: MessageKind.Leaving }));
     logger.log(LogLevel.Info, 'drain-started', { active: this.activeCount });
-    await this.waitUntilIdle(settings.drainMs);
-    logger.log(LogLevel.Info, 'drain-ended', { active: this.activeCount });
+    await sleep(Math.min(leavingNoticeMs, settings.drainMs / 4));
+    const stopMs = endMs - Math.min(stopMarginMs, settings.drainMs / 4);
+    await this.waitUntilIdle(stopMs - clock.monotonicMs());
+    const stopped = this.activeCount;
+    this.callRunner?.stop();
+    this.stageRunner?.stop();
+    await this.waitUntilIdle(endMs - clock.monotonicMs());
+    logger.log(LogLevel.Info, 'drain-ended', { active: this.activeCount, stopped });
   }
 
   /** Stops timers, closes links, writes the remaining usage and closes connections. */
   async close(): Promise<void> {
     this.intervals.forEach((interval) => clearInterval(interval));
     this.links.close();
-    this.server.close();
+    await this.server.close();
     this.intake.close();
     this.answers.close();
     await this.usageWriter.close();
--- a/src/agent/stage/common/stageRunner.ts
+++ b/src/agent/stage/common/stageRunner.ts
@@ -147,6 +147,15 @@
     this.isDraining = true;
   }
 
+  /** Aborts the attempts in progress, so that their entries continue them elsewhere. */
+  stop(): void {
+    for (const record of [...this.attempts.values()]) {
+      if (!record.hasEnded) {
+        this.abortEpoch(record.spec, FailureReason.Leaving);
+      }
+    }
+  }
+
   /**
    * Pauses or resumes the admission of new attempts, so that the engine can load other layers.
    * Attempts in progress continue.
--- a/src/bench/test/node/drainFixtures.ts
+++ b/src/bench/test/node/drainFixtures.ts
@@ -1,5 +1,6 @@
 import { createServer, request, type Agent, type Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
+import { fileURLToPath } from 'node:url';
 import { sha256Hex } from '../../../base/common/digest.js';
 import type { LogFields } from '../../../base/common/logger.js';
 import { sleep, SystemClock } from '../../../base/node/systemClock.js';
@@ -20,6 +21,7 @@
 import { HistoryWriter } from '../../../standin/node/history.js';
 import { PlatformServer } from '../../../standin/node/platformServer.js';
 import { bearerKeyOf } from '../../node/fleet.js';
+import { ProcessGroup, type RunningProcess } from '../../node/processes.js';
 
 export const host = '127.0.0.1';
 
@@ -139,6 +141,25 @@
     return this.addAgent('work-1', { service: { name: 'work', url }, drainMs });
   }
 
+  /** Starts an agent process beside the timed service. */
+  async addServiceAgentProcess(drainMs: number): Promise<RunningProcess> {
+    const url = await this.service.listen();
+    const group = new ProcessGroup(
+      fileURLToPath(new URL('../../../../../build/', import.meta.url)),
+    );
+    this.closers.push(() => this.service.close());
+    this.closers.push(() => group.close());
+    const path = group.writeSettings('work-1', {
+      ...this.commonSettings('work-1'),
+      service: { name: 'work', url },
+      drainMs,
+    });
+    const pattern = /agent-started.*port=(\d+)/;
+    const agent = await group.start('work-1', 'agent', ['--settings', path], pattern);
+    await this.publishAgent('work-1', Number(agent.listenAddress));
+    return agent;
+  }
+
   /** Starts an engine that takes `layerMs` for each layer of a token, and its agent. */
   async addEngineAgent(
     name: string,
@@ -205,6 +226,11 @@
     const program = new AgentProgram({ settings, ...dependencies });
     await program.start();
     const port = Number(events.find(({ event }) => event === 'agent-started')?.port);
+    await this.publishAgent(name, port);
+    return { program, port, events };
+  }
+
+  private async publishAgent(name: string, port: number): Promise<void> {
     const record = {
       id: name,
       role: InstanceRole.Agent,
@@ -218,7 +244,6 @@
       headers: { 'content-type': 'application/json', connection: 'close' },
       body: JSON.stringify(record),
     });
-    return { program, port, events };
   }
 
   private commonSettings(instance: string): object {
--- a/src/services/link/node/linkServer.ts
+++ b/src/services/link/node/linkServer.ts
@@ -93,12 +93,21 @@
     );
   }
 
-  /** Closes every link and stops listening. */
-  close(): void {
+  /**
+   * Closes every link and stops listening. Resolves once the peers have taken what was sent to them, or have
+   * taken too long for that.
+   */
+  async close(): Promise<void> {
     this.links.forEach((link) => link.close());
     this.webSocketServer.close();
     this.httpServer.close();
     this.httpServer.closeAllConnections();
+    const timer = setTimeout(
+      () => this.connections.forEach((connection) => connection.destroy()),
+      this.timing.deadlineMs,
+    );
+    await Promise.all([...this.connections].map(whenClosed));
+    clearTimeout(timer);
   }
 
   /** Bounds the connections before their upgrade, and answers requests that ask for none. */
@@ -144,3 +153,9 @@
     this.acceptEmitter.fire(link);
   }
 }
+
+function whenClosed(connection: Socket): Promise<void> {
+  return new Promise((resolve) => {
+    connection.once('close', () => resolve());
+  });
+}
