--- a/src/bench/test/node/drainFixtures.ts
+++ b/src/bench/test/node/drainFixtures.ts
@@ -138,6 +138,11 @@
   async addServiceAgent(drainMs: number): Promise<StartedProgram<AgentProgram>> {
     const url = await this.service.listen();
     this.closers.push(() => this.service.close());
+    return this.addServiceAgentAt(url, drainMs);
+  }
+
+  /** Starts an agent beside a service at a URL. */
+  addServiceAgentAt(url: string, drainMs: number): Promise<StartedProgram<AgentProgram>> {
     return this.addAgent('work-1', { service: { name: 'work', url }, drainMs });
   }
 
