--- a/src/agent/test/node/cutAnswers.test.ts
+++ b/src/agent/test/node/cutAnswers.test.ts
@@ -59,8 +59,18 @@
     return result;
   };
 
+  const createEngine = () =>
+    new HttpStageEngine(
+      'i',
+      url,
+      { stepMs: timeoutMs, stateMs: timeoutMs },
+      maxAnswerBytes,
+      createTestIntake(),
+      new SystemClock(),
+    );
+
   const runStep = async () => {
-    const engine = new HttpStageEngine('i', url, { stepMs: timeoutMs, stateMs: timeoutMs });
+    const engine = createEngine();
     const result = await engine.run({} as EngineStep);
     await engine.close();
     return result;
@@ -93,7 +103,7 @@
     for (const end of ends) {
       for (const [where, begin] of Object.entries(cutAnswers(state))) {
         answer = (socket) => writeCut(socket, begin, end);
-        const engine = new HttpStageEngine('i', url, { stepMs: timeoutMs, stateMs: timeoutMs });
+        const engine = createEngine();
         expect(await engine.readState(0), `${where}, by ${end}`).to.equal(undefined);
         expect(engine.isAnswering).to.equal(false);
         await engine.close();
--- a/src/bench/test/node/drainFixtures.ts
+++ b/src/bench/test/node/drainFixtures.ts
@@ -17,6 +17,7 @@
   checkSettings,
   entrySchema,
 } from '../../../services/settings/common/settings.js';
+import { createTestIntake } from '../../../services/exchange/test/node/answerFixtures.js';
 import { EngineServer } from '../../../standin/node/engineServer.js';
 import { HistoryWriter } from '../../../standin/node/history.js';
 import { PlatformServer } from '../../../standin/node/platformServer.js';
@@ -107,11 +108,11 @@
 
   private platformUrl = '';
 
-  private operator = new HttpObjectStore('', 1);
+  private operator = new HttpObjectStore('http://127.0.0.1', 1, createTestIntake());
 
   async start(): Promise<void> {
     this.platformUrl = await this.platform.listen(host, 0);
-    this.operator = new HttpObjectStore(this.platformUrl, 1_000);
+    this.operator = new HttpObjectStore(this.platformUrl, 1_000, createTestIntake());
     this.closers.push(() => this.platform.close());
     this.closers.push(() => this.operator.close());
     const records: readonly (readonly [ObjectKind, string, unknown])[] = [
@@ -259,7 +260,7 @@
     const events: LogFields[] = [];
     const log = (_level: unknown, event: string, fields: LogFields = {}) =>
       events.push({ event, ...fields });
-    const store = new HttpObjectStore(this.platformUrl, 1_000);
+    const store = new HttpObjectStore(this.platformUrl, 1_000, createTestIntake());
     this.closers.push(() => store.close());
     return { events, dependencies: { clock: new SystemClock(), logger: { log }, metrics, store } };
   }
