Keep the room that a waiting body needs when more of it arrives

Large answers with a stated length were answered 504 when several came at once, from sound endpoints.

An answer waits for room with its first bytes already received. Each further piece replaced the room that it waited for, its stated length, by twice what had arrived. It was admitted with less than it needs, and had to wait again while it held what it had, beside others in the same state, until their deadlines.

The new test fails without it.

--- a/src/services/intake/common/bodyAccount.ts
+++ b/src/services/intake/common/bodyAccount.ts
@@ -350,7 +350,8 @@
 
   /** Reserves room for a large body, or makes it wait; returns false if it must be refused. */
   private reserve(entry: Entry, wantedBytes: number, nowMs: number): boolean {
-    entry.wantedBytes = wantedBytes;
+    // A body that waits may still get bytes that were read before; it needs its whole declared length.
+    entry.wantedBytes = Math.max(entry.wantedBytes, wantedBytes);
     if (entry.state === BodyState.Waiting) {
       return !this.isOverfull;
     }
--- a/src/services/intake/test/common/bodyAccount.test.ts
+++ b/src/services/intake/test/common/bodyAccount.test.ts
@@ -123,6 +123,15 @@
     expect(later.entry?.state).to.equal(BodyState.Waiting);
   });
 
+  it('admits a body that has begun only with room for its stated length', () => {
+    const others = Array.from({ length: largeRoom }, () => open(largestBytes));
+    const { entry } = open(largestBytes);
+    receive(entry, 65_536);
+    account.close(others[0].entry!, 0);
+    expect(entry?.state).to.equal(BodyState.Reading);
+    expect(account.largeBytes).to.equal(largeRoom * largestBytes);
+  });
+
   it('keeps to its bound for any sequence of bodies, and frees everything in the end', () => {
     const step = fc.record({
       declaredBytes: fc.option(fc.integer({ min: 1, max: largestBytes }), { nil: undefined }),
