Let one body go on when all others wait for room

Large answers in chunks were answered 504 when several came at once, from sound endpoints and without any faulty one.

A body of unknown length reserves room as it grows, and keeps what it has while it waits for more. Once the bodies that had begun filled the account together, all of them waited for each other. Bodies of callers are refused after a second of waiting; answers wait until the deadlines of their requests. Only a body that was the only one in the account was let through.

Now a body is also let through while every other one waits, so that one at a time can be completed and frees its room. The account may be exceeded by one body of the largest size.

The new test fails without the change.

--- a/src/services/intake/common/bodyAccount.ts
+++ b/src/services/intake/common/bodyAccount.ts
@@ -399,8 +399,9 @@
   /** Returns whether there is room for what an entry wants, after stalled bodies have given way. */
   private makeRoom(entry: Entry, nowMs: number): boolean {
     const neededBytes = entry.wantedBytes - entry.chargedBytes;
-    // A body that is alone fits in any case, however small the account is.
-    if (neededBytes <= this.freeGeneralBytes || this.largeCount === 1) {
+    // A body that is alone fits in any case, however small the account is. So does one beside bodies that all wait:
+    // they keep what they have until another one ends.
+    if (neededBytes <= this.freeGeneralBytes || this.isOnlyActive(entry)) {
       return true;
     }
     const yielding: Entry[] = [];
@@ -421,6 +422,11 @@
     return false;
   }
 
+  /** Returns whether every other large body waits. */
+  private isOnlyActive(entry: Entry): boolean {
+    return this.largeCount - this.waiting.size === (this.waiting.has(entry) ? 0 : 1);
+  }
+
   /** Lets the small bodies without progress for longest give way until the small ones fit. */
   private evictSmall(newest: Entry): void {
     const { smallBodyMemoryBytes } = this.bounds;
--- a/src/services/intake/test/common/bodyAccount.test.ts
+++ b/src/services/intake/test/common/bodyAccount.test.ts
@@ -123,6 +123,26 @@
     expect(later.entry?.state).to.equal(BodyState.Waiting);
   });
 
+  it('completes bodies in chunks that have filled their part together', () => {
+    const bodies = Array.from({ length: 2 * largeRoom }, () => ({
+      entry: open(undefined).entry!,
+      restBytes: largestBytes,
+    }));
+    const receiveNext = (body: (typeof bodies)[number]): void => {
+      if (body.entry.state === BodyState.Reading) {
+        body.restBytes -= 65_536;
+        receive(body.entry, 65_536);
+      }
+      if (body.restBytes === 0) {
+        account.close(body.entry, 0);
+      }
+    };
+    for (let round = 0; round < 1_000; round += 1) {
+      bodies.forEach(receiveNext);
+    }
+    expect(bodies.map(({ restBytes }) => restBytes)).to.deep.equal(bodies.map(() => 0));
+  });
+
   it('admits a body that has begun only with room for its stated length', () => {
     const others = Array.from({ length: largeRoom }, () => open(largestBytes));
     const { entry } = open(largestBytes);
