Let answers pause while there is room for them

Answers that paused for ten seconds were given up and their endpoints were blamed, whatever the deadline.

The account of answers took over the stall timeout of callers' bodies. A stream whose caller didn't read for that long was given up as well if part of an event was kept, although it was the gateway that didn't read.

Evidence: an answer of 2 bytes with a pause of 11 s and a timeout of 30 s failed after 10,054 ms with the fault `answer`; a stream that wasn't read for 11 s with 2 bytes of an event failed after 10,037 ms. The deadlines of the requests bound how long an answer is kept, and answers without progress still give way after 0.5 s when others need the memory.

--- a/src/services/exchange/common/answerBounds.ts
+++ b/src/services/exchange/common/answerBounds.ts
@@ -62,7 +62,8 @@
     smallBodyMemoryBytes: memoryBytes * smallAnswerShare,
     smallBodyBytes: 65_536,
     maxWaiting: Math.ceil((memoryBytes * waitingShare) / unreadWindowBytes),
-    stallMs: 10_000,
+    // Without a shortage, the deadline of the request decides how long an answer may pause.
+    stallMs: Infinity,
     yieldMs: 500,
     // Endpoints are near: one that sends less than 128 KiB a second while others wait gives way.
     progressMarkBytes: 65_536,
