Bound what ibisspar-admin holds of an entry's answers

The command kept what an entry, or what answers at its URL, sent for 15 s without a bound in bytes. It now reads at most 16 MiB over the sender that other programs have, which also gives up heads and framing without end at once. The command closes its connections, and prints an error for a URL that is none.

--- a/src/admin/node/adminClient.ts
+++ b/src/admin/node/adminClient.ts
@@ -1,6 +1,13 @@
 import { Err, Ok, type Result } from 'ts-results-es';
-import { request } from 'undici';
+import type { IClock, ITimers } from '../../base/common/clock.js';
 import { IbissparError, toErrorMessage } from '../../base/common/errors.js';
+import {
+  createSeparateIntake,
+  type AnswerIntake,
+} from '../../services/exchange/node/answerIntake.js';
+import { splitBaseUrl, type BaseUrl } from '../../services/exchange/node/baseUrl.js';
+import { EndpointSender } from '../../services/exchange/node/endpointSender.js';
+import { receiveWhole } from '../../services/exchange/node/wholeAnswer.js';
 import type { Problem } from '../../services/problem/common/problem.js';
 
 /** Error of a call that the administration API refused or did not answer. */
@@ -22,16 +29,44 @@
 /** Timeout of a call, in milliseconds. */
 const callTimeoutMs = 15_000;
 
+/** Maximum size of an answer, in bytes; the rules of all organisations take some megabytes. */
+const maxAnswerBytes = 16_777_216;
+
+/** Memory for answers, in megabytes; one of the largest size has room beside small ones. */
+const answerMemoryMb = 24;
+
+/** Maximum number of calls at the same time. */
+const maxConnections = 8;
+
+/** Longest idle time after which a connection is used again, in milliseconds. */
+const maxReuseIdleMs = 3_000;
+
 /** Client of the administration API of an entry. */
 export class AdminClient {
+  private readonly baseUrl: BaseUrl;
+
+  private readonly intake: AnswerIntake;
+
+  private readonly sender: EndpointSender;
+
   /**
    * @param baseUrl - Base URL of any entry.
    * @param key - Administration key.
+   * @param clock - Source of time and timers.
+   * @throws TypeError if the base URL is none.
    */
   constructor(
-    private readonly baseUrl: string,
+    baseUrl: string,
     private readonly key: string,
-  ) {}
+    private readonly clock: IClock & ITimers,
+  ) {
+    this.baseUrl = splitBaseUrl(baseUrl);
+    const { protocol } = this.baseUrl;
+    // The error of a call says why its answer was given up.
+    const logger = { log: () => undefined };
+    this.intake = createSeparateIntake(answerMemoryMb, () => undefined, clock, logger);
+    this.sender = new EndpointSender({ maxConnections, intake: this.intake, protocol }, clock);
+  }
 
   /** Reads a resource of the API; `path` is relative to `/admin/v1/`. */
   get<T>(path: string): Promise<Result<T, AdminError>> {
@@ -43,20 +78,38 @@
     return this.call<T>('PUT', path, body);
   }
 
+  /** Closes the connections; calls in progress fail. */
+  async close(): Promise<void> {
+    this.intake.close();
+    await this.sender.close();
+  }
+
   private async call<T>(
     method: 'GET' | 'PUT',
     path: string,
     body: unknown,
   ): Promise<Result<T, AdminError>> {
-    try {
-      const res = await request(`${this.baseUrl}/admin/v1/${path}`, {
+    const { address, path: basePath } = this.baseUrl;
+    const received = await receiveWhole(
+      this.sender,
+      address,
+      {
         method,
-        signal: AbortSignal.timeout(callTimeoutMs),
-        headers: { authorization: `Bearer ${this.key}`, 'content-type': 'application/json' },
-        body: body === undefined ? undefined : JSON.stringify(body),
-      });
-      const decoded = await res.body.json();
-      if (res.statusCode === 200) {
+        target: `${basePath}/admin/v1/${path}`,
+        headers: ['authorization', `Bearer ${this.key}`, 'content-type', 'application/json'],
+        body: body === undefined ? undefined : Buffer.from(JSON.stringify(body)),
+        maxIdleMs: maxReuseIdleMs,
+      },
+      { maxBytes: maxAnswerBytes, timeoutMs: callTimeoutMs },
+      this.clock,
+    );
+    if (received.isErr()) {
+      return Err(new AdminError(received.error.message, undefined));
+    }
+    const { head, body: bytes } = received.value;
+    try {
+      const decoded: unknown = JSON.parse(bytes.toString());
+      if (head.status === 200) {
         return Ok(decoded as T);
       }
       const details = decoded as Problem & Record<string, unknown>;
--- a/src/bin/ibisspar-admin.ts
+++ b/src/bin/ibisspar-admin.ts
@@ -1,6 +1,7 @@
 import { cac } from 'cac';
 import { AdminClient } from '../admin/node/adminClient.js';
 import { AdminCommands } from '../admin/node/adminCommands.js';
+import { SystemClock } from '../base/node/systemClock.js';
 
 const cli = cac('ibisspar-admin');
 
@@ -13,21 +14,21 @@
   readonly url: string;
 }
 
-function runCommand(
+async function runCommand(
   options: CommonOptions,
   command: (commands: AdminCommands) => Promise<number>,
-): void {
-  const client = new AdminClient(options.url, process.env[adminKeyVariable] ?? '');
+): Promise<void> {
   const print = (line: string) => process.stdout.write(`${line}\n`);
-  command(new AdminCommands(client, print)).then(
-    (status) => {
-      process.exitCode = status;
-    },
-    (err: unknown) => {
-      print(String(err));
-      process.exitCode = 1;
-    },
-  );
+  let client: AdminClient | undefined;
+  try {
+    const key = process.env[adminKeyVariable] ?? '';
+    client = new AdminClient(options.url, key, new SystemClock());
+    process.exitCode = await command(new AdminCommands(client, print));
+  } catch (err) {
+    print(String(err));
+    process.exitCode = 1;
+  }
+  await client?.close();
 }
 
 cli
