Refuse the HTTP client whose answers are not bounded

All programs that read answers with undici itself kept one buffer for each piece, with no bound over all of them. Checked with an import in an entry's node and common folders and in the platform's: each is an error.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -44,6 +44,11 @@
   (name) => `node:${name}`,
 );
 
+const httpClient = {
+  name: 'undici',
+  message: 'its answers are not bounded in memory; use EndpointSender or QueuedSender',
+};
+
 export default [
   { ignores: ['dist/**', 'build/**', 'node_modules/**', 'run/**'] },
   plugins.stylistic,
@@ -106,6 +111,17 @@
       '@typescript-eslint/no-unused-expressions': 'off',
     },
   },
+  {
+    files: ['src/**', 'platform/**'],
+    ignores: [
+      'src/services/exchange/**',
+      'src/bench/**',
+      'src/standin/**',
+      'src/**/test/**',
+      'platform/test/**',
+    ],
+    rules: { 'no-restricted-imports': ['error', { paths: [httpClient] }] },
+  },
   {
     files: ['scripts/*.cjs'],
     rules: {
@@ -117,7 +133,10 @@
     files: ['src/**/common/**/*.ts', 'soak/common/**/*.ts'],
     ignores: ['src/**/test/**'],
     rules: {
-      'no-restricted-imports': ['error', { paths: inputOutputModules.map((name) => ({ name })) }],
+      'no-restricted-imports': [
+        'error',
+        { paths: [...inputOutputModules.map((name) => ({ name })), httpClient] },
+      ],
       'no-restricted-globals': [
         'error',
         ...['setTimeout', 'setInterval', 'setImmediate', 'fetch', 'process'].map((name) => ({
