Test requests that wait for connections which close after each answer

A waiting request is sent as soon as another one ends, and so may be given to a connection that is about to close.

--- a/src/services/exchange/test/node/queuedSender.test.ts
+++ b/src/services/exchange/test/node/queuedSender.test.ts
@@ -92,4 +92,18 @@
     await closed;
     expect((await call('/late')).isErr()).to.equal(true);
   });
+
+  // Guards against requests that are sent on a connection which is about to close.
+  it('serves requests that wait although each connection closes after its answer', async () => {
+    server.removeAllListeners('request');
+    server.on('request', (_req, res: ServerResponse) => {
+      res.setHeader('connection', 'close');
+      res.end('whole');
+    });
+    for (let round = 0; round < 10; round += 1) {
+      const calls = [1, 2, 3, 4].map((index) => call(`/${index}`));
+      const bodies = (await Promise.all(calls)).map((each) => each.unwrap().body.toString());
+      expect(bodies).to.deep.equal(['whole', 'whole', 'whole', 'whole']);
+    }
+  });
 });
