Keep no tokens past the largest number of an answer

An agent that sends tokens of one answer without end, or tokens far ahead of the next one, made the entry keep all of them until the caller's deadline: the assembler had no bound on either.

It now ignores tokens at or past the request's maximum. The last stage never sends such a token, so that no sound answer changes; a chain that sends only such tokens is replaced by the stall timeout.

--- a/src/entry/chat/common/answerAssembler.ts
+++ b/src/entry/chat/common/answerAssembler.ts
@@ -18,6 +18,9 @@
 
   private hasEnded = false;
 
+  /** @param maxTokens - Largest number of tokens; an agent may send others, which are ignored. */
+  constructor(private readonly maxTokens: number) {}
+
   /** Ids of the delivered tokens, in order. */
   get tokens(): readonly number[] {
     return this.delivered;
@@ -35,10 +38,11 @@
    * @returns Tokens that can be delivered now, in order.
    */
   accept(message: TokenMessage): readonly TokenMessage[] {
-    if (this.hasEnded || message.step < this.delivered.length) {
+    const { step } = message;
+    if (this.hasEnded || step < this.delivered.length || step >= this.maxTokens) {
       return [];
     }
-    this.outOfOrder.set(message.step, message);
+    this.outOfOrder.set(step, message);
     const ready: TokenMessage[] = [];
     let next = this.outOfOrder.get(this.delivered.length);
     while (next !== undefined && !this.hasEnded) {
--- a/src/entry/chat/common/chatRunner.ts
+++ b/src/entry/chat/common/chatRunner.ts
@@ -210,7 +210,7 @@
       attempt,
       sink,
       submission,
-      assembler: new AnswerAssembler(),
+      assembler: new AnswerAssembler(request.maxTokens),
       failedEndpoints: new Set(),
       isIsolated: false,
       guardedRequest: {
