Bound what the peers of links make a process hold and do

What was seen: 50 peers that write raw web socket bytes to a process with the deployed heap (160 MB), as its clients and as its servers.

- frames that stop short of 16 MiB, before or after the hello: 905 to 908 MB;
- an array of 8 million empty maps: the process ended;
- a batch that is a number, or a message that is null: the process ended, with one frame of a few bytes;
- empty batches: the event loop held up for 949 and 1,121 ms; single heartbeats 368 and 302 ms; pongs 350 ms (client); a million messages in a frame 412 ms (client);
- interim heads without end instead of an upgrade: 2,011 ms; a body without end: 337 ms.

Claimed lengths of arrays, maps and strings, nested arrays, fragments of one byte and head fields without end were harmless.

Cause: each link could hold 16 MiB, before its hello too, and nothing bounded all links; a frame was decoded and its messages used whatever they were; all that one read held was parsed and handled in one turn of the event loop.

Now a frame that doesn't arrive in one read has an entry in the account of all answers, and is read on only once there is room for all of it. Its size is known from its head, so that frames that wait don't block each other. The first frame may have 64 KiB, later ones 4 MiB or the largest body (the new settings maxCallBytes of agents, maxAnswerBytes of entries) and 64 KiB. Fragments, pings, text and empty batches end the link: no version sends them. Lengths, depth, values and record structures are checked before decoding, since one byte may be an object of fifty; the fields of each message are checked before use. One frame of a link is handled in a turn, 256 messages pause it by the pacer of small pieces, and a sender divides a turn's messages into frames of 128 messages or 1 MiB. Heads of upgrades are read in slices, up to 16 KiB. Each ended link is logged as `answer-given-up` with the origin `link HOST:PORT`, and counted in `answer-cuts`.

Links that answers end still count as failed connections: calls over them have an unknown outcome.

--- a/src/agent/node/agentProgram.ts
+++ b/src/agent/node/agentProgram.ts
@@ -3,6 +3,7 @@
 import { LogLevel, type ILogger } from '../../base/common/logger.js';
 import type { IMetrics } from '../../base/node/metrics.js';
 import { InstanceRole } from '../../services/instances/common/instance.js';
+import { maxFrameBytesFor } from '../../services/link/common/linkBounds.js';
 import { LinkServer } from '../../services/link/node/linkServer.js';
 import type { Link } from '../../services/link/node/link.js';
 import type { AnswerIntake } from '../../services/exchange/node/answerIntake.js';
@@ -135,12 +136,20 @@
       clock,
       dependencies.logger,
     );
-    this.server = new LinkServer(timing, createHello, createHeartbeat, this.intake);
+    this.server = new LinkServer(
+      timing,
+      createHello,
+      createHeartbeat,
+      this.intake,
+      this.answers,
+      maxFrameBytesFor(settings.maxCallBytes),
+    );
     this.links = new StageLinks({
       incarnation: this.incarnation,
       timing,
       createHello,
       createHeartbeat,
+      answers: this.answers,
     });
     this.gate = new AttemptGate({
       answerRetentionMs: settings.keepAnswerMs,
--- a/src/agent/node/stageLinks.ts
+++ b/src/agent/node/stageLinks.ts
@@ -1,4 +1,5 @@
 import { Emitter } from '../../base/common/event.js';
+import type { AnswerIntake } from '../../services/exchange/node/answerIntake.js';
 import { connect } from '../../services/link/node/connect.js';
 import type { Link, LinkTiming } from '../../services/link/node/link.js';
 import type {
@@ -15,6 +16,8 @@
   readonly timing: LinkTiming;
   readonly createHello: () => HelloMessage;
   readonly createHeartbeat: () => HeartbeatMessage;
+  /** Bounds what links make the process hold; not bounded if undefined. */
+  readonly answers?: AnswerIntake;
 }
 
 /** Timeout of opening a link to another agent, in milliseconds. */
@@ -118,6 +121,7 @@
       hello: this.options.createHello(),
       createHeartbeat: this.options.createHeartbeat,
       timeoutMs: connectTimeoutMs,
+      answers: this.options.answers,
     });
     const link = result.isOk() ? result.value : undefined;
     if (link === undefined || link.peer?.incarnation !== stage.incarnation || this.isClosed) {
--- a/src/entry/fleet/node/agentPool.ts
+++ b/src/entry/fleet/node/agentPool.ts
@@ -1,5 +1,6 @@
 import { Emitter } from '../../../base/common/event.js';
 import { LogLevel, type ILogger } from '../../../base/common/logger.js';
+import type { AnswerIntake } from '../../../services/exchange/node/answerIntake.js';
 import {
   InstanceRole,
   InstanceState,
@@ -43,6 +44,10 @@
   readonly pollMs: number;
   readonly createHello: () => HelloMessage;
   readonly createHeartbeat: () => HeartbeatMessage;
+  /** Bounds what links make the process hold; not bounded if undefined. */
+  readonly answers?: AnswerIntake;
+  /** Size of the largest answer of a service, in bytes. */
+  readonly maxAnswerBytes?: number;
 }
 
 /** Timeout for opening a link to an agent, in milliseconds. */
@@ -289,6 +294,8 @@
       hello: this.options.createHello(),
       createHeartbeat: this.options.createHeartbeat,
       timeoutMs: connectTimeoutMs,
+      answers: this.options.answers,
+      maxBodyBytes: this.options.maxAnswerBytes,
     });
     Object.assign(member, { isConnecting: false });
     if (result.isErr() || this.timer === undefined) {
--- a/src/entry/node/entryProgram.ts
+++ b/src/entry/node/entryProgram.ts
@@ -7,6 +7,11 @@
 import type { SystemClock } from '../../base/node/systemClock.js';
 import { ClaimLedger } from '../../services/claims/common/claimLedger.js';
 import { InstanceRole } from '../../services/instances/common/instance.js';
+import type { AnswerIntake } from '../../services/exchange/node/answerIntake.js';
+import {
+  createProgramAnswerIntake,
+  reportAnswers,
+} from '../../services/exchange/node/programAnswerIntake.js';
 import type { CallerIntake } from '../../services/intake/node/callerIntake.js';
 import { createProgramIntake, reportIntake } from '../../services/intake/node/programIntake.js';
 import { PlatformInstanceList } from '../../services/instances/node/platformInstanceList.js';
@@ -118,6 +123,8 @@
 
   private readonly intake: CallerIntake;
 
+  private readonly answers: AnswerIntake;
+
   private readonly pool: AgentPool;
 
   private readonly rules: RuleFeed;
@@ -172,6 +179,7 @@
   constructor(private readonly dependencies: EntryDependencies) {
     const { settings, clock, store } = dependencies;
     this.logger = new DecisionLog(dependencies.logger);
+    this.answers = createProgramAnswerIntake(settings, dependencies.metrics, clock, this.logger);
     const random = new SeededRandom(Number.parseInt(sha256Hex(this.incarnation).slice(0, 8), 16));
     this.pool = this.createPool();
     this.eraReport = this.createEraReport();
@@ -278,6 +286,7 @@
     this.quarantine.close();
     this.suspectGuard.close();
     this.pool.close();
+    this.answers.close();
   }
 
   private get activeCount(): number {
@@ -314,6 +323,8 @@
       pollMs: settings.instancePollMs,
       createHello: () => this.createHello(),
       createHeartbeat: () => this.createHeartbeat(),
+      answers: this.answers,
+      maxAnswerBytes: settings.maxAnswerBytes,
     };
     return new AgentPool(options, new PlatformInstanceList(store), this.logger);
   }
@@ -371,6 +382,7 @@
     const { metrics } = this.dependencies;
     this.endpointHealth.endExpiredEjections();
     reportIntake(this.intake, metrics);
+    reportAnswers(this.answers, metrics);
     metrics.gauge('entry.active', this.activeCount);
     metrics.gauge('entry.waiting', this.admission.waiting);
     metrics.gauge('entry.revision', this.rules.current.revision);
--- a/src/services/link/node/connect.ts
+++ b/src/services/link/node/connect.ts
@@ -1,14 +1,20 @@
+import { createConnection, type NetConnectOpts, type Socket } from 'node:net';
 import { Err, Ok, type Result } from 'ts-results-es';
 import { WebSocket } from 'ws';
 import { IbissparError } from '../../../base/common/errors.js';
+import type { AnswerIntake } from '../../exchange/node/answerIntake.js';
 import {
   linkVersion,
   MessageKind,
   type HeartbeatMessage,
   type HelloMessage,
 } from '../common/messages.js';
+import { ParserMode, ReadGate } from '../../intake/node/readGate.js';
+import { maxFrameBytesFor, webSocketOptions } from '../common/linkBounds.js';
 import { Link, type LinkTiming } from './link.js';
-import { maxFrameBytes } from './linkServer.js';
+
+/** Bytes that are read of the answer to the upgrade, interim answers included; the usual one has 130. */
+const maxHeadBytes = 16_384;
 
 /** Error of a link that could not be opened; the message gives the reason. */
 export class LinkConnectError extends IbissparError {
@@ -24,6 +30,10 @@
   readonly createHeartbeat: () => HeartbeatMessage;
   /** Maximum time to open the connection and receive the peer's hello, in milliseconds. */
   readonly timeoutMs: number;
+  /** Bounds what links make the process hold; not bounded if undefined. */
+  readonly answers?: AnswerIntake;
+  /** Size of the largest body that a message of the peer carries, in bytes. */
+  readonly maxBodyBytes?: number;
 }
 
 /**
@@ -34,16 +44,44 @@
  */
 export function connect(options: ConnectOptions): Promise<Result<Link, LinkConnectError>> {
   return new Promise((resolve) => {
+    const { answers } = options;
+    const maxFrameBytes = maxFrameBytesFor(options.maxBodyBytes);
+    let connection: Socket | undefined;
+    let isUpgraded = false;
+    const openConnection = (connectOptions: NetConnectOpts): Socket => {
+      const opened = createConnection(connectOptions);
+      connection = opened;
+      let headBytes = 0;
+      // A peer that writes without end would be parsed for as long as it has bytes.
+      const gate = new ReadGate(opened, ParserMode.Flowing, (bytes) => {
+        headBytes += isUpgraded ? 0 : bytes;
+        if (!isUpgraded && headBytes > maxHeadBytes) {
+          gate.close();
+          opened.destroy(new LinkConnectError(`no upgrade within ${maxHeadBytes} bytes`));
+        }
+      });
+      return opened;
+    };
     const socket = new WebSocket(`ws://${options.address}`, {
-      perMessageDeflate: false,
-      maxPayload: maxFrameBytes,
+      ...webSocketOptions(maxFrameBytes),
+      createConnection: openConnection as typeof createConnection,
+    });
+    socket.once('upgrade', () => {
+      isUpgraded = true;
     });
     const timeout = setTimeout(
       () => fail(`no hello within ${options.timeoutMs} ms`),
       options.timeoutMs,
     );
+    let link: Link | undefined;
+    let hasFailed = false;
     function fail(reason: string): void {
+      if (hasFailed) {
+        return;
+      }
+      hasFailed = true;
       clearTimeout(timeout);
+      link?.close();
       socket.removeAllListeners();
       socket.on('error', () => undefined);
       socket.terminate();
@@ -51,16 +89,22 @@
     }
     socket.once('error', (err) => fail(err.message));
     socket.once('open', () => {
+      if (connection === undefined) {
+        fail('no connection');
+        return;
+      }
       socket.removeAllListeners('error');
-      const link = new Link(socket, options.timing, options.createHeartbeat);
-      link.send(options.hello);
-      const subscription = link.onDidReceive((message) => {
+      const linkSocket = { socket, connection, maxFrameBytes, answers };
+      const opened = new Link(linkSocket, options.timing, options.createHeartbeat);
+      link = opened;
+      opened.send(options.hello);
+      const subscription = opened.onDidReceive((message) => {
         subscription.close();
         clearTimeout(timeout);
         if (message.kind === MessageKind.Hello && message.version === linkVersion) {
-          resolve(Ok(link));
+          resolve(Ok(opened));
         } else {
-          link.close();
+          opened.close();
           resolve(
             Err(
               new LinkConnectError(
@@ -70,7 +114,7 @@
           );
         }
       });
-      link.onDidEnd(() => fail('link ended before the peer sent its hello'));
+      opened.onDidEnd(() => fail('link ended before the peer sent its hello'));
     });
   });
 }
--- a/src/services/link/node/link.ts
+++ b/src/services/link/node/link.ts
@@ -1,12 +1,17 @@
-import { Packr, Unpackr } from 'msgpackr';
-import type { RawData, WebSocket } from 'ws';
+import type { Socket } from 'node:net';
+import { Packr } from 'msgpackr';
+import type { WebSocket } from 'ws';
 import { Emitter } from '../../../base/common/event.js';
+import { AnswerCut } from '../../exchange/common/answerCut.js';
+import type { AnswerIntake } from '../../exchange/node/answerIntake.js';
+import { divideIntoBatches } from '../common/batches.js';
 import {
   MessageKind,
   type HeartbeatMessage,
   type HelloMessage,
   type LinkMessage,
 } from '../common/messages.js';
+import { LinkReader, type ILinkReceiver } from './linkReader.js';
 
 /** Heartbeat interval and deadline of a link. */
 export interface LinkTiming {
@@ -27,8 +32,22 @@
   HeartbeatTimeout = 'silent',
   /** The send buffer exceeded its limit. */
   Overflow = 'overflow',
-  /** A frame could not be decoded. */
+  /** The peer sent something that is no frame of valid messages. */
   Protocol = 'protocol',
+  /** A frame was too large, or its peer sent too little of it while others needed the memory. */
+  GivenUp = 'given-up',
+}
+
+/** Web socket that carries a link. */
+export interface LinkSocket {
+  /** Open web socket, of which nothing was received. */
+  readonly socket: WebSocket;
+  /** Connection of the web socket. */
+  readonly connection: Socket;
+  /** Size of the largest frame, in bytes. */
+  readonly maxFrameBytes: number;
+  /** Bounds what all links make the process hold together; not bounded if undefined. */
+  readonly answers?: AnswerIntake;
 }
 
 /**
@@ -37,10 +56,12 @@
  * Messages that are queued in the same turn of the event loop are sent in one frame. Each direction
  * has its own MessagePack codec, which transmits each record structure only once.
  */
-export class Link {
-  private readonly encoder = new Packr({ sequential: true });
+export class Link implements ILinkReceiver {
+  private readonly socket: WebSocket;
 
-  private readonly decoder = new Unpackr({ sequential: true, structures: [] });
+  private readonly reader: LinkReader;
+
+  private readonly encoder = new Packr({ sequential: true });
 
   private readonly messageEmitter = new Emitter<LinkMessage>();
 
@@ -64,16 +85,17 @@
   readonly onDidEnd = this.endEmitter.event;
 
   /**
-   * @param socket - Open web socket; the link takes ownership of it.
+   * @param linkSocket - Open web socket; the link takes ownership of it.
    * @param timing - Heartbeat interval and deadline.
    * @param createHeartbeat - Creates the heartbeat that is sent next.
    */
   constructor(
-    private readonly socket: WebSocket,
+    { socket, connection, maxFrameBytes, answers }: LinkSocket,
     private readonly timing: LinkTiming,
     private readonly createHeartbeat: () => HeartbeatMessage,
   ) {
-    socket.on('message', (data) => this.receive(data));
+    this.socket = socket;
+    this.reader = new LinkReader(socket, connection, maxFrameBytes, this, answers);
     socket.on('close', () => this.end(LinkEndReason.Closed));
     socket.on('error', () => this.end(LinkEndReason.Closed));
     this.heartbeatTimer = setInterval(() => this.onHeartbeatTimer(), timing.heartbeatMs);
@@ -109,37 +131,37 @@
     }
   }
 
+  onMessages(messages: readonly LinkMessage[]): void {
+    this.lastReceivedMs = performance.now();
+    for (const message of messages) {
+      if (message.kind === MessageKind.Hello) {
+        this.peer = message;
+      }
+      this.messageEmitter.fire(message);
+    }
+  }
+
+  onFault(reason: AnswerCut): void {
+    const isProtocol = reason === AnswerCut.Malformed || reason === AnswerCut.Framing;
+    this.end(isProtocol ? LinkEndReason.Protocol : LinkEndReason.GivenUp);
+  }
+
   private flush(): void {
     if (this.isEnded || this.outbox.length === 0) {
       return;
     }
-    const batch = this.outbox;
+    const messages = this.outbox;
     this.outbox = [];
-    this.socket.send(this.encoder.pack(batch));
+    divideIntoBatches(messages).forEach((batch) => this.socket.send(this.encoder.pack(batch)));
     if (this.socket.bufferedAmount > maxBufferedBytes) {
       this.end(LinkEndReason.Overflow);
     }
   }
 
-  private receive(data: RawData): void {
-    this.lastReceivedMs = performance.now();
-    let batch: LinkMessage[];
-    try {
-      batch = this.decoder.unpack(data as Buffer) as LinkMessage[];
-    } catch {
-      this.end(LinkEndReason.Protocol);
-      return;
-    }
-    for (const message of batch) {
-      if (message.kind === MessageKind.Hello) {
-        this.peer = message;
-      }
-      this.messageEmitter.fire(message);
-    }
-  }
-
   private onHeartbeatTimer(): void {
-    if (performance.now() - this.lastReceivedMs > this.timing.deadlineMs) {
+    if (this.reader.isHeld) {
+      this.lastReceivedMs = performance.now();
+    } else if (performance.now() - this.lastReceivedMs > this.timing.deadlineMs) {
       this.end(LinkEndReason.HeartbeatTimeout);
       return;
     }
@@ -152,6 +174,7 @@
     }
     this.isEnded = true;
     clearInterval(this.heartbeatTimer);
+    this.reader.close();
     if (reason !== LinkEndReason.Closed) {
       this.socket.terminate();
     }
--- a/src/services/link/node/linkServer.ts
+++ b/src/services/link/node/linkServer.ts
@@ -3,6 +3,8 @@
 import { WebSocketServer } from 'ws';
 import type { CallerIntake } from '../../intake/node/callerIntake.js';
 import { Emitter } from '../../../base/common/event.js';
+import type { AnswerIntake } from '../../exchange/node/answerIntake.js';
+import { maxFrameBytesFor, webSocketOptions } from '../common/linkBounds.js';
 import {
   linkVersion,
   MessageKind,
@@ -11,9 +13,6 @@
 } from '../common/messages.js';
 import { Link, type LinkTiming } from './link.js';
 
-/** Largest frame that a link accepts, in bytes. */
-export const maxFrameBytes = 16 * 1_048_576;
-
 /** Time for the head of a request, and for which a connection that sends nothing is kept, in milliseconds. */
 const headTimeoutMs = 3_000;
 const idleTimeoutMs = 15_000;
@@ -22,11 +21,7 @@
 export class LinkServer {
   private readonly httpServer: Server = createServer({ keepAliveTimeout: idleTimeoutMs });
 
-  private readonly webSocketServer = new WebSocketServer({
-    server: this.httpServer,
-    maxPayload: maxFrameBytes,
-    perMessageDeflate: false,
-  });
+  private readonly webSocketServer: WebSocketServer;
 
   private readonly connections = new Set<Socket>();
 
@@ -43,13 +38,21 @@
    * @param createHello - Creates the hello that this side sends first on each link.
    * @param createHeartbeat - Creates the heartbeat that is sent next.
    * @param intake - Bounds what those who connect make the process hold; not bounded if undefined.
+   * @param answers - Bounds what links make the process hold; not bounded if undefined.
+   * @param maxFrameBytes - Size of the largest frame that is accepted, in bytes.
    */
   constructor(
     private readonly timing: LinkTiming,
     private readonly createHello: () => HelloMessage,
     private readonly createHeartbeat: () => HeartbeatMessage,
     private readonly intake?: CallerIntake,
+    answers?: AnswerIntake,
+    maxFrameBytes = maxFrameBytesFor(),
   ) {
+    this.webSocketServer = new WebSocketServer({
+      server: this.httpServer,
+      ...webSocketOptions(maxFrameBytes),
+    });
     this.attachIntake();
     this.httpServer.on('connection', (connection: Socket) => {
       this.connections.add(connection);
@@ -57,7 +60,9 @@
     });
     this.webSocketServer.on('connection', (socket, req) => {
       this.intake?.handOver(req.socket);
-      const link = new Link(socket, this.timing, this.createHeartbeat);
+      const { socket: connection } = req;
+      const linkSocket = { socket, connection, maxFrameBytes, answers };
+      const link = new Link(linkSocket, this.timing, this.createHeartbeat);
       link.send(this.createHello());
       const subscription = link.onDidReceive((message) => {
         subscription.close();
--- a/src/services/link/test/node/link.test.ts
+++ b/src/services/link/test/node/link.test.ts
@@ -1,7 +1,10 @@
 import { once } from 'node:events';
 import { connect as openConnection, type Socket } from 'node:net';
+import { setImmediate } from 'node:timers/promises';
 import { expect } from 'chai';
 import { SystemClock } from '../../../../base/node/systemClock.js';
+import type { AnswerCut } from '../../../exchange/common/answerCut.js';
+import { createAnswerIntake, type AnswerIntake } from '../../../exchange/node/answerIntake.js';
 import { deriveBounds } from '../../../intake/common/intakeBounds.js';
 import { CallerIntake } from '../../../intake/node/callerIntake.js';
 import { InstanceRole } from '../../../instances/common/instance.js';
@@ -10,6 +13,7 @@
   FailureReason,
   linkVersion,
   MessageKind,
+  type CallResultMessage,
   type HeartbeatMessage,
   type HelloMessage,
   type LinkMessage,
@@ -46,6 +50,12 @@
   });
 }
 
+async function waitFor(condition: () => boolean): Promise<void> {
+  while (!condition()) {
+    await setImmediate();
+  }
+}
+
 describe('Link', () => {
   let server: LinkServer;
   let port: number;
@@ -57,13 +67,14 @@
 
   afterEach(() => server.close());
 
-  async function openLink(address: string): Promise<Link> {
+  async function openLink(address: string, answers?: AnswerIntake): Promise<Link> {
     const options = {
       address,
       timing,
       hello: createHello('client'),
       createHeartbeat,
       timeoutMs: 5_000,
+      answers,
     };
     return (await connect(options)).unwrap();
   }
@@ -118,6 +129,42 @@
     expect(result.isErr()).to.equal(true);
   });
 
+  it('delivers answers of the largest size that come on many links at once, within the account', async () => {
+    const clock = new SystemClock();
+    const logger = { log: () => undefined };
+    const cuts: AnswerCut[] = [];
+    const answers = createAnswerIntake(
+      { answerMemoryMb: 8 },
+      (cut) => cuts.push(cut),
+      clock,
+      logger,
+    );
+    let peakBytes = 0;
+    const timer = setInterval(() => {
+      peakBytes = Math.max(peakBytes, answers.use.smallBodyBytes + answers.use.largeBodyBytes);
+    }, 1);
+    const peers: Link[] = [];
+    server.onDidAccept((link) => peers.push(link));
+    const clients = await Promise.all(
+      Array.from({ length: 20 }, () => openLink(`127.0.0.1:${port}`, answers)),
+    );
+    const body = Buffer.alloc(2_097_152, 'a');
+    const received = clients.map((client) => nextMessage(client, MessageKind.CallResult));
+    const answer = { status: 200, headers: [], body };
+    const run = RunState.Ran;
+    await waitFor(() => peers.length === clients.length);
+    peers.forEach((peer) => peer.send({ kind: MessageKind.CallResult, attempt: 'a', answer, run }));
+    const messages = (await Promise.all(received)) as CallResultMessage[];
+    messages.forEach((message) =>
+      expect(Buffer.compare(Buffer.from(message.answer?.body ?? []), body)).to.equal(0),
+    );
+    clearInterval(timer);
+    answers.close();
+    clients.forEach((client) => client.close());
+    expect(cuts).to.deep.equal([]);
+    expect(peakBytes).to.be.within(2_000_000, 10_000_000);
+  });
+
   describe('beside callers that misbehave', () => {
     let intake: CallerIntake;
 
--- a/src/services/settings/common/settings.ts
+++ b/src/services/settings/common/settings.ts
@@ -110,6 +110,8 @@
     adminKeyHashes: v.optional(v.array(v.pipe(v.string(), v.regex(/^[0-9a-f]{64}$/))), []),
     requestMs: v.optional(milliseconds, 60_000),
     bodyBytes: v.optional(positiveInteger, 1_048_576),
+    /** Size of the largest answer of a plain service that agents send, in bytes. */
+    maxAnswerBytes: v.optional(positiveInteger, defaultMaxAnswerBytes),
     /** Time for the head of a request, in milliseconds. */
     headMs: v.optional(milliseconds, 10_000),
     /** Time for which a connection without a request is kept, in milliseconds. */
@@ -146,6 +148,8 @@
     enginePollMs: v.optional(milliseconds, 250),
     /** Maximum size of an answer of the engine or the plain service, in bytes. */
     maxAnswerBytes: v.optional(positiveInteger, defaultMaxAnswerBytes),
+    /** Size of the largest body of a call or prompt that entries send, in bytes. */
+    maxCallBytes: v.optional(positiveInteger, defaultMaxAnswerBytes),
     /**
      * Time that an entry has to reopen a lost link before its lookups are cancelled, in
      * milliseconds.
