--- a/src/bench/test/node/agentDrain.test.ts
+++ b/src/bench/test/node/agentDrain.test.ts
@@ -1,3 +1,4 @@
+import type { Socket } from 'node:net';
 import { expect } from 'chai';
 import { WebSocket } from 'ws';
 import { sleep } from '../../../base/node/systemClock.js';
@@ -11,7 +12,6 @@
   type CallResultMessage,
 } from '../../../services/link/common/messages.js';
 import { Link } from '../../../services/link/node/link.js';
-import { maxFrameBytes } from '../../../services/link/node/linkServer.js';
 import { RunState } from '../../../services/problem/common/problem.js';
 import { CallEnd } from '../../faults/common/records.js';
 import { chat } from '../../node/caller.js';
@@ -20,6 +20,9 @@
 
 const drainMs = 3_000;
 
+/** Size of the largest frame, in bytes; three large answers may come in one. */
+const maxFrameBytes = 16 * 1_048_576;
+
 /** Longest time that the end may take beyond the drain time: links, and the records of the usage. */
 const endSlackMs = 2_000;
 
@@ -53,11 +56,16 @@
     agent = await fleet.addServiceAgentProcess(drainMs);
     const url = `ws://${host}:${agent.listenAddress}`;
     socket = new WebSocket(url, { perMessageDeflate: false, maxPayload: maxFrameBytes });
+    let connection: Socket;
+    socket.once('upgrade', (res) => {
+      connection = res.socket;
+    });
     await new Promise<void>((resolve) => {
       socket.once('open', () => {
         // At once, because the agent's hello may follow in the same turn of the event loop.
         const timing = { heartbeatMs: 200, deadlineMs: 5_000 };
-        link = new Link(socket, timing, () => ({ kind: MessageKind.Heartbeat, revision: 0 }));
+        const linkSocket = { socket, connection, maxFrameBytes };
+        link = new Link(linkSocket, timing, () => ({ kind: MessageKind.Heartbeat, revision: 0 }));
         resolve();
       });
     });
