Bound what the datagrams of one sender make a gateway do

What was seen: a gateway's exchange as a process with the deployed heap, and a sender of datagrams without end. Before: messages with 60,000 fields of the wrong type held up the event loop for 1,122 and 1,277 ms, and arrays of empty maps for 190 and 261 ms (bound: 100 ms, the interval of the messages); nested arrays wrote 3,169 log lines in 3 s, bytes that are no message 349,704, and ever new sender names 50,001, of which each was kept for good. Messages with 3,000 loads held (79 ms).

Cause: a validation collected one issue for each wrong field, all datagrams of one read of the socket were handled in one turn, each fault had its log line, and any name counted as a gateway.

Now validation stops at the first issue, datagrams are checked before they are decoded, one sender gets a tenth of the processor time and all together half; others count as lost, which the exchange makes up for. Faults are logged as `peer-datagram-refused` once a second and reason (was `peer-message-unreadable`). Up to 64 gateways that the store doesn't list are heard; listed ones always.

--- a/src/gateway/feeds/common/feedUpdateWire.ts
+++ b/src/gateway/feeds/common/feedUpdateWire.ts
@@ -72,7 +72,7 @@
   if (!Array.isArray(wire) || wire[0] !== updateMarker) {
     return undefined;
   }
-  const parsed = v.safeParse(messageSchema, wire);
+  const parsed = v.safeParse(messageSchema, wire, { abortEarly: true });
   if (!parsed.success) {
     return undefined;
   }
--- a/src/gateway/feeds/common/updateCodecs.ts
+++ b/src/gateway/feeds/common/updateCodecs.ts
@@ -35,7 +35,7 @@
     layers ? [layers.from, layers.to] : null,
   ],
   decode: (wire) => {
-    const parsed = v.safeParse(endpointSchema, wire);
+    const parsed = v.safeParse(endpointSchema, wire, { abortEarly: true });
     if (!parsed.success) {
       return undefined;
     }
@@ -60,7 +60,7 @@
 export const peerUpdateCodec: IUpdateCodec<PeerAddress> = {
   encode: ({ instance, host, port }) => [instance, host, port],
   decode: (wire) => {
-    const parsed = v.safeParse(peerSchema, wire);
+    const parsed = v.safeParse(peerSchema, wire, { abortEarly: true });
     if (!parsed.success) {
       return undefined;
     }
--- a/src/gateway/peers/common/peerMessage.ts
+++ b/src/gateway/peers/common/peerMessage.ts
@@ -121,7 +121,7 @@
  * @returns The message, or undefined if the datagram isn't a valid one.
  */
 export function fromWire(wire: unknown): PeerMessage | undefined {
-  const parsed = v.safeParse(messageSchema, wire);
+  const parsed = v.safeParse(messageSchema, wire, { abortEarly: true });
   if (!parsed.success) {
     return undefined;
   }
--- a/src/gateway/peers/node/peerExchange.ts
+++ b/src/gateway/peers/node/peerExchange.ts
@@ -1,13 +1,16 @@
-import { createSocket, type Socket } from 'node:dgram';
+import { createSocket, type RemoteInfo, type Socket } from 'node:dgram';
 import { pack, unpack } from 'msgpackr';
 import { toErrorMessage } from '../../../base/common/errors.js';
 import { LogLevel, type ILogger } from '../../../base/common/logger.js';
+import { RepeatLimitedLogger } from '../../../base/common/repeatLimitedLogger.js';
 import type { CancelTimer, IClock, ITimers } from '../../../base/common/clock.js';
 import {
   updateFromWire,
   updateToWire,
   type FeedUpdateMessage,
 } from '../../feeds/common/feedUpdateWire.js';
+import { frameBounds, FrameScanner } from '../../../services/link/common/frameScanner.js';
+import { DatagramPacer } from '../common/datagramPacer.js';
 import type { PeerAddress } from '../common/peerAddress.js';
 import { fromWire, toWire, type PeerMessage } from '../common/peerMessage.js';
 
@@ -34,6 +37,12 @@
  */
 const goneAfterMs = 60_000;
 
+/** Number of gateways that are heard although the store doesn't list them yet. */
+const maxUnlistedPeers = 64;
+
+/** Minimum interval between log lines about datagrams that can't be used, in milliseconds. */
+const faultLogIntervalMs = 1_000;
+
 /**
  * Exchanges the state of this gateway, such as its reservations, with its peers.
  *
@@ -48,6 +57,12 @@
   /** Monotonic time at which each peer was last heard, or was listed if it wasn't heard yet. */
   private readonly lastSignMs = new Map<string, number>();
 
+  private readonly pacer: DatagramPacer;
+
+  private readonly scanner = new FrameScanner(frameBounds, false);
+
+  private readonly faultLogger: ILogger;
+
   private socket: Socket | undefined;
 
   private cancelTimer: CancelTimer | undefined;
@@ -67,7 +82,15 @@
     private readonly handleUpdate: (update: FeedUpdateMessage) => void,
     private readonly clock: IClock & ITimers,
     private readonly logger: ILogger,
-  ) {}
+  ) {
+    this.pacer = new DatagramPacer(clock.monotonicMs());
+    const limit = {
+      event: 'peer-datagram-refused',
+      subjectField: 'reason',
+      intervalMs: faultLogIntervalMs,
+    };
+    this.faultLogger = new RepeatLimitedLogger(logger, limit, clock);
+  }
 
   /** Number of gateways that sent a message recently, including this one. */
   get aliveCount(): number {
@@ -101,7 +124,7 @@
     socket.on('error', (err) => {
       this.logger.log(LogLevel.Warn, 'peer-socket-failed', { reason: err.message });
     });
-    socket.on('message', (bytes) => this.onMessage(bytes));
+    socket.on('message', (bytes, sender) => this.onMessage(bytes, sender));
     await new Promise<void>((resolve, reject) => {
       socket.once('listening', resolve);
       socket.once('error', reject);
@@ -192,12 +215,33 @@
     }
   }
 
-  private onMessage(bytes: Buffer): void {
+  private onMessage(bytes: Buffer, { address, port }: RemoteInfo): void {
+    const sender = `${address}:${port}`;
+    const startMs = this.clock.monotonicMs();
+    if (!this.pacer.admits(sender, startMs)) {
+      this.refuse('too-many', sender);
+      return;
+    }
+    this.decode(bytes, sender);
+    const endMs = this.clock.monotonicMs();
+    this.pacer.record(sender, endMs, endMs - startMs);
+  }
+
+  /** Logs a datagram that isn't used; it counts as lost. */
+  private refuse(reason: string, sender: string): void {
+    this.faultLogger.log(LogLevel.Warn, 'peer-datagram-refused', { reason, sender });
+  }
+
+  private decode(bytes: Buffer, sender: string): void {
+    if (!this.scanner.check(bytes)) {
+      this.refuse('unreadable', sender);
+      return;
+    }
     let wire: unknown;
     try {
       wire = unpack(bytes);
     } catch (err) {
-      this.logger.log(LogLevel.Warn, 'peer-message-unreadable', { reason: toErrorMessage(err) });
+      this.refuse(toErrorMessage(err), sender);
       return;
     }
     try {
@@ -218,6 +262,9 @@
     if (message === undefined || message.sender === this.self.instance) {
       return;
     }
+    if (!this.peers.has(message.sender) && !this.hasRoomFor(message.sender)) {
+      return;
+    }
     if (!this.lastMessageMs.has(message.sender)) {
       this.logger.log(LogLevel.Info, 'peer-heard', { peer: message.sender });
     }
@@ -225,4 +272,19 @@
     this.lastSignMs.set(message.sender, this.clock.monotonicMs());
     this.handleMessage(message);
   }
+
+  /** Returns whether a gateway that the store doesn't list is heard, after those that are gone were dropped. */
+  private hasRoomFor(sender: string): boolean {
+    if (this.lastSignMs.has(sender)) {
+      return true;
+    }
+    const oldestMs = this.clock.monotonicMs() - goneAfterMs;
+    const unlisted = [...this.lastSignMs].filter(([instance]) => !this.peers.has(instance));
+    if (unlisted.length < maxUnlistedPeers) {
+      return true;
+    }
+    const gone = unlisted.filter(([, signMs]) => signMs <= oldestMs);
+    gone.forEach(([instance]) => this.lastSignMs.delete(instance));
+    return gone.length > 0;
+  }
 }
--- a/src/services/exchange/node/queuedSender.ts
+++ b/src/services/exchange/node/queuedSender.ts
@@ -52,6 +52,10 @@
     this.exchange?.giveUp(cut, reason);
   }
 
+  countEvents(count: number, bytes: number): void {
+    this.exchange?.countEvents(count, bytes);
+  }
+
   resume(): void {
     this.exchange?.resume();
   }
