Charge and pass on nothing of an answer that was given up meanwhile

Found by review, from reading: opening the entry of a body may let others give way, and charging a large head may give up its own answer; in either case the exchange may be over when the call returns. The body then stayed charged for good, and the head was passed on after the error.

--- a/src/services/exchange/node/answerBody.ts
+++ b/src/services/exchange/node/answerBody.ts
@@ -51,6 +51,11 @@
       this.giveUp(AnswerCut.NoRoom);
       return;
     }
+    if (this.isClosed) {
+      // Answers that gave way to this one may have ended its request.
+      this.clear();
+      return;
+    }
     this.buffer.append(ownBytes(piece));
     if (!account.receive(this.entry, piece.length, nowMs)) {
       this.connection.hold(HoldReason.Room);
--- a/src/services/exchange/node/endpointSender.ts
+++ b/src/services/exchange/node/endpointSender.ts
@@ -281,6 +281,9 @@
     this.declaredBytes = declaredBytesOf(this.method, headers);
     const rawHeaders = raw.map((each) => each.toString('latin1'));
     this.chargeHead(rawHeaders);
+    if (this.isFinished) {
+      return; // the heap had no room for the head
+    }
     const isFirstOnConnection = this.connection.requestCount === 1;
     this.sink.onHead({ status, headers, rawHeaders, isFirstOnConnection }, this);
   }
