Let senders of large answers take turns for room

Bodies were admitted in the order of their arrival, so that slow ones held all of the room, one after the other. One sender may now use a quarter of the part for large bodies while it has one that is being read, the bodies of those that hold least go first, and an answer that can't be complete by its request's deadline at its present rate gives way. Callers' bodies name no sender and are treated as before.

--- a/src/gateway/relay/node/plainRelay.ts
+++ b/src/gateway/relay/node/plainRelay.ts
@@ -175,7 +175,7 @@
     const maxIdleMs = mustBeCertain ? certainMaxReuseIdleMs : maxReuseIdleMs;
     send.exchange = sender.send(
       endpoint.address,
-      { method, target, headers, body, maxIdleMs },
+      { method, target, headers, body, maxIdleMs, neededByMs: deadlineOf(this.req) },
       sink,
     );
     if (this.isIdempotent && !this.run.isIsolated) {
--- a/src/services/exchange/node/answerBody.ts
+++ b/src/services/exchange/node/answerBody.ts
@@ -20,6 +20,8 @@
    * @param connection - Connection on which the answer arrives.
    * @param declaredBytes - Length that the head names, in bytes; undefined if it names none.
    * @param maxBytes - Largest size, in bytes.
+   * @param origin - Who sends the answer.
+   * @param neededByMs - Monotonic time after which it is of no use, in milliseconds; none if undefined.
    * @param onGivenUp - Called when the answer has to be given up; nothing is kept any more.
    */
   constructor(
@@ -27,6 +29,8 @@
     private readonly connection: AnswerConnection,
     private readonly declaredBytes: number | undefined,
     private readonly maxBytes: number,
+    private readonly origin: string,
+    private readonly neededByMs: number | undefined,
     private readonly onGivenUp: (cut: AnswerCut) => void,
   ) {
     this.buffer = new BodyBuffer(intake.pool);
@@ -107,6 +111,8 @@
       // The request has a deadline of its own; until then its answer may wait.
       deadlineMs: Infinity,
       maxWaitMs: Infinity,
+      neededByMs: this.neededByMs,
+      origin: this.origin,
     };
     const entry = this.intake.account.open(announcement, this, nowMs);
     if (entry?.state === BodyState.Waiting) {
--- a/src/services/exchange/node/endpointSender.ts
+++ b/src/services/exchange/node/endpointSender.ts
@@ -21,6 +21,8 @@
    * needs a connection that has carried no other request.
    */
   readonly maxIdleMs: number | undefined;
+  /** Monotonic time after which an answer is of no use, in milliseconds; none if undefined. */
+  readonly neededByMs?: number;
 }
 
 /** Status and headers of an endpoint's answer. */
@@ -236,7 +238,7 @@
   private readonly bodies: AnswerBody[] = [];
 
   constructor(
-    private readonly method: string,
+    private readonly req: OutboundRequest,
     private readonly sink: IAnswerSink,
     private readonly connection: Connection,
     /** Called when the client has ended the request, also after an abort. */
@@ -278,7 +280,7 @@
     }
     this.connection.reader?.recordHead();
     this.isFramed = hasFraming(headers);
-    this.declaredBytes = declaredBytesOf(this.method, headers);
+    this.declaredBytes = declaredBytesOf(this.req.method, headers);
     const rawHeaders = raw.map((each) => each.toString('latin1'));
     this.chargeHead(rawHeaders);
     if (this.isFinished) {
@@ -338,6 +340,8 @@
       reader,
       isWholeBody ? this.declaredBytes : undefined,
       maxBytes,
+      this.connection.origin,
+      this.req.neededByMs,
       (cut) => {
         const size = `answer exceeds ${maxBytes} bytes`;
         this.giveUp(cut, cut === AnswerCut.TooLarge ? size : undefined);
@@ -498,7 +502,7 @@
       openConnections.delete(connection);
       void connection.client.destroy();
     };
-    const exchange = new Exchange(req.method, sink, connection, onFinished, onUnused);
+    const exchange = new Exchange(req, sink, connection, onFinished, onUnused);
     connection.client.dispatch(
       {
         method: req.method,
--- a/src/services/intake/common/bodyAccount.ts
+++ b/src/services/intake/common/bodyAccount.ts
@@ -16,6 +16,9 @@
 /** Smallest room that a body of unknown length gets once it is no longer small, in bytes. */
 const minCommittedBytes = 131_072;
 
+/** Share of the part for large bodies that one sender may use, if senders are told apart. */
+const maxOriginShare = 0.25;
+
 /** State of a body in the account. */
 export enum BodyState {
   /** Bytes may be read. */
@@ -46,6 +49,10 @@
   readonly deadlineMs: number;
   /** Time for which the body may wait for room, in milliseconds. */
   readonly maxWaitMs: number;
+  /** Monotonic time after which the body is of no use, in milliseconds; Infinity if undefined. */
+  readonly neededByMs?: number;
+  /** Who sends the body; of bodies that wait, those go first whose senders hold least. */
+  readonly origin?: string;
 }
 
 /** Entry of one body in a {@link BodyAccount}. */
@@ -66,6 +73,9 @@
   chargedBytes: number;
   /** Bytes that an entry that waits asks for in all. */
   wantedBytes: number;
+  /** Time since which the body is read, in monotonic milliseconds, and the bytes that had arrived then. */
+  readSinceMs: number;
+  readSinceBytes: number;
   /** Time of the last byte, in monotonic milliseconds. */
   lastByteMs: number;
   /** Time of the last mark, in monotonic milliseconds. */
@@ -181,6 +191,8 @@
       receivedBytes: 0,
       chargedBytes: 0,
       wantedBytes: 0,
+      readSinceMs: nowMs,
+      readSinceBytes: 0,
       lastByteMs: nowMs,
       markMs: nowMs,
       markBytes: 0,
@@ -357,7 +369,7 @@
     }
     // A body that is being read goes before those that haven't begun, so that it can be completed.
     const isNext = this.waiting.size === 0 || entry.receivedBytes > 0;
-    if (isNext && this.makeRoom(entry, nowMs)) {
+    if (isNext && !this.exceedsOriginShare(entry) && this.makeRoom(entry, nowMs)) {
       this.charge(entry, wantedBytes);
       return true;
     }
@@ -368,6 +380,10 @@
     entry.waitingSinceMs = nowMs;
     this.largeReading.delete(entry);
     this.waiting.add(entry);
+    if (entry.announcement.origin !== undefined) {
+      // Those that wait may do so for their own sender only.
+      this.admitWaiting(nowMs);
+    }
     return true;
   }
 
@@ -378,10 +394,13 @@
     const entries = [...this.waiting];
     const begun = entries.filter(({ receivedBytes }) => receivedBytes > 0);
     const others = entries.filter(({ receivedBytes }) => receivedBytes === 0);
-    for (const entry of [...begun, ...others]) {
+    for (const entry of this.orderByOrigin([...begun, ...others])) {
       if (entry.state !== BodyState.Waiting) {
         continue;
       }
+      if (this.exceedsOriginShare(entry)) {
+        continue;
+      }
       if (!this.makeRoom(entry, nowMs)) {
         return;
       }
@@ -391,11 +410,46 @@
       // The time in which nothing was read doesn't count as a stall.
       entry.lastByteMs = nowMs;
       entry.markMs = nowMs;
+      entry.readSinceMs = nowMs;
+      entry.readSinceBytes = entry.receivedBytes;
       this.largeReading.add(entry);
       entry.owner.onResume();
     }
   }
 
+  /** Puts the bodies first whose senders hold least of the account; keeps the order of the others. */
+  private orderByOrigin(entries: readonly Entry[]): readonly Entry[] {
+    if (entries.every(({ announcement }) => announcement.origin === undefined)) {
+      return entries;
+    }
+    const heldBytes = new Map<string | undefined, number>();
+    this.largeReading.forEach(({ announcement: { origin }, chargedBytes }) =>
+      heldBytes.set(origin, (heldBytes.get(origin) ?? 0) + chargedBytes),
+    );
+    const heldOf = ({ announcement: { origin } }: Entry) => heldBytes.get(origin) ?? 0;
+    return [...entries].sort((a, b) => heldOf(a) - heldOf(b));
+  }
+
+  /**
+   * Returns whether the sender of a body would hold more than its share, so that its bodies have to take turns.
+   * One body of each sender may be read in any case.
+   */
+  private exceedsOriginShare(entry: Entry): boolean {
+    const { origin } = entry.announcement;
+    if (origin === undefined) {
+      return false;
+    }
+    const isOther = (other: Entry) => other !== entry && other.announcement.origin === origin;
+    const reading = [...this.largeReading].filter(isOther);
+    const heldBytes = [...reading, ...[...this.waiting].filter(isOther)].reduce(
+      (total, { chargedBytes }) => total + chargedBytes,
+      0,
+    );
+    const { memoryBytes, smallBodyMemoryBytes } = this.bounds;
+    const share = (memoryBytes - smallBodyMemoryBytes) * maxOriginShare;
+    return reading.length > 0 && heldBytes + entry.wantedBytes > share;
+  }
+
   /** Returns whether there is room for what an entry wants, after stalled bodies have given way. */
   private makeRoom(entry: Entry, nowMs: number): boolean {
     const neededBytes = entry.wantedBytes - entry.chargedBytes;
@@ -407,10 +461,7 @@
     const yielding: Entry[] = [];
     let yieldedBytes = 0;
     for (const other of this.largeReading) {
-      if (nowMs - other.markMs < this.bounds.yieldMs) {
-        break;
-      }
-      if (other !== entry) {
+      if (other !== entry && this.givesWay(other, nowMs)) {
         yielding.push(other);
         yieldedBytes += other.chargedBytes;
       }
@@ -422,6 +473,21 @@
     return false;
   }
 
+  /** Returns whether a body has made too little progress, or can't be complete in time at its present rate. */
+  private givesWay(entry: Entry, nowMs: number): boolean {
+    const { yieldMs } = this.bounds;
+    if (nowMs - entry.markMs >= yieldMs) {
+      return true;
+    }
+    const { declaredBytes, neededByMs = Infinity } = entry.announcement;
+    const readMs = nowMs - entry.readSinceMs;
+    if (declaredBytes === undefined || neededByMs === Infinity || readMs < yieldMs) {
+      return false;
+    }
+    const bytesPerMs = (entry.receivedBytes - entry.readSinceBytes) / readMs;
+    return nowMs + (declaredBytes - entry.receivedBytes) / bytesPerMs > neededByMs;
+  }
+
   /** Returns whether every other large body waits. */
   private isOnlyActive(entry: Entry): boolean {
     return this.largeCount - this.waiting.size === (this.waiting.has(entry) ? 0 : 1);
--- a/src/services/intake/test/common/bodyAccount.test.ts
+++ b/src/services/intake/test/common/bodyAccount.test.ts
@@ -152,6 +152,37 @@
     expect(account.largeBytes).to.equal(largeRoom * largestBytes);
   });
 
+  describe('with senders', () => {
+    function openFrom(
+      origin: string,
+      changes: { declaredBytes?: number; neededByMs?: number } = {},
+    ) {
+      const owner = new RecordingOwner();
+      const { declaredBytes = largestBytes, neededByMs } = changes;
+      const sized = { ...announcement(declaredBytes), origin, neededByMs };
+      return { owner, entry: account.open(sized, owner, 0) };
+    }
+
+    it('reads a body at once while those of another sender take turns', () => {
+      const held = Array.from({ length: largeRoom }, () => openFrom('busy'));
+      expect(held.map(({ entry }) => entry?.state)).to.include(BodyState.Waiting);
+      expect(openFrom('other').entry?.state).to.equal(BodyState.Reading);
+    });
+
+    it('lets a body give way that cannot be complete in time at its present rate', () => {
+      const slow = ['a', 'b', 'c', 'd', 'e', 'f', 'g'].map((origin) =>
+        openFrom(origin, { neededByMs: 3_000 }),
+      );
+      const { entry } = openFrom('other');
+      for (let nowMs = 100; nowMs <= 700; nowMs += 100) {
+        slow.forEach((each) => receive(each.entry, 16_384, nowMs));
+      }
+      expect(entry?.state).to.equal(BodyState.Waiting);
+      account.sweep(800);
+      expect(entry?.state).to.equal(BodyState.Reading);
+    });
+  });
+
   it('keeps to its bound for any sequence of bodies, and frees everything in the end', () => {
     const step = fc.record({
       declaredBytes: fc.option(fc.integer({ min: 1, max: largestBytes }), { nil: undefined }),
