--- a/review/lib-2/standins.mjs
+++ b/review/lib-2/standins.mjs
@@ -467,41 +467,48 @@
 export class Gateway {
   constructor(name, store, { bounds = {}, limits = {}, bootstrap = true } = {}) {
     this.name = name;
+    this.store = store;
+    this.bounds = bounds;
+    this.limits = limits;
+    this.bootstrap = bootstrap;
     this.directory = mkdtempSync(join(tmpdir(), 'ibisspar-review-'));
-    this.settings = async () => {
-      this.ports ??= await freePorts(4);
-      const [front, ready, metrics, peer] = this.ports;
-      Object.assign(this, { front, ready });
-      const fields = {
-        node: name,
-        ip: host,
-        zone: 'a',
-        region: 'r',
-        listen: { front: `${host}:${front}`, ready: `${host}:${ready}` },
-        internal_ports: [peer, peer],
-        platform: { addr: store.address },
-        bounds: {
-          grace_s: 8,
-          retry_ratio: 0.2,
-          retry_window_s: 10,
-          retry_slack: 200,
-          ...bounds,
-        },
-        bootstrap,
-        limits: { memory_mb: 350, max_fds: 4_100, ...limits },
-      };
-      const template = readFileSync(join(root, 'platform/settings.yaml'), 'utf8');
-      // All processes of a script share one address, so the fixed port of the metrics gives way.
-      return fillTemplate(template, fields).replace(
-        /^metricsPort: .*$/m,
-        `metricsPort: ${metrics}`,
-      );
+    this.file = join(this.directory, 'settings.yaml');
+  }
+
+  /** Fills the settings file in, as the platform does at every start and whenever the settings change. */
+  async writeSettings() {
+    this.ports ??= await freePorts(4);
+    const [front, ready, metrics, peer] = this.ports;
+    Object.assign(this, { front, ready });
+    const fields = {
+      node: this.name,
+      ip: host,
+      zone: 'a',
+      region: 'r',
+      listen: { front: `${host}:${front}`, ready: `${host}:${ready}` },
+      internal_ports: [peer, peer],
+      platform: { addr: this.store.address },
+      bounds: {
+        grace_s: 8,
+        retry_ratio: 0.2,
+        retry_window_s: 10,
+        retry_slack: 200,
+        ...this.bounds,
+      },
+      bootstrap: this.bootstrap,
+      limits: { memory_mb: 350, max_fds: 4_100, ...this.limits },
     };
+    const template = readFileSync(join(root, 'platform/settings.yaml'), 'utf8');
+    // All processes of a script share one address, so the fixed port of the metrics gives way.
+    const text = fillTemplate(template, fields).replace(
+      /^metricsPort: .*$/m,
+      `metricsPort: ${metrics}`,
+    );
+    writeFileSync(this.file, text);
   }
 
   async start({ waitReady = true } = {}) {
-    const file = join(this.directory, 'settings.yaml');
-    writeFileSync(file, await this.settings());
+    await this.writeSettings();
     const deploy = readFileSync(join(root, 'deploy/system.toml'), 'utf8');
     const [program, ...args] = /^run = "(.*)"$/m.exec(deploy)[1].split(' ');
     this.logFile = join(this.directory, 'log.txt');
@@ -510,7 +517,7 @@
     this.exit = undefined;
     this.child = spawn(program, args, {
       cwd: root,
-      env: { PATH, HOME, LANG, IBISSPAR_NODE_FILE: file },
+      env: { PATH, HOME, LANG, IBISSPAR_NODE_FILE: this.file },
       stdio: ['ignore', log, log],
     });
     this.ended = new Promise((resolve) => {
