Let review scripts end with 2 when they can't run, and leave no process

Cause: a script that couldn't be loaded ended with 1, as one that shows its fault; one that was stopped left its gateways; nothing bounded its time.

--- a/review/lib-2/standins.mjs
+++ b/review/lib-2/standins.mjs
@@ -17,6 +17,22 @@
 
 const root = fileURLToPath(new URL('../../', import.meta.url));
 
+/** Processes and folders of this script, which must not outlive it however it ends. */
+const children = new Set();
+const directories = new Set();
+
+/** Remembers a process that is to be ended with this script. */
+export function track(child) {
+  children.add(child);
+  child.once('exit', () => children.delete(child));
+  return child;
+}
+
+process.on('exit', () => {
+  children.forEach((child) => child.kill('SIGKILL'));
+  directories.forEach((directory) => rmSync(directory, { recursive: true, force: true }));
+});
+
 export const sleep = (ms) =>
   new Promise((resolve) => {
     setTimeout(resolve, ms);
@@ -472,6 +488,7 @@
     this.limits = limits;
     this.bootstrap = bootstrap;
     this.directory = mkdtempSync(join(tmpdir(), 'ibisspar-review-'));
+    directories.add(this.directory);
     this.file = join(this.directory, 'settings.yaml');
   }
 
@@ -515,11 +532,13 @@
     const log = openSync(this.logFile, 'a');
     const { PATH, HOME, LANG } = process.env;
     this.exit = undefined;
-    this.child = spawn(program, args, {
-      cwd: root,
-      env: { PATH, HOME, LANG, IBISSPAR_NODE_FILE: this.file },
-      stdio: ['ignore', log, log],
-    });
+    this.child = track(
+      spawn(program, args, {
+        cwd: root,
+        env: { PATH, HOME, LANG, IBISSPAR_NODE_FILE: this.file },
+        stdio: ['ignore', log, log],
+      }),
+    );
     this.ended = new Promise((resolve) => {
       this.child.once('exit', (code, signal) => {
         this.exit = { code, signal };
@@ -625,7 +644,15 @@
   return { status, head, body, isWhole, end };
 }
 
-/** Writes `record.txt` and runs a script; ends with 1 if it returns broken promises, 0 if none, 2 on an error. */
+/** Statuses for `run.sh`, which turns them into 0, 1 and 2; Node.js itself ends with 1 on any error. */
+const heldStatus = 0;
+const brokenStatus = 10;
+const notRunStatus = 2;
+
+/** Time after which a script counts as one that couldn't run, in milliseconds. */
+const maxScriptMs = 115_000;
+
+/** Writes `record.txt` and runs a script; see the statuses for how it ends. */
 export async function runCase(directory, play) {
   const lines = [];
   const record = (line) => lines.push(`${new Date().toISOString()} ${line}`);
@@ -634,21 +661,30 @@
     toClose.unshift(each);
     return each;
   };
+  const finish = (status) => {
+    writeFileSync(join(directory, 'record.txt'), `${lines.join('\n')}\n`);
+    process.stdout.write(`${lines.slice(-6).join('\n')}\n`);
+    process.exit(status);
+  };
+  const giveUp = (reason) => {
+    record(`the case could not run: ${reason}`);
+    finish(notRunStatus);
+  };
+  setTimeout(() => giveUp('it took too long'), maxScriptMs).unref();
+  ['SIGTERM', 'SIGINT', 'SIGHUP'].forEach((signal) => process.once(signal, () => giveUp(signal)));
+  process.once('uncaughtException', (err) => giveUp(err.stack));
+  process.once('unhandledRejection', (err) => giveUp(err?.stack ?? err));
   const hasTrouble = process.env.TROUBLE !== '0';
-  let status = 2;
+  record(`trouble: ${hasTrouble}`);
   try {
-    record(`trouble: ${hasTrouble}`);
     const broken = await play({ record, keep, hasTrouble });
+    for (const each of toClose) {
+      await each.close();
+    }
     broken.forEach((each) => record(`BROKEN: ${each}`));
-    status = broken.length > 0 ? 1 : 0;
-    record(status === 0 ? 'the rule held' : 'the rule was broken');
+    record(broken.length === 0 ? 'the rule held' : 'the rule was broken');
+    finish(broken.length === 0 ? heldStatus : brokenStatus);
   } catch (err) {
-    record(`the case could not run: ${err.stack}`);
-  }
-  for (const each of toClose) {
-    await each.close();
+    giveUp(err.stack);
   }
-  writeFileSync(join(directory, 'record.txt'), `${lines.join('\n')}\n`);
-  process.stdout.write(`${lines.slice(-6).join('\n')}\n`);
-  process.exit(status);
 }
