--- a/src/base/common/boundedValues.ts
+++ b/src/base/common/boundedValues.ts
@@ -14,6 +14,9 @@
 /** Amount that need not be whole. */
 export const amountSchema = v.pipe(v.number(), v.minValue(0), v.maxValue(Number.MAX_SAFE_INTEGER));
 
+/** Count that its sender may state as a fraction; rounded down. */
+export const roundedCountSchema = v.pipe(amountSchema, v.transform(Math.floor));
+
 /** Amount by which others are divided. */
 export const divisorSchema = v.pipe(
   v.number(),
--- a/src/gateway/directory/common/endpointSchema.ts
+++ b/src/gateway/directory/common/endpointSchema.ts
@@ -1,6 +1,7 @@
 import * as v from 'valibot';
 import {
   addressSchema,
+  roundedCountSchema,
   textSchema,
   wholeNumberSchema,
 } from '../../../base/common/boundedValues.js';
@@ -19,7 +20,7 @@
   address: addressSchema,
   dataCentre: textSchema,
   state: v.enum(EndpointState),
-  slots: wholeNumberSchema,
+  slots: roundedCountSchema,
   card: textSchema,
 };
 
--- a/src/gateway/peers/common/peerMessage.ts
+++ b/src/gateway/peers/common/peerMessage.ts
@@ -48,7 +48,7 @@
 
 const messageSchema = v.tuple([
   v.string(),
-  wholeNumberSchema,
+  amountSchema,
   v.array(
     v.tuple([
       v.string(),
