Refuse answers whose status is outside 200 to 599 in every reader

Here 000 to 099 were stopped only by an assertion of the HTTP client, and 600 to 999 were passed on: to callers of bookings, through agents to callers of an entry, and to the admin client. The agent read 302, 404 and 409 of an engine as its state.

Cause: each reader compared the status with one bound (`< 300`, `>= 500`).

Change: EndpointSender, which receives all HTTP answers, ends the exchange as malformed for a status that is neither final (200 to 599) nor interim; the entry checks results of agents too; engine state and steps are read from 2xx alone. An unexpected 100 counts as malformed instead of as a lost connection.

Streams, lookups, store, reports, orders and link handshakes took no such answer before either.

--- a/src/admin/test/node/adminClient.test.ts
+++ b/src/admin/test/node/adminClient.test.ts
@@ -2,6 +2,11 @@
 import type { AddressInfo } from 'node:net';
 import { expect } from 'chai';
 import { SystemClock } from '../../../base/node/systemClock.js';
+import {
+  invalidStatuses,
+  noStatuses,
+  RawServer,
+} from '../../../services/exchange/test/node/rawServer.js';
 import { AdminClient } from '../../node/adminClient.js';
 
 describe('AdminClient', () => {
@@ -44,6 +49,20 @@
     expect(written.unwrap().detail).to.equal('PUT /base/admin/v1/rules {"text":"x"}');
   });
 
+  // Guards against an answer of another program that is read as that of an entry.
+  it('takes an answer whose status is none for none', async () => {
+    for (const status of [...invalidStatuses, ...noStatuses]) {
+      const raw = new RawServer(
+        () => `HTTP/1.1 ${status} Answer\r\nContent-Length: 14\r\n\r\n{"status":409}`,
+      );
+      client = new AdminClient(`http://${await raw.listen()}`, 'key', new SystemClock());
+      const error = (await client.put('rules', {})).unwrapErr();
+      expect(error.details, status).to.equal(undefined);
+      await client.close();
+      raw.close();
+    }
+  });
+
   it('gives the details of a refusal, and an error without them if there is no answer', async () => {
     connectWith('other');
     const refused = (await client.get('status')).unwrapErr();
--- a/src/agent/node/httpStageEngine.ts
+++ b/src/agent/node/httpStageEngine.ts
@@ -45,6 +45,9 @@
 /** Longest idle time after which a connection is used again, in milliseconds. */
 const maxReuseIdleMs = 3_000;
 
+/** Status with which an engine refuses an order that is older than one it knows. */
+const fencedStatus = 409;
+
 /** Timeouts of requests to an engine, in milliseconds. */
 export interface EngineTimeouts {
   /** Timeout of a batch of steps. */
@@ -136,9 +139,10 @@
     const { term, model, version, range } = order;
     const body = JSON.stringify({ term, model, version, range, layerMiB });
     try {
-      const reply = await this.sendRequest('PUT', '/order', body, undefined);
+      const reply = await this.sendRequest('PUT', '/order', body, undefined, [fencedStatus]);
       const { highestTerm } = reply.body as { readonly highestTerm?: number };
-      const isFenced = reply.status === 409 && highestTerm !== undefined && highestTerm > term;
+      const isFenced =
+        reply.status === fencedStatus && highestTerm !== undefined && highestTerm > term;
       return isFenced ? highestTerm : undefined;
     } catch {
       return undefined;
@@ -182,6 +186,7 @@
     path: string,
     body: string | undefined,
     timeoutMs: number | undefined,
+    otherStatuses: readonly number[] = [],
   ): Promise<{ readonly status: number; readonly body: unknown }> {
     const { address, path: basePath } = this.baseUrl;
     const req = {
@@ -197,10 +202,11 @@
       throw received.error;
     }
     const { head, body: bytes } = received.value;
-    const decoded: unknown = JSON.parse(bytes.toString());
-    if (head.status >= 500) {
+    const isSuccess = head.status < 300;
+    if (!isSuccess && !otherStatuses.includes(head.status)) {
       throw new EngineError(`engine answered ${method} ${path} with status ${head.status}`);
     }
+    const decoded: unknown = JSON.parse(bytes.toString());
     return { status: head.status, body: decoded };
   }
 }
--- a/src/agent/test/node/brokenAnswers.test.ts
+++ b/src/agent/test/node/brokenAnswers.test.ts
@@ -2,6 +2,7 @@
 import { expect } from 'chai';
 import { SystemClock } from '../../../base/node/systemClock.js';
 import { HttpPlainService } from '../../node/httpPlainService.js';
+import { invalidStatuses, noStatuses } from '../../../services/exchange/test/node/rawServer.js';
 import { createTestIntake } from '../../../services/exchange/test/node/answerFixtures.js';
 
 const maxAnswerBytes = 1_000;
@@ -70,6 +71,20 @@
     expect((await callService()).isErr()).to.equal(true);
   });
 
+  // Guards against a service in trouble whose callers get an answer with a status that is none.
+  it('takes none for an answer whose status is none', async () => {
+    for (const status of [...invalidStatuses, ...noStatuses]) {
+      await answerWith((socket) => {
+        socket.write(`HTTP/1.1 ${status} Answer\r\nContent-Length: 5\r\n\r\nwhole`);
+      });
+      expect((await callService()).isErr(), status).to.equal(true);
+      expect(await service.isReachable(1_000), status).to.equal(false);
+      await service.close();
+      server.close();
+    }
+    await answerWith((socket) => socket.end());
+  });
+
   it('takes one for complete that ends with its connection, closed', async () => {
     await answerWith((socket) => socket.end('HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nwhole'));
     const { body } = (await callService()).unwrap();
--- a/src/agent/test/node/httpStageEngine.test.ts
+++ b/src/agent/test/node/httpStageEngine.test.ts
@@ -15,6 +15,7 @@
   let server: Server;
   let engine: HttpStageEngine;
   let isStateLate: boolean;
+  let status: number;
   let isHanging: boolean;
   let hasEndlessAnswers: boolean;
 
@@ -25,6 +26,7 @@
 
   beforeEach(async () => {
     isStateLate = false;
+    status = 200;
     isHanging = false;
     hasEndlessAnswers = false;
     server = createServer((req, res) => {
@@ -33,7 +35,11 @@
         res.on('drain', write);
         write();
       } else if (req.url?.startsWith('/state')) {
+        res.statusCode = status;
         setTimeout(() => res.end('{}'), isStateLate ? 3 * stateMs : 0);
+      } else if (status !== 200) {
+        res.statusCode = status;
+        res.end('{"replies":[{}]}');
       } else if (!isHanging) {
         req.resume().once('end', () => req.socket.resetAndDestroy());
       }
@@ -69,6 +75,15 @@
     expect(await crashOfStep()).to.equal('i#1');
   });
 
+  // Guards against an engine whose refusal is read as its state, or as the outcome of a step.
+  [302, 404, 409, 500, 503, 600, 999].forEach((each) => {
+    it(`takes an answer with status ${each} for no state and no step`, async () => {
+      status = each;
+      expect(await engine.readState(0)).to.equal(undefined);
+      expect((await engine.run({} as EngineStep)).isErr()).to.equal(true);
+    });
+  });
+
   it('names no crash for steps that a silent engine never took', async () => {
     isStateLate = true;
     isHanging = true;
--- a/src/entry/services/common/serviceCaller.ts
+++ b/src/entry/services/common/serviceCaller.ts
@@ -24,6 +24,7 @@
 import type { EndpointOutcome } from '../../chat/common/chatSession.js';
 import { isUsable, loadOf, type EndpointView } from '../../fleet/common/endpointView.js';
 import type { AgentIncarnation, IFleet } from '../../fleet/common/fleet.js';
+import { isFinalStatus } from '../../../services/exchange/common/finalStatus.js';
 import { RunOutcomeKind, type RunOutcome } from '../../submission/common/submissionFlow.js';
 
 /** A validated call of a plain service. */
@@ -375,7 +376,7 @@
 }
 
 function outcomeOf(message: CallResultMessage): RunOutcome<ServiceAnswer> {
-  if (message.answer) {
+  if (message.answer && isFinalStatus(message.answer.status)) {
     return { kind: RunOutcomeKind.Answered, value: message.answer };
   }
   if (message.run === RunState.NotRun) {
--- a/src/services/exchange/node/endpointSender.ts
+++ b/src/services/exchange/node/endpointSender.ts
@@ -4,6 +4,7 @@
 import type { IClock } from '../../../base/common/clock.js';
 import { requestHeapCost } from '../../intake/common/headAccount.js';
 import { AnswerCut, isFault } from '../common/answerCut.js';
+import { isFinalStatus, isInterimStatus } from '../common/finalStatus.js';
 import type { HeaderMap } from '../common/headerMap.js';
 import { AnswerBody } from './answerBody.js';
 import { AnswerConnection, AnswerGivenUpError, HoldReason } from './answerConnection.js';
@@ -118,6 +119,9 @@
 /** Codes of errors of the client about bytes that are no answer in the protocol; it asserts some of its rules. */
 const malformedCodes: ReadonlySet<unknown> = new Set(['UND_ERR_HEADERS_OVERFLOW', 'ERR_ASSERTION']);
 
+/** Message with which the client closes a connection for a head that it doesn't expect, such as status 100. */
+const unexpectedHeadPattern = /^bad (response|upgrade)$/;
+
 /** Message of the parser about a connection that ended within an answer. */
 const brokenOffPattern = /Invalid EOF state/;
 
@@ -271,7 +275,11 @@
       this.giveUp(AnswerCut.ManyFields);
       return;
     }
-    if (status < 200) {
+    if (!isFinalStatus(status) && !isInterimStatus(status)) {
+      this.giveUp(AnswerCut.Malformed, `answer with status ${status}`);
+      return;
+    }
+    if (isInterimStatus(status)) {
       this.interimHeadCount += 1;
       if (this.interimHeadCount > maxInterimHeads) {
         this.giveUp(AnswerCut.InterimHeads);
@@ -404,7 +412,9 @@
   }
   const isParserError = err.name === 'HTTPParserError' && !brokenOffPattern.test(err.message);
   const { code } = err as { readonly code?: unknown };
-  return isParserError || malformedCodes.has(code) ? AnswerCut.Malformed : undefined;
+  const isMalformed =
+    isParserError || malformedCodes.has(code) || unexpectedHeadPattern.test(err.message);
+  return isMalformed ? AnswerCut.Malformed : undefined;
 }
 
 function faultOf(cut: AnswerCut | undefined): ExchangeFault {
