Retire a connection before its exchange reports a failure

Cause: the failed connection was marked idle before the receiver was told, so the next request of the queue was dispatched on it while the client was emptying its queue.

Change: after an error a connection leaves the pool first and is closed once the client's own handling is over. All senders share this pool.

Ruled out: starting the next request in a microtask, which would still use the failed connection.

--- a/src/services/exchange/node/endpointSender.ts
+++ b/src/services/exchange/node/endpointSender.ts
@@ -245,8 +245,10 @@
     private readonly req: OutboundRequest,
     private readonly sink: IAnswerSink,
     private readonly connection: Connection,
-    /** Called when the client has ended the request, also after an abort. */
+    /** Called when the answer has ended. */
     private readonly onFinished: () => void,
+    /** Called when the client has ended the request with an error, also after an abort. */
+    private readonly onFailed: () => void,
     /** Called if the exchange is aborted before the client has started the request. */
     private readonly onUnused: () => void,
   ) {}
@@ -325,7 +327,7 @@
   }
 
   onResponseError(_controller: Dispatcher.DispatchController | undefined, err: Error): void {
-    this.onFinished();
+    this.onFailed();
     this.closeBodies();
     if (this.isFinished) {
       return;
@@ -507,12 +509,22 @@
       connection.isBusy = false;
       connection.idleSinceMs = this.clock.monotonicMs();
     };
+    const onFailed = () => {
+      connection.reader?.release(HoldReason.Receiver);
+      // The client is still handling the failure and asserts that no request was added to it meanwhile.
+      openConnections.delete(connection);
+      setImmediate(() => {
+        if (!connection.client.destroyed) {
+          void connection.client.close();
+        }
+      });
+    };
     const onUnused = () => {
       // The client emits neither a disconnect nor an error for a connection that it never opened.
       openConnections.delete(connection);
       void connection.client.destroy();
     };
-    const exchange = new Exchange(req, sink, connection, onFinished, onUnused);
+    const exchange = new Exchange(req, sink, connection, onFinished, onFailed, onUnused);
     connection.client.dispatch(
       {
         method: req.method,
--- a/src/services/exchange/test/node/queuedSender.test.ts
+++ b/src/services/exchange/test/node/queuedSender.test.ts
@@ -62,6 +62,21 @@
     expect((await Promise.all(calls)).every((each) => each.isOk())).to.equal(true);
   });
 
+  // Guards against a client whose assertion ends the process, since a request was started on a failed connection.
+  it('starts the next request on a new connection if one was refused', async () => {
+    await new Promise((resolve) => {
+      server.close(resolve);
+    });
+    for (let round = 0; round < 20; round += 1) {
+      const calls = [1, 2, 3, 4].map((index) => call(`/${index}`));
+      const errors = (await Promise.all(calls)).map((each) => each.unwrapErr());
+      errors.forEach(({ end, wasSent }) => {
+        expect(end).to.equal(CallEnd.Failed);
+        expect(wasSent).to.equal(false);
+      });
+    }
+  });
+
   it('passes the turn on of a request that was given up, in progress or waiting', async () => {
     const cancel = new AbortController();
     const calls = [call('/1', 50), call('/2', 50), call('/3', undefined, cancel.signal)];
