Let an exception of an answer's receiver end its own exchange alone

An exception in the handling of an answer's end was swallowed by the HTTP client, so that its caller waited until the deadline; one in the handling of a head or of data counted as a lost endpoint and as evidence of a crash; one in the handling of a failure was uncaught and ended the process.

Change: the exchange catches what its receiver throws, ends itself with the fault `receiver`, logs `answer-receiver-failed` with the stack and counts it. The relays blame no endpoint for it.

--- a/src/base/common/errors.ts
+++ b/src/base/common/errors.ts
@@ -18,3 +18,21 @@
 export function toErrorMessage(thrown: unknown): string {
   return thrown instanceof Error ? thrown.message : String(thrown);
 }
+
+/** Maximum number of frames of a stack in a log line. */
+const maxStackFrames = 12;
+
+/**
+ * Returns where a value was thrown.
+ *
+ * @param thrown - Caught value.
+ * @returns The frames of its stack, the innermost first; undefined if it has none.
+ */
+export function stackOf(thrown: unknown): string | undefined {
+  const frames = thrown instanceof Error ? thrown.stack?.split('\n') : undefined;
+  return frames
+    ?.filter((line) => /^\s*at /.test(line))
+    .slice(0, maxStackFrames)
+    .map((line) => line.trim())
+    .join(' < ');
+}
--- a/src/gateway/relay/node/plainRelay.ts
+++ b/src/gateway/relay/node/plainRelay.ts
@@ -4,6 +4,7 @@
 import type { AnswerBody } from '../../../services/exchange/node/answerBody.js';
 import {
   ExchangeFault,
+  isOwnFault,
   type AnswerHead,
   type IAnswerSink,
   type IExchange,
@@ -274,7 +275,7 @@
       return;
     }
     this.finishSend(send);
-    if (fault === ExchangeFault.NoRoom) {
+    if (isOwnFault(fault)) {
       this.handlePossibleRun(send, reason);
       return;
     }
--- a/src/gateway/relay/node/streamRelay.ts
+++ b/src/gateway/relay/node/streamRelay.ts
@@ -3,6 +3,7 @@
 import type { CancelTimer } from '../../../base/common/clock.js';
 import {
   ExchangeFault,
+  isOwnFault,
   type AnswerHead,
   type IExchange,
 } from '../../../services/exchange/node/endpointSender.js';
@@ -674,7 +675,7 @@
   /** Ends a send whose answer was given up here. The endpoint lives; its connection was ended here. */
   private handleGivenUpAnswer(reason: string, fault: ExchangeFault): void {
     this.recordPossibleRun();
-    this.recordOutcome(fault !== ExchangeFault.NoRoom);
+    this.recordOutcome(!isOwnFault(fault));
     this.run.recordAnswer();
     const { firstAddress } = this;
     if (firstAddress !== undefined && fault === ExchangeFault.Malformed) {
--- a/src/services/exchange/common/answerCut.ts
+++ b/src/services/exchange/common/answerCut.ts
@@ -18,12 +18,18 @@
   Yielded = 'yielded',
   /** The account had no room, and too many others waited for it. */
   NoRoom = 'no-room',
+  /** The receiver of the answer in this process threw an exception. */
+  Receiver = 'receiver',
   /** Heads and framing of all answers use too much of the heap. */
   Heap = 'heap',
 }
 
 /** Cuts for which the sender of the answer is not to blame. */
-const blamelessCuts: ReadonlySet<AnswerCut> = new Set([AnswerCut.NoRoom, AnswerCut.Heap]);
+const blamelessCuts: ReadonlySet<AnswerCut> = new Set([
+  AnswerCut.NoRoom,
+  AnswerCut.Heap,
+  AnswerCut.Receiver,
+]);
 
 /**
  * Returns whether the sender of an answer failed.
--- a/src/services/exchange/node/answerIntake.ts
+++ b/src/services/exchange/node/answerIntake.ts
@@ -1,5 +1,6 @@
 import { getHeapStatistics } from 'node:v8';
 import type { CancelTimer, IClock, ITimers } from '../../../base/common/clock.js';
+import { stackOf, toErrorMessage } from '../../../base/common/errors.js';
 import { LogLevel, type ILogger } from '../../../base/common/logger.js';
 import { RepeatLimitedLogger } from '../../../base/common/repeatLimitedLogger.js';
 import { BodyAccount } from '../../intake/common/bodyAccount.js';
@@ -68,7 +69,7 @@
     readonly bounds: AnswerBounds,
     private readonly countCut: (cut: AnswerCut) => void,
     readonly clock: IClock & ITimers,
-    logger: ILogger,
+    private readonly logger: ILogger,
   ) {
     this.account = new BodyAccount(bounds);
     this.pool = new BlockPool(bounds.memoryBytes);
@@ -146,6 +147,21 @@
     });
   }
 
+  /**
+   * Counts and logs an exception of the receiver of an answer.
+   *
+   * @param thrown - What it threw.
+   * @param origin - Who sent the answer.
+   */
+  recordReceiverFailure(thrown: unknown, origin: string): void {
+    this.countCut(AnswerCut.Receiver);
+    this.logger.log(LogLevel.Error, 'answer-receiver-failed', {
+      origin,
+      reason: toErrorMessage(thrown),
+      stack: stackOf(thrown),
+    });
+  }
+
   /** Stops the timer. */
   close(): void {
     this.isClosed = true;
--- a/src/services/exchange/node/endpointSender.ts
+++ b/src/services/exchange/node/endpointSender.ts
@@ -72,6 +72,17 @@
   Answer = 'answer',
   /** This process had no room for the answer. */
   NoRoom = 'no-room',
+  /** The receiver in this process threw an exception. */
+  Receiver = 'receiver',
+}
+
+/**
+ * Returns whether the endpoint is not to blame for what failed.
+ *
+ * @param fault - What failed.
+ */
+export function isOwnFault(fault: ExchangeFault): boolean {
+  return fault === ExchangeFault.NoRoom || fault === ExchangeFault.Receiver;
 }
 
 /** A request that was sent to an endpoint, with its answer. */
@@ -297,16 +308,23 @@
       return; // the heap had no room for the head
     }
     const isFirstOnConnection = this.connection.requestCount === 1;
-    this.sink.onHead({ status, headers, rawHeaders, isFirstOnConnection }, this);
+    this.callSink(() =>
+      this.sink.onHead({ status, headers, rawHeaders, isFirstOnConnection }, this),
+    );
   }
 
   onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
     this.connection.onHeard();
     this.receivedBytes += chunk.length;
     this.connection.reader?.recordPiece(chunk.length);
-    if (!this.isFinished && !this.sink.onData(chunk)) {
-      this.connection.reader?.hold(HoldReason.Receiver);
+    if (this.isFinished) {
+      return;
     }
+    this.callSink(() => {
+      if (!this.sink.onData(chunk)) {
+        this.connection.reader?.hold(HoldReason.Receiver);
+      }
+    });
   }
 
   onResponseEnd(): void {
@@ -319,9 +337,9 @@
     // The client treats the end of a connection as the end of its last answer, regardless of framing.
     if (failureReason !== undefined || (this.isFramed && hasEnded)) {
       const reason = failureReason ?? 'connection ended within the answer';
-      this.sink.onError(reason, true, ExchangeFault.Connection);
+      this.callSinkWithError(reason, true, ExchangeFault.Connection);
     } else {
-      this.sink.onEnd();
+      this.callSink(() => this.sink.onEnd());
     }
     this.closeBodies();
   }
@@ -337,7 +355,8 @@
     if (cut !== undefined) {
       this.connection.intake.recordCut(cut, this.connection.origin, this.receivedBytes);
     }
-    this.sink.onError(toErrorMessage(err), this.controller !== undefined, faultOf(cut), err);
+    const wasSent = this.controller !== undefined;
+    this.callSinkWithError(toErrorMessage(err), wasSent, faultOf(cut), err);
   }
 
   collect(maxBytes: number, isWholeBody: boolean): AnswerBody {
@@ -367,7 +386,7 @@
     }
     this.connection.intake.recordCut(cut, this.connection.origin, this.receivedBytes);
     this.abort();
-    this.sink.onError(reason, true, faultOf(cut));
+    this.callSinkWithError(reason, true, faultOf(cut));
   }
 
   countEvents(count: number, bytes: number): void {
@@ -392,6 +411,34 @@
     }
   }
 
+  /** Calls the sink; an exception that it throws ends this exchange alone. */
+  private callSink(action: () => void): void {
+    try {
+      action();
+    } catch (err) {
+      this.connection.intake.recordReceiverFailure(err, this.connection.origin);
+      if (!this.isFinished) {
+        this.abort();
+      }
+      const reason = `answer could not be handled: ${toErrorMessage(err)}`;
+      this.callSinkWithError(reason, true, ExchangeFault.Receiver);
+    }
+  }
+
+  private callSinkWithError(
+    reason: string,
+    wasSent: boolean,
+    fault: ExchangeFault,
+    cause?: Error,
+  ): void {
+    try {
+      this.sink.onError(reason, wasSent, fault, cause);
+    } catch (err) {
+      // Its caller is answered at the deadline of the request.
+      this.connection.intake.recordReceiverFailure(err, this.connection.origin);
+    }
+  }
+
   /** Charges a head that is larger than usual. */
   private chargeHead(rawHeaders: readonly string[]): void {
     const fieldCount = rawHeaders.length / 2;
