Stop entry and agent as planned after an uncaught exception, and survive early SIGHUP

Entry and agent had no handler for uncaught exceptions, so one dropped all callers at once. The gateway drained, but its line had one frame of the stack and nothing counted it. A SIGHUP before the handlers were set ended any process, and ended entry and agent at any time.

Change: the three programs share handlers for unforeseen errors (line with the stack, counter, planned stop with status 1, end at the latest 2 s after the grace period) and for signals, which are set by the first import of each program and in the start script.

--- a/scripts/startCached.cjs
+++ b/scripts/startCached.cjs
@@ -15,6 +15,9 @@
 const { dirname, resolve } = require('node:path');
 const { Script } = require('node:vm');
 
+// Until the bundle handles its signals, SIGHUP would end the process.
+process.on('SIGHUP', () => undefined);
+
 const bundle = resolve(process.argv[2]);
 const cacheFile = `${bundle}.cache`;
 process.argv.splice(1, 2, bundle);
--- a/src/bench/test/node/drainFixtures.ts
+++ b/src/bench/test/node/drainFixtures.ts
@@ -108,7 +108,7 @@
 
   private readonly closers: (() => Promise<void> | void)[] = [];
 
-  private platformUrl = '';
+  platformUrl = '';
 
   private operator = new HttpObjectStore('http://127.0.0.1', 1, createTestIntake());
 
@@ -238,7 +238,8 @@
     return { program, port, events };
   }
 
-  private async publishAgent(name: string, port: number): Promise<void> {
+  /** Writes an agent to the platform's instance list. */
+  async publishAgent(name: string, port: number): Promise<void> {
     const record = {
       id: name,
       role: InstanceRole.Agent,
@@ -254,7 +255,8 @@
     });
   }
 
-  private commonSettings(instance: string): object {
+  /** Returns the settings that entries and agents have in common. */
+  commonSettings(instance: string): object {
     return { instance, place: 'p', region: 'r', linkPort: 0, platformUrl: this.platformUrl };
   }
 
--- a/src/bin/ibisspar-gateway.ts
+++ b/src/bin/ibisspar-gateway.ts
@@ -1,3 +1,6 @@
+// Handles signals from the first statement on, so it comes before all other imports.
+import { processSignals } from '../services/program/node/processSignals.js';
+// eslint-disable-next-line import-x/order -- see above
 import { cac } from 'cac';
 import {
   decodeConfig,
@@ -25,6 +28,10 @@
   NoAnswer,
   type CallOutcome,
 } from '../services/objects/node/storeConnections.js';
+import {
+  endAfterGrace,
+  handleUnforeseenErrors,
+} from '../services/program/node/unforeseenErrors.js';
 import { gatewaySchema, type GatewaySettings } from '../services/settings/common/settings.js';
 import { loadSettings } from '../services/settings/node/loadSettings.js';
 
@@ -117,25 +124,22 @@
     lineWriter.close();
     process.exit(exitStatus);
   };
-  process.on('SIGTERM', () => void stop(0));
-  process.on('SIGINT', () => void stop(0));
-  // Only checks the settings file. Changed settings take effect when the gateway is restarted.
-  process.on('SIGHUP', () => {
-    const loaded = loadSettings(path, gatewaySchema);
-    logger.log(LogLevel.Info, 'reloaded', {
-      outcome: loaded.isOk() ? 'valid' : loaded.error.message,
-    });
-  });
-  // Its state may be inconsistent, so the process ends, but not the requests that it serves.
-  process.on('uncaughtException', (err) => {
-    logger.log(LogLevel.Error, 'uncaught-exception', {
-      reason: toErrorMessage(err),
-      at: err.stack?.split('\n').at(1)?.trim(),
-    });
-    void stop(failureStatus);
+  processSignals.takeOver({
+    stop: () => void stop(0),
+    // Only checks the settings file. Changed settings take effect when the gateway is restarted.
+    reload: () => {
+      const loaded = loadSettings(path, gatewaySchema);
+      logger.log(LogLevel.Info, 'reloaded', {
+        outcome: loaded.isOk() ? 'valid' : loaded.error.message,
+      });
+    },
   });
-  process.on('unhandledRejection', (reason) => {
-    logger.log(LogLevel.Error, 'unhandled-rejection', { reason: toErrorMessage(reason) });
+  handleUnforeseenErrors(logger, {
+    count: (kind) => metrics.unforeseenErrors.inc({ kind }),
+    stop: () => {
+      endAfterGrace(settings.drainMs, failureStatus);
+      void stop(failureStatus);
+    },
   });
   await program.start();
 }
--- a/src/gateway/node/gatewayMetrics.ts
+++ b/src/gateway/node/gatewayMetrics.ts
@@ -110,6 +110,14 @@
     registers: [this.registry],
   });
 
+  /** Errors that no code has handled, by kind. */
+  readonly unforeseenErrors = new Counter({
+    name: 'ibisspar_unforeseen_errors_total',
+    help: 'Exceptions and rejections that no code has handled, by kind',
+    labelNames: ['kind'],
+    registers: [this.registry],
+  });
+
   /** Answers to callers that this gateway broke off, by reason and whether a status was sent. */
   readonly cutAnswers = new Counter({
     name: 'ibisspar_cut_answers_total',
--- a/src/services/program/node/runProgram.ts
+++ b/src/services/program/node/runProgram.ts
@@ -7,6 +7,8 @@
 import { SystemClock } from '../../../base/node/systemClock.js';
 import { HttpObjectStore } from '../../objects/node/httpObjectStore.js';
 import { createStoreIntake } from '../../objects/node/storeConnections.js';
+import { processSignals } from './processSignals.js';
+import { endAfterGrace, handleUnforeseenErrors } from './unforeseenErrors.js';
 import type { SettingsError } from '../../settings/common/settings.js';
 
 /** Settings that every long-running program has in common. */
@@ -17,6 +19,7 @@
   readonly statsd?: StatsdTarget;
   readonly platformUrl: string;
   readonly platformCallMs: number;
+  readonly drainMs: number;
 }
 
 /** Checked settings and other dependencies that {@link runProgram} passes to a program. */
@@ -41,6 +44,9 @@
 /** Exit status for invalid arguments or settings. */
 const usageErrorStatus = 2;
 
+/** Exit status after an exception that no code has handled. */
+const failureStatus = 1;
+
 async function serve<S extends CommonSettings>(
   settings: S,
   createProgram: (dependencies: ProgramDependencies<S>) => IProgram,
@@ -58,7 +64,7 @@
   });
   const program = createProgram({ settings, clock, logger, metrics, store });
   let isStopping = false;
-  const stop = async () => {
+  const stop = async (exitStatus: number) => {
     if (isStopping) {
       return;
     }
@@ -68,12 +74,19 @@
     await store.close();
     storeAnswers.close();
     await metrics.close();
-    process.exit(0);
+    process.exit(exitStatus);
   };
-  process.on('SIGTERM', () => void stop());
-  process.on('SIGINT', () => void stop());
-  process.on('unhandledRejection', (reason) => {
-    logger.log(LogLevel.Error, 'unhandled-rejection', { reason: toErrorMessage(reason) });
+  processSignals.takeOver({
+    stop: () => void stop(0),
+    // Changed settings take effect when the program is restarted.
+    reload: () => logger.log(LogLevel.Info, 'reload-ignored'),
+  });
+  handleUnforeseenErrors(logger, {
+    count: (kind) => metrics.increment('unforeseen-errors', { kind }),
+    stop: () => {
+      endAfterGrace(settings.drainMs, failureStatus);
+      void stop(failureStatus);
+    },
   });
   await program.start();
 }
@@ -118,6 +131,6 @@
   const { linkPort = loaded.value.linkPort } = options as { linkPort?: number };
   serve({ ...loaded.value, linkPort }, createProgram).catch((err: unknown) => {
     process.stderr.write(`${name}: ${toErrorMessage(err)}\n`);
-    process.exit(1);
+    process.exit(failureStatus);
   });
 }
