Keep endpoints gone that left before the store came back from an older copy

Cause: a list of the copy that shows the entry erased the note that this incarnation had left.

Change: at a change of the era, incarnations that this process saw leave stay gone for 10 s; a removal written again drops them at once. Within that time, and in the first 10 s of a process, departures that peers saw count as well.

Ruled out: telling a rewritten entry from a copied one by its revision; an endpoint whose heartbeat changes nothing gets no new revision.

The new tests use calls and log lines that the code before lacks, so they weren't run on it.

--- a/src/gateway/directory/common/departures.ts
+++ b/src/gateway/directory/common/departures.ts
@@ -12,6 +12,12 @@
  */
 export const departureReportMs = 3_000;
 
+/**
+ * Time after the store has come back from an older copy for which an incarnation that left before stays gone,
+ * although the copy lists it, in milliseconds. Its removal is written again within some seconds.
+ */
+export const restoredCopyMs = 10_000;
+
 /** Incarnations that left the store: those that this process saw leave, and those that peers report. */
 export class Departures {
   /** Monotonic time at which this process saw each incarnation leave, in that order. */
@@ -23,6 +29,9 @@
   /** Monotonic time until which each incarnation counts as gone because a peer reported it. */
   private readonly reportedUntilMs = new Map<string, number>();
 
+  /** Monotonic time until which each incarnation stays gone, whatever the store lists. */
+  private readonly heldUntilMs = new Map<string, number>();
+
   /** @param clock - Source of time. */
   constructor(private readonly clock: IClock) {}
 
@@ -37,16 +46,30 @@
     this.reportedUntilMs.set(incarnation, this.clock.monotonicMs() + departureReportMs);
   }
 
-  /** Forgets an incarnation because the store lists it. */
+  /** Keeps the incarnations that this process saw leave gone, since the store may list them from an older copy. */
+  holdSeen(): void {
+    const untilMs = this.clock.monotonicMs() + restoredCopyMs;
+    [...this.seenAtMs.keys()].forEach((incarnation) => this.heldUntilMs.set(incarnation, untilMs));
+  }
+
+  /** Returns whether an incarnation stays gone although the store lists it. */
+  isHeld(incarnation: string): boolean {
+    return (this.heldUntilMs.get(incarnation) ?? 0) > this.clock.monotonicMs();
+  }
+
+  /** Forgets an incarnation because the store lists it, unless it stays gone nevertheless. */
   forget(incarnation: string): void {
+    if (this.isHeld(incarnation)) {
+      return;
+    }
     this.seenAtMs.delete(incarnation);
     this.reportedUntilMs.delete(incarnation);
   }
 
-  /** Returns whether a peer recently reported that an incarnation left. */
-  isReported(incarnation: string): boolean {
-    const untilMs = this.reportedUntilMs.get(incarnation);
-    return untilMs !== undefined && untilMs > this.clock.monotonicMs();
+  /** Returns whether an incarnation that the store lists left, as this process or a peer saw. */
+  hasLeft(incarnation: string): boolean {
+    const reportedUntilMs = this.reportedUntilMs.get(incarnation) ?? 0;
+    return reportedUntilMs > this.clock.monotonicMs() || this.isHeld(incarnation);
   }
 
   /** Returns incarnations that this process saw leave, for the next message to the peers. */
@@ -73,5 +96,10 @@
         this.reportedUntilMs.delete(incarnation);
       }
     }
+    for (const [incarnation, untilMs] of this.heldUntilMs) {
+      if (untilMs <= nowMs) {
+        this.heldUntilMs.delete(incarnation);
+      }
+    }
   }
 }
--- a/src/gateway/directory/common/endpointDirectory.ts
+++ b/src/gateway/directory/common/endpointDirectory.ts
@@ -1,7 +1,7 @@
 import type { IClock } from '../../../base/common/clock.js';
 import { Emitter } from '../../../base/common/event.js';
 import { LogLevel, type ILogger } from '../../../base/common/logger.js';
-import { Departures } from './departures.js';
+import { Departures, restoredCopyMs } from './departures.js';
 import { EndpointState, incarnationOf, type Endpoint, type LayerRange } from './endpoint.js';
 
 /**
@@ -112,6 +112,9 @@
   /** Monotonic time at which the store last recovered from an outage, in milliseconds. */
   private storeRecoveredMs = Number.NEGATIVE_INFINITY;
 
+  /** Monotonic time until which the store may list endpoints from an older copy, in milliseconds. */
+  private mayBeCopyUntilMs = Number.NEGATIVE_INFINITY;
+
   /**
    * @param clock - Source of time.
    * @param logger - Receives changes of endpoints and suspicions.
@@ -139,7 +142,12 @@
       this.notifyRemoved(entry.endpoint);
     }
     this.byId.set(endpoint.id, { endpoint, expiresAtMs: undefined });
-    this.departures.forget(incarnationOf(endpoint));
+    const incarnation = incarnationOf(endpoint);
+    this.departures.forget(incarnation);
+    if (entry === undefined && this.departures.isHeld(incarnation)) {
+      const { id, address } = endpoint;
+      this.logger.log(LogLevel.Warn, 'endpoint-listed-after-leaving', { endpoint: id, address });
+    }
     this.logChange(entry?.endpoint, endpoint);
   }
 
@@ -156,7 +164,7 @@
     if (entry === undefined) {
       return;
     }
-    if (this.departures.isReported(incarnationOf(entry.endpoint))) {
+    if (this.departures.hasLeft(incarnationOf(entry.endpoint))) {
       this.drop(entry.endpoint, 'a peer saw it leave');
       return;
     }
@@ -202,6 +210,21 @@
     this.storeRecoveredMs = this.clock.monotonicMs();
   }
 
+  /** Called when the store has come back from an older copy, which may list endpoints that left since. */
+  recordStoreCopy(): void {
+    this.recordStoreRecovery();
+    this.expectCopy();
+    this.departures.holdSeen();
+  }
+
+  /**
+   * Lets peers' departures count for a while although the store answers. A process that starts calls it, since it
+   * doesn't know whether the store has just come back from an older copy.
+   */
+  expectCopy(): void {
+    this.mayBeCopyUntilMs = this.clock.monotonicMs() + restoredCopyMs;
+  }
+
   /** Drops entries whose grace period after an outage is over; call this a few times a second. */
   removeExpired(): void {
     const nowMs = this.clock.monotonicMs();
@@ -229,17 +252,19 @@
   }
 
   /**
-   * Takes over from a peer which endpoints left, as far as this process can't know it from the store. A
-   * peer that has lost the store itself may report an endpoint that has come back since.
+   * Takes over from a peer which endpoints left, as far as this process can't know it from the store: it has
+   * lost the store, or the store may have come back from an older copy. A peer that has lost the store itself
+   * may report an endpoint that has come back since.
    *
    * @param peer - Instance name of the peer.
    * @param incarnations - Incarnations that the peer saw leave.
    */
   handleDepartures(peer: string, incarnations: readonly string[]): void {
     const reported = new Set(incarnations);
+    const isListOutdated = this.isStoreLost || this.clock.monotonicMs() < this.mayBeCopyUntilMs;
     for (const { endpoint, expiresAtMs } of [...this.byId.values()]) {
       const isMissing = expiresAtMs !== undefined;
-      const mayBeGone = isMissing || this.isStoreLost;
+      const mayBeGone = isMissing || isListOutdated;
       const incarnation = incarnationOf(endpoint);
       if (!mayBeGone || !reported.has(incarnation)) {
         continue;
@@ -248,7 +273,7 @@
         this.drop(endpoint, `${peer} saw it leave`);
         continue;
       }
-      if (!this.departures.isReported(incarnation)) {
+      if (!this.departures.hasLeft(incarnation)) {
         const { id, address } = endpoint;
         this.logger.log(LogLevel.Info, 'endpoint-reported-gone', { endpoint: id, address, peer });
       }
@@ -464,7 +489,7 @@
     return this.findByService(service).filter(
       (endpoint) =>
         endpoint.state === EndpointState.Ready &&
-        !this.departures.isReported(incarnationOf(endpoint)) &&
+        !this.departures.hasLeft(incarnationOf(endpoint)) &&
         !this.hasExpired(endpoint),
     );
   }
--- a/src/gateway/directory/test/common/endpointDirectory.test.ts
+++ b/src/gateway/directory/test/common/endpointDirectory.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai';
 import { FakeClock } from '../../../../base/test/common/fakeClock.js';
-import { departureReportMs } from '../../common/departures.js';
+import { departureReportMs, restoredCopyMs } from '../../common/departures.js';
 import { EndpointState, incarnationOf, type Endpoint } from '../../common/endpoint.js';
 import {
   EndpointDirectory,
@@ -46,6 +46,41 @@
     expect(directory.findUsable('s').map(incarnationOf)).to.deep.equal(['e1@20']);
   });
 
+  // Guards against an older copy of the store that undoes what this process has seen.
+  it('does not use an endpoint that left before the store came back from a copy, for a while', () => {
+    directory.update(endpointWith({}));
+    directory.update(endpointWith({ id: 'e2', address: '10.0.0.2:80' }));
+    directory.remove('e1');
+    directory.recordStoreCopy();
+    directory.update(endpointWith({}));
+    directory.retainOnly(new Set(['e1', 'e2']));
+    clock.advance(restoredCopyMs - 1);
+    directory.removeExpired();
+    expect(directory.findUsable('s').map(({ id }) => id)).to.deep.equal(['e2']);
+    // One that is still listed then is alive: its entry had only expired.
+    clock.advance(2);
+    directory.removeExpired();
+    expect(directory.findUsable('s').map(({ id }) => id)).to.deep.equal(['e2', 'e1']);
+  });
+
+  it('drops such an endpoint at once when its removal is written again', () => {
+    directory.update(endpointWith({}));
+    directory.remove('e1');
+    directory.recordStoreCopy();
+    directory.update(endpointWith({}));
+    directory.remove('e1');
+    expect(directory.findByService('s')).to.have.length(0);
+    expect(directory.nextDepartures()).to.deep.equal(['e1@10']);
+  });
+
+  it('uses another incarnation of such an endpoint', () => {
+    directory.update(endpointWith({}));
+    directory.remove('e1');
+    directory.recordStoreCopy();
+    directory.update(endpointWith({ startedMs: 20 }));
+    expect(directory.findUsable('s').map(incarnationOf)).to.deep.equal(['e1@20']);
+  });
+
   it('does not list a draining endpoint as usable', () => {
     directory.update(endpointWith({ state: EndpointState.Draining }));
     expect(directory.findUsable('s')).to.have.length(0);
--- a/src/gateway/node/gatewayProgram.ts
+++ b/src/gateway/node/gatewayProgram.ts
@@ -368,6 +368,9 @@
   async start(): Promise<void> {
     const { settings, logger } = this.dependencies;
     const [host, port] = splitAddress(settings.callerAddress);
+    if (!settings.isFirstStart) {
+      this.directory.expectCopy();
+    }
     this.feeds.forEach((feed) => feed.start());
     await this.ingress.listen(host, port);
     const readyAddress = splitAddress(settings.readyAddress);
@@ -577,7 +580,7 @@
       registersInMs: Math.round(delayMs),
     });
     this.lease.handleEraChange();
-    this.directory.recordStoreRecovery();
+    this.directory.recordStoreCopy();
     clock.after(delayMs, () => {
       this.registerAsPeer();
       this.crashProtection.publish();
