Keep all fields of a head, however many they are

Cause: the HTTP server of Node.js drops fields past the thousandth silently; the limit of a head by its size was measured on what was left.

Change: every server keeps all fields, and a head beyond the limit gets 431. The heap charge of an incomplete head has no cap at 1,000 fields any more.

--- a/src/services/intake/common/headAccount.ts
+++ b/src/services/intake/common/headAccount.ts
@@ -10,12 +10,6 @@
 /** Heap per byte of a head that isn't complete; its fields can't be counted, and four bytes may be one. */
 const partialHeadFactor = 20;
 
-/**
- * Heap that an incomplete head uses at most, in bytes. The parser keeps no more than 1,000 fields; 400 heads
- * of 3,900 empty ones took 60 KB each.
- */
-const maxPartialHeadBytes = 60_000;
-
 /**
  * Returns the heap that a request without its body uses.
  *
@@ -34,7 +28,7 @@
  * @returns An estimate, in bytes.
  */
 export function partialHeadCost(bytes: number): number {
-  return Math.min(maxPartialHeadBytes, partialHeadFactor * bytes);
+  return partialHeadFactor * bytes;
 }
 
 /** Account of what connections and requests use of the heap. */
--- a/src/services/intake/node/callerIntake.ts
+++ b/src/services/intake/node/callerIntake.ts
@@ -172,6 +172,8 @@
     // The sweep checks heads and silent connections; Node.js does it only every half minute.
     server.headersTimeout = 0;
     server.requestTimeout = 0;
+    // By default Node.js leaves the fields past the thousandth out without an error. A head is bounded by its size.
+    server.maxHeadersCount = 0;
     server.on('connection', (socket) => this.accept(attached, socket));
     this.cancelSweep ??= this.scheduleSweep();
   }
