Say that a lookup has not run if every endpoint refused it

Cause: ServiceCaller.lookup took every try after the first for one that may have run.

Change: the outcomes of the tries decide; after four refusals the answer is 503 `not-run` instead of 502.

--- a/src/entry/services/common/serviceCaller.ts
+++ b/src/entry/services/common/serviceCaller.ts
@@ -137,25 +137,30 @@
    */
   async lookup(request: ServiceRequest): Promise<Result<ServiceAnswer, Problem>> {
     const avoidedEndpoints = new Set<string>();
+    // A refusal says that the call did not run; only other failures leave it unknown.
+    let run = RunState.NotRun;
     for (let tries = 1; tries <= maxLookupTries; tries += 1) {
       const view = this.choose(request, avoidedEndpoints);
       if (view === undefined) {
-        return Err(
-          this.noEndpointProblem(request, tries === 1 ? RunState.NotRun : RunState.Unknown),
-        );
+        return Err(this.noEndpointProblem(request, run));
       }
       const outcome = await this.dispatch(request, `${request.id}.${tries}`, view, false);
       if (outcome.kind === RunOutcomeKind.Answered) {
         return Ok(outcome.value);
       }
+      if (outcome.kind !== RunOutcomeKind.Refused) {
+        run = RunState.Unknown;
+      }
       if (this.clock.monotonicMs() >= request.deadlineMs) {
         const detail = 'the deadline passed during the call';
-        return Err(problem(ProblemKind.DeadlineExceeded, RunState.Unknown, detail));
+        return Err(problem(ProblemKind.DeadlineExceeded, run, detail));
       }
       avoidedEndpoints.add(view.id);
     }
     return Err(
-      problem(ProblemKind.EndpointFailed, RunState.Unknown, `${maxLookupTries} endpoints failed`),
+      run === RunState.NotRun
+        ? this.noEndpointProblem(request, run)
+        : problem(ProblemKind.EndpointFailed, run, `${maxLookupTries} endpoints failed`),
     );
   }
 
--- a/src/entry/services/test/common/serviceCaller.test.ts
+++ b/src/entry/services/test/common/serviceCaller.test.ts
@@ -3,6 +3,7 @@
 import { SeededRandom } from '../../../../base/common/random.js';
 import { FakeClock } from '../../../../base/test/common/fakeClock.js';
 import {
+  FailureReason,
   MessageKind,
   type CallMessage,
   type CallResultMessage,
@@ -84,4 +85,32 @@
     }
     expect((await lookUp({ 'agent-1': answered(404) })).unwrap().status).to.equal(404);
   });
+
+  const refused: Partial<CallResultMessage> = {
+    run: RunState.NotRun,
+    reason: FailureReason.Leaving,
+  };
+  const failed: Partial<CallResultMessage> = { run: RunState.Unknown };
+
+  const agents = (...results: Partial<CallResultMessage>[]) =>
+    Object.fromEntries(results.map((result, index) => [`agent-${index}`, result]));
+
+  // Guards against a lookup that is answered as if it might have run although every agent refused it.
+  it('says that a lookup has not run if all endpoints that it tried refused it', async () => {
+    for (const count of [0, 1, 2, 4, 6]) {
+      const outcome = await lookUp(agents(...Array.from({ length: count }, () => refused)));
+      const { status, run } = outcome.unwrapErr();
+      expect({ status, run }, String(count)).to.deep.equal({
+        status: 503,
+        run: RunState.NotRun,
+      });
+    }
+  });
+
+  it('says that it is unknown once one of them may have run it', async () => {
+    for (const results of [[failed], [failed, refused], [refused, failed, refused]]) {
+      const outcome = await lookUp(agents(...results));
+      expect(outcome.unwrapErr().run).to.equal(RunState.Unknown);
+    }
+  });
 });
