Refuse a request that can't be sent with 400, and blame no endpoint for it

Callers saw: after one request with two Host fields all bookings of a service were refused for seconds.

Cause: what the HTTP client refuses to send counted as an endpoint that is silent.

Change: such errors are a fault of the request; plain and stream relays answer 400 as not run. Exceptions of receivers are caught without a closure for each piece.

--- a/src/gateway/relay/node/plainRelay.ts
+++ b/src/gateway/relay/node/plainRelay.ts
@@ -275,6 +275,10 @@
       return;
     }
     this.finishSend(send);
+    if (fault === ExchangeFault.Request && this.possibleRunCount === 0) {
+      this.refuseUnsendable(reason);
+      return;
+    }
     if (isOwnFault(fault)) {
       this.handlePossibleRun(send, reason);
       return;
@@ -322,6 +326,14 @@
     this.refuseUnlessRunning(reason);
   }
 
+  /** Refuses a request that no endpoint can be sent; its caller could only repeat it in vain. */
+  private refuseUnsendable(reason: string): void {
+    this.context.metrics.refusals.inc({ reason: 'unsendable' });
+    const status = RefusalStatus.BadRequest;
+    this.caller.refuse({ status, detail: `the request can't be forwarded: ${reason}` });
+    this.finish('refused: unsendable', status);
+  }
+
   private refuseQuarantined(remainingMs: number): void {
     if (this.isFinished) {
       return;
--- a/src/gateway/relay/node/streamRelay.ts
+++ b/src/gateway/relay/node/streamRelay.ts
@@ -652,6 +652,10 @@
     ) {
       return;
     }
+    if (fault === ExchangeFault.Request && !this.history.mayHaveRun) {
+      this.refuseUnsendable(reason);
+      return;
+    }
     if (fault !== ExchangeFault.Connection) {
       this.handleGivenUpAnswer(reason, fault);
       return;
@@ -806,6 +810,14 @@
     });
   }
 
+  /** Refuses a request that no endpoint can be sent; its caller could only repeat it in vain. */
+  private refuseUnsendable(reason: string): void {
+    this.context.metrics.refusals.inc({ reason: 'unsendable' });
+    const status = RefusalStatus.BadRequest;
+    this.caller.refuse({ status, detail: `the request can't be forwarded: ${reason}` });
+    this.finish('refused: unsendable', status);
+  }
+
   private refuseQuarantined(remainingMs: number): void {
     if (!this.isFinished) {
       this.context.metrics.refusals.inc({ reason: 'quarantined' });
--- a/src/services/exchange/node/endpointSender.ts
+++ b/src/services/exchange/node/endpointSender.ts
@@ -74,15 +74,23 @@
   NoRoom = 'no-room',
   /** The receiver in this process threw an exception. */
   Receiver = 'receiver',
+  /** The request can't be sent to any endpoint, such as one with two hosts. Nothing of it was sent. */
+  Request = 'request',
 }
 
+const ownFaults: ReadonlySet<ExchangeFault> = new Set([
+  ExchangeFault.NoRoom,
+  ExchangeFault.Receiver,
+  ExchangeFault.Request,
+]);
+
 /**
  * Returns whether the endpoint is not to blame for what failed.
  *
  * @param fault - What failed.
  */
 export function isOwnFault(fault: ExchangeFault): boolean {
-  return fault === ExchangeFault.NoRoom || fault === ExchangeFault.Receiver;
+  return ownFaults.has(fault);
 }
 
 /** A request that was sent to an endpoint, with its answer. */
@@ -130,6 +138,13 @@
 /** Codes of errors of the client about bytes that are no answer in the protocol; it asserts some of its rules. */
 const malformedCodes: ReadonlySet<unknown> = new Set(['UND_ERR_HEADERS_OVERFLOW', 'ERR_ASSERTION']);
 
+/** Codes of errors of the client about a request that it doesn't send. */
+const unsendableCodes: ReadonlySet<unknown> = new Set([
+  'UND_ERR_INVALID_ARG',
+  'UND_ERR_NOT_SUPPORTED',
+  'UND_ERR_REQ_CONTENT_LENGTH_MISMATCH',
+]);
+
 /** Message with which the client closes a connection for a head that it doesn't expect, such as status 100. */
 const unexpectedHeadPattern = /^bad (response|upgrade)$/;
 
@@ -308,9 +323,11 @@
       return; // the heap had no room for the head
     }
     const isFirstOnConnection = this.connection.requestCount === 1;
-    this.callSink(() =>
-      this.sink.onHead({ status, headers, rawHeaders, isFirstOnConnection }, this),
-    );
+    try {
+      this.sink.onHead({ status, headers, rawHeaders, isFirstOnConnection }, this);
+    } catch (err) {
+      this.handleSinkException(err);
+    }
   }
 
   onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
@@ -320,11 +337,13 @@
     if (this.isFinished) {
       return;
     }
-    this.callSink(() => {
+    try {
       if (!this.sink.onData(chunk)) {
         this.connection.reader?.hold(HoldReason.Receiver);
       }
-    });
+    } catch (err) {
+      this.handleSinkException(err);
+    }
   }
 
   onResponseEnd(): void {
@@ -339,7 +358,11 @@
       const reason = failureReason ?? 'connection ended within the answer';
       this.callSinkWithError(reason, true, ExchangeFault.Connection);
     } else {
-      this.callSink(() => this.sink.onEnd());
+      try {
+        this.sink.onEnd();
+      } catch (err) {
+        this.handleSinkException(err);
+      }
     }
     this.closeBodies();
   }
@@ -355,8 +378,10 @@
     if (cut !== undefined) {
       this.connection.intake.recordCut(cut, this.connection.origin, this.receivedBytes);
     }
-    const wasSent = this.controller !== undefined;
-    this.callSinkWithError(toErrorMessage(err), wasSent, faultOf(cut), err);
+    const isUnsendable = unsendableCodes.has((err as { readonly code?: unknown }).code);
+    const wasSent = this.controller !== undefined && !isUnsendable;
+    const fault = isUnsendable ? ExchangeFault.Request : faultOf(cut);
+    this.callSinkWithError(toErrorMessage(err), wasSent, fault, err);
   }
 
   collect(maxBytes: number, isWholeBody: boolean): AnswerBody {
@@ -411,18 +436,14 @@
     }
   }
 
-  /** Calls the sink; an exception that it throws ends this exchange alone. */
-  private callSink(action: () => void): void {
-    try {
-      action();
-    } catch (err) {
-      this.connection.intake.recordReceiverFailure(err, this.connection.origin);
-      if (!this.isFinished) {
-        this.abort();
-      }
-      const reason = `answer could not be handled: ${toErrorMessage(err)}`;
-      this.callSinkWithError(reason, true, ExchangeFault.Receiver);
+  /** Ends this exchange alone after an exception of the sink. */
+  private handleSinkException(err: unknown): void {
+    this.connection.intake.recordReceiverFailure(err, this.connection.origin);
+    if (!this.isFinished) {
+      this.abort();
     }
+    const reason = `answer could not be handled: ${toErrorMessage(err)}`;
+    this.callSinkWithError(reason, true, ExchangeFault.Receiver);
   }
 
   private callSinkWithError(
