--- a/src/services/exchange/test/node/rawServer.ts
+++ b/src/services/exchange/test/node/rawServer.ts
@@ -1,6 +1,6 @@
 import { createServer, type AddressInfo, type Server, type Socket } from 'node:net';
 
-/** Statuses of three digits that no final answer of an endpoint may have, and that begin none. */
+/** Numbers of three digits that are the status of no answer here, neither a final nor an awaited interim one. */
 export const invalidStatuses = ['000', '001', '099', '100', '101', '600', '601', '999'] as const;
 
 /** What may stand in place of a status. */
@@ -17,24 +17,23 @@
   '２００',
 ] as const;
 
-const idPattern = /x-ibisspar-request-id: *(\S+)/i;
-
-/** Server that writes the same bytes in answer to each request without a body, or after its first bytes. */
+/** Server that answers whatever it reads with bytes that need not be an answer in the protocol. */
 export class RawServer {
   private readonly server: Server;
 
   private readonly sockets = new Set<Socket>();
 
+  /** Number of reads, which is that of the requests if each arrives in one piece. */
   requestCount = 0;
 
-  /** @param answer - Returns the answer to a request, from its id. */
-  constructor(private readonly answer: (id: string) => string) {
+  /** @param answer - Returns the bytes to write, from those that were read. */
+  constructor(private readonly answer: (request: string) => string) {
     this.server = createServer((socket) => {
       this.sockets.add(socket);
       socket.on('error', () => undefined);
       socket.on('data', (bytes) => {
         this.requestCount += 1;
-        socket.write(this.answer(idPattern.exec(bytes.toString('latin1'))?.[1] ?? ''));
+        socket.write(this.answer(bytes.toString('latin1')));
       });
     });
   }
