Plan as many chains for a fraction of replicas as for the whole number below it

Found by reading on from the fractions in settings: the record of a model in the platform's objects may state its replicas as a fraction. The planner kept the whole number of chains and then formed one more, since 1 of 1.5 is below its share.

Change: the planner rounds the number down.

--- a/src/entry/placement/common/layerPlanner.ts
+++ b/src/entry/placement/common/layerPlanner.ts
@@ -227,16 +227,20 @@
  * endpoints then form new chains, first for the models that lack the largest share of their
  * replicas.
  *
- * @param demands - Models and the desired number of chains for each.
+ * @param requested - Models and the desired number of chains for each; a fraction is rounded down.
  * @param candidates - Endpoints that can currently hold layers.
  * @param current - The current placement.
  * @returns The new placement.
  */
 export function planPlacement(
-  demands: readonly PlacementDemand[],
+  requested: readonly PlacementDemand[],
   candidates: readonly PlacementCandidate[],
   current: Placement,
 ): Placement {
+  const demands = requested.map(({ model, replicas }) => ({
+    model,
+    replicas: Math.floor(replicas),
+  }));
   const liveIds = new Set(candidates.map((candidate) => candidate.id));
   const free = new Map(candidates.map((candidate) => [candidate.id, candidate]));
   const planned = new Map<string, PlannedChain[]>(demands.map(({ model }) => [model.name, []]));
--- a/src/entry/placement/test/common/layerPlanner.test.ts
+++ b/src/entry/placement/test/common/layerPlanner.test.ts
@@ -108,6 +108,23 @@
     );
   });
 
+  // Guards against a chain that is formed and given up in turn, since a number of replicas is a fraction.
+  it('plans as many chains for a fraction as for the whole number below it', () => {
+    fc.assert(
+      fc.property(
+        arbitraryCandidates,
+        fc.double({ min: 0, max: 3, noNaN: true }),
+        (candidates, replicas) => {
+          const plan = (count: number) => [
+            ...planPlacement([{ model, replicas: count }], candidates, new Map()),
+          ];
+          expect(plan(replicas)).to.deep.equal(plan(Math.floor(replicas)));
+        },
+      ),
+      { seed: 59, numRuns: 300 },
+    );
+  });
+
   it('moves the layers of a lost stage to a spare endpoint and keeps the other stages', () => {
     const candidates = Array.from({ length: 4 }, (_unused, index) => ({
       id: `e${index}`,
