Bound the charge of an incomplete head again

Heads without end then filled the heap account of connections, and the balancer's probes were refused ("4 of 5 probes were answered").

Change: the bound is back; complete heads are charged by their fields as before.

Ruled out: load.

--- a/src/services/intake/common/headAccount.ts
+++ b/src/services/intake/common/headAccount.ts
@@ -10,6 +10,9 @@
 /** Heap per byte of a head that isn't complete; its fields can't be counted, and four bytes may be one. */
 const partialHeadFactor = 20;
 
+/** Heap that an incomplete head is charged for at most, in bytes; 400 heads without end would fill the account. */
+const maxPartialHeadBytes = 60_000;
+
 /**
  * Returns the heap that a request without its body uses.
  *
@@ -28,7 +31,7 @@
  * @returns An estimate, in bytes.
  */
 export function partialHeadCost(bytes: number): number {
-  return partialHeadFactor * bytes;
+  return Math.min(maxPartialHeadBytes, partialHeadFactor * bytes);
 }
 
 /** Account of what connections and requests use of the heap. */
